--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Every tool comes from the tool lines of go.mod.
+GO ?= go
+BIN ?= bin
+PACKAGES ?= ./...
+
+.PHONY: build test format lint unit race demo fuzz-corpus tun-check capacity bench
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# The command that CI runs.
+test: format lint unit
+
+format:
+	@unformatted="$$($(GO) tool gofumpt -l .)"; \
+	if [ -n "$$unformatted" ]; then echo "gofumpt would change:"; echo "$$unformatted"; exit 1; fi
+
+lint:
+	$(GO) vet $(PACKAGES)
+	$(GO) tool staticcheck $(PACKAGES)
+
+unit:
+	$(GO) test -timeout 20m $(PACKAGES)
+
+race:
+	$(GO) test -race -timeout 40m $(PACKAGES)
--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,92 @@
+// Package result defines the numbered result codes that the daemon and the command-line tool
+// report, and the error type that carries them. docs/errors.md holds the table.
+package result
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Code is a numbered result. The thousands digit gives the area.
+type Code uint16
+
+// Result codes. Numbers are part of the public interface and are never reused.
+const (
+	OK Code = 0
+
+	// 1xxx: settings and configuration documents.
+	SettingsInvalid      Code = 1001
+	ConfigInvalid        Code = 1002
+	RevisionConflict     Code = 1003
+	AcknowledgeRequired  Code = 1004
+	CommandExpired       Code = 1005
+	RevisionNotFound     Code = 1006
+	TargetNotFound       Code = 1007
+	ServiceNotFound      Code = 1008
+	TooManyTargets       Code = 1009
+	NotInForceEverywhere Code = 1010
+
+	// 2xxx: admission of flows. These are the codes in the payload of a refusal.
+	NoFreeSlot         Code = 2001
+	QueueFull          Code = 2002
+	QueueTimeout       Code = 2003
+	TargetDraining     Code = 2004
+	NoTarget           Code = 2005
+	RetryBudgetSpent   Code = 2006
+	HandshakeFailed    Code = 2007
+	AdmissionSuspended Code = 2008
+
+	// 3xxx: control.
+	NotLeader        Code = 3001
+	NoQuorum         Code = 3002
+	Overloaded       Code = 3003
+	DeadlineExceeded Code = 3004
+	PeerUnknown      Code = 3005
+	StaleGeneration  Code = 3006
+	MemberChangeBusy Code = 3007
+	OutcomeUnknown   Code = 3008
+
+	// 4xxx: storage.
+	StorageCorrupt Code = 4001
+	StorageFull    Code = 4002
+	StorageFailed  Code = 4003
+
+	// 5xxx: packets.
+	PacketInvalid Code = 5001
+
+	// 9xxx: faults of the program itself.
+	Internal Code = 9001
+)
+
+// Error is an error with a result code.
+type Error struct {
+	Code    Code
+	Message string
+	// RetryAfter tells the caller when to try again; zero means that no time is known.
+	RetryAfter time.Duration
+}
+
+// Error returns the message with the code in front.
+func (e *Error) Error() string {
+	return fmt.Sprintf("GGL-%04d: %s", e.Code, e.Message)
+}
+
+// New returns an error with a code, a formatted message and a stack trace.
+func New(code Code, format string, args ...any) error {
+	return errors.WithStackDepth(&Error{Code: code, Message: fmt.Sprintf(format, args...)}, 1)
+}
+
+// CodeOf returns the code of the first Error in the chain of err, OK for nil and Internal for an
+// error without a code.
+func CodeOf(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return Internal
+}
