--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -70,7 +70,7 @@
 
 // Error returns the message with the code in front.
 func (e *Error) Error() string {
-	return fmt.Sprintf("GGL-%04d: %s", e.Code, e.Message)
+	return e.Code.String() + ": " + e.Message
 }
 
 // New returns an error with a code, a formatted message and a stack trace.
--- /dev/null
+++ b/internal/result/table.go
@@ -0,0 +1,80 @@
+package result
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Info explains a code to operators.
+type Info struct {
+	Code    Code
+	Name    string
+	Meaning string
+	Next    string // what to do next
+}
+
+var table = []Info{
+	{OK, "OK", "The command was carried out.", "Nothing."},
+	{SettingsInvalid, "SettingsInvalid", "A settings file has problems; nothing of it was applied.", "Correct the listed lines and run `settings check` again."},
+	{ConfigInvalid, "ConfigInvalid", "A configuration document has problems; nothing of it was applied.", "Correct the listed lines and run `config check` again."},
+	{RevisionConflict, "RevisionConflict", "Another edit was accepted first. The command did not run.", "Run `config show`, repeat the edit on the revision that it names, and apply again."},
+	{AcknowledgeRequired, "AcknowledgeRequired", "The edit has an effect that needs an explicit acknowledgement. The command did not run.", "Read `config plan`. If the effect is intended, repeat with `--ack` and the effect's name."},
+	{CommandExpired, "CommandExpired", "The result of a command with this identifier is no longer kept. This call did not run it.", "Look up its effect in `config history`."},
+	{RevisionNotFound, "RevisionNotFound", "The history does not hold this revision.", "Run `config history` for the revisions that it holds."},
+	{TargetNotFound, "TargetNotFound", "No target has this name.", "Run `targets`; look at the quarantined announcements too."},
+	{ServiceNotFound, "ServiceNotFound", "No service has this name or address.", "Run `services`."},
+	{TooManyTargets, "TooManyTargets", "A service selects more than 32 VMs.", "Split the service, or narrow its selector."},
+	{NotInForceEverywhere, "NotInForceEverywhere", "The configuration was accepted, and some nodes do not have it in force yet.", "Run `status`; it names the nodes. They get it as soon as they reach a controller."},
+	{NoFreeSlot, "NoFreeSlot", "Every target's slots are taken. The request did not run.", "Try again after the time in the refusal; add targets if it lasts."},
+	{QueueFull, "QueueFull", "The expected wait in the shortest queue exceeds the service's bound. The request did not run.", "Try again after the time in the refusal; add targets if it lasts."},
+	{QueueTimeout, "QueueTimeout", "No slot became free within the service's bound. The request did not run.", "Try again after the time in the refusal."},
+	{TargetDraining, "TargetDraining", "Every target that was asked is leaving. The request did not run.", "Check `targets`; undrain a target or wait for new ones."},
+	{NoTarget, "NoTarget", "The service has no target that may take new flows. The request did not run.", "Check `targets` and `services`."},
+	{RetryBudgetSpent, "RetryBudgetSpent", "Targets failed to answer and the retry budget is spent. The request did not run.", "Look at the health of the service's targets."},
+	{HandshakeFailed, "HandshakeFailed", "The target did not complete the handshake and no other is left. The request did not run.", "Look at the target's process."},
+	{AdmissionSuspended, "AdmissionSuspended", "The target takes no new flows after repeated handshake failures. The request did not run.", "Look at the target's process; admission resumes by itself."},
+	{NotLeader, "NotLeader", "The controller is not the leader and knows no other.", "Try again in a few seconds, or name another controller."},
+	{NoQuorum, "NoQuorum", "The controller has no contact to a majority. The command did not run.", "Run `members`; restore members or the network between them."},
+	{Overloaded, "Overloaded", "A bounded queue is full. The command did not run.", "Try again after the time in the answer."},
+	{DeadlineExceeded, "DeadlineExceeded", "No answer arrived in time. It is unknown whether the command ran.", "Repeat the command with the same identifier; it runs at most once."},
+	{PeerUnknown, "PeerUnknown", "The peer's certificate names no role that may make this call.", "Check the certificate's URI and the CA file."},
+	{StaleGeneration, "StaleGeneration", "The controller offered a state older than the node's.", "Nothing; the node asks another controller."},
+	{MemberChangeBusy, "MemberChangeBusy", "Another change of members is not finished. The command did not run.", "Run `members` and repeat when it has finished."},
+	{OutcomeUnknown, "OutcomeUnknown", "The connection or the leader was lost before the outcome was known.", "Repeat the command with the same identifier; it runs at most once."},
+	{StorageCorrupt, "StorageCorrupt", "A file in the data folder is damaged; the message names file and offset.", "Replace the member as docs/operations.md describes. Do not edit the file."},
+	{StorageFull, "StorageFull", "The disk is full. Nothing was written.", "Free space; the member catches up by itself."},
+	{StorageFailed, "StorageFailed", "Writing or syncing failed; the member writes no more.", "Check the disk and restart the member, or replace it."},
+	{PacketInvalid, "PacketInvalid", "A packet could not be decoded.", "Look at the drop counters by reason."},
+	{Internal, "Internal", "A fault of the program.", "Report it with the log lines around it."},
+}
+
+// Table returns the codes in ascending order.
+func Table() []Info {
+	return slices.Clone(table)
+}
+
+// Lookup returns the explanation of a code.
+func Lookup(code Code) (Info, bool) {
+	for _, info := range table {
+		if info.Code == code {
+			return info, true
+		}
+	}
+	return Info{}, false
+}
+
+// String returns the number in the form of the table, such as "GGL-2001".
+func (c Code) String() string {
+	return fmt.Sprintf("GGL-%04d", uint16(c))
+}
+
+// Markdown returns the table of docs/errors.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("| code | name | meaning | what to do next |\n| --- | --- | --- | --- |\n")
+	for _, info := range table {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", info.Code, info.Name, info.Meaning, info.Next)
+	}
+	return b.String()
+}
