Add test doubles for callers, targets and the network fabric

Packets of real TCP stacks are needed to test the path through balancers and agents. Callers and targets run on a user-space TCP stack; a fabric sprays packets over the balancers from a seeded source, and can lose, duplicate, reorder and silence them. The targets record what they received, so that repeated runs and deliveries to a wrong service are counted where they happen. The tests prove TCP from caller to target without balancers, on a clean and on a harmful fabric.

--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,183 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/greengagelock/greengagelock/internal/flow"
+	"github.com/greengagelock/greengagelock/internal/standin"
+	"github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+func TestStandin(t *testing.T) { testseed.RunSpecs(t, "standin") }
+
+// limit ends a spec that hangs; no verdict depends on it otherwise.
+const limit = 60 * time.Second
+
+var (
+	stream  = standin.Endpoint{Service: "progress", Address: netip.MustParseAddrPort("192.0.2.10:7001")}
+	request = standin.Endpoint{Service: "apply", Address: netip.MustParseAddrPort("192.0.2.10:7002")}
+)
+
+var _ = Describe("caller, fabric and target without balancers", func() {
+	var (
+		ctx    context.Context
+		fabric *standin.Fabric
+		target *standin.Target
+		caller *standin.Caller
+		ledger *standin.Ledger
+	)
+
+	BeforeEach(func() {
+		ctx = start()
+		ledger = standin.NewLedger()
+		var err error
+		fabric, err = standin.NewFabric(standin.FabricConfig{Seed: 1})
+		Expect(err).NotTo(HaveOccurred())
+		target, err = standin.NewTarget(standin.TargetConfig{
+			Instance: "1", Endpoints: []standin.Endpoint{stream, request}, Slots: 2,
+			LineInterval: 5 * time.Millisecond, Agent: fabric.GatewayAddr(), Ledger: ledger,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		fabric.SetBalancers(target.Addr())
+		caller, err = standin.NewCaller(standin.CallerConfig{
+			Addresses: []netip.Addr{netip.MustParseAddr("198.51.100.1"), netip.MustParseAddr("198.51.100.2")},
+			Fabric:    fabric.CallerAddr(),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		run(fabric.Run, target.Run, caller.Run)
+	})
+
+	// Guards against a stand-in that loses or mixes bytes, which would be blamed on the product.
+	DescribeTable("carries streams and requests",
+		func(faults standin.Faults) {
+			fabric.SetFaults(faults)
+			var group errgroup.Group
+			for i := range 8 {
+				group.Go(func() error { return receiveLines(ctx, caller, fmt.Sprintf("s%d", i)) })
+				group.Go(func() error {
+					outcome, err := caller.Request(ctx, request, fmt.Sprintf("r%d", i), 20_000)
+					if outcome != standin.OutcomeAnswered {
+						return fmt.Errorf("outcome %d: %w", outcome, err)
+					}
+					return nil
+				})
+			}
+			Expect(group.Wait()).To(Succeed())
+			for i := range 8 {
+				Expect(ledger.Runs(fmt.Sprintf("r%d", i))).To(Equal(1))
+			}
+			Expect(ledger.RunTwice()).To(BeZero())
+			Expect(ledger.WrongService()).To(BeZero())
+			Expect(target.Stats("apply").Accepted).To(BeNumerically(">=", 8))
+		},
+		Entry("on a clean fabric", standin.Faults{}),
+		Entry("under loss, duplication and reordering", standin.Faults{Loss: 0.02, Duplicate: 0.05, Reorder: 0.1}),
+	)
+
+	// Guards against a ledger that cannot see the faults that the demonstration must never have.
+	It("counts repeated identifiers and deliveries to a wrong service", func() {
+		for range 2 {
+			outcome, err := caller.Request(ctx, request, "again", 10)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(outcome).To(Equal(standin.OutcomeAnswered))
+		}
+		Expect(ledger.RunTwice()).To(Equal(1))
+		misled := standin.Endpoint{Service: "plans", Address: request.Address}
+		outcome, err := caller.Request(ctx, misled, "lost", 10)
+		Expect(err).To(HaveOccurred())
+		Expect(outcome).To(Equal(standin.OutcomeUnknown))
+		Expect(ledger.WrongService()).To(Equal(1))
+		Expect(ledger.Runs("lost")).To(BeZero())
+	})
+
+	// Guards against a refused request that is reported as unknown.
+	It("reports a refused connection as not run", func() {
+		closed := standin.Endpoint{Service: "none", Address: netip.MustParseAddrPort("192.0.2.10:9")}
+		outcome, err := caller.Request(ctx, closed, "refused", 10)
+		var refusal *standin.Refusal
+		Expect(err).To(BeAssignableToTypeOf(refusal))
+		Expect(outcome).To(Equal(standin.OutcomeNotRun))
+	})
+
+	// Guards against a fabric that silences other flows than the chosen ones.
+	It("drops every packet of a silenced flow and of no other", func() {
+		silenced, err := caller.OpenStream(ctx, stream, "silenced")
+		Expect(err).NotTo(HaveOccurred())
+		other, err := caller.OpenStream(ctx, stream, "other")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(silenced.Echo("before")).To(Succeed())
+		local := silenced.LocalAddr()
+		fabric.Silence(func(k flow.Key) bool { return k.Caller == local })
+		for range 20 {
+			Expect(other.Receive()).To(Succeed())
+		}
+		Expect(silenced.SetDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+		Expect(silenced.Echo("after")).NotTo(Succeed())
+	})
+
+	// Guards against endpoints that the agent cannot read.
+	It("answers the health and load endpoints", func() {
+		target.SetDraining(true)
+		s, err := caller.OpenStream(ctx, stream, "load")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Receive()).To(Succeed())
+		var health map[string]bool
+		get(target.URL()+"/health", &health)
+		Expect(health).To(Equal(map[string]bool{"draining": true}))
+		var load map[string]any
+		get(target.URL()+"/load", &load)
+		Expect(load).To(Equal(map[string]any{"slots_in_use": 0.0, "connections": 1.0, "instance": "1"}))
+	})
+})
+
+func receiveLines(ctx context.Context, caller *standin.Caller, id string) error {
+	s, err := caller.OpenStream(ctx, stream, id)
+	if err != nil {
+		return err
+	}
+	for range 20 {
+		if err := s.Receive(); err != nil {
+			return err
+		}
+	}
+	if err := s.Echo("echo " + id); err != nil {
+		return err
+	}
+	return s.Close()
+}
+
+func start() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	DeferCleanup(cancel)
+	return ctx
+}
+
+// run runs the stand-ins until the spec ends, and waits for them.
+func run(stages ...func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	for _, stage := range stages {
+		group.Go(func() error { return stage(ctx) })
+	}
+	DeferCleanup(func() {
+		cancel()
+		Expect(group.Wait()).To(Succeed())
+	})
+}
+
+func get(url string, into any) {
+	response, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	Expect(json.NewDecoder(response.Body).Decode(into)).To(Succeed())
+}
