Read the settings of the daemon, reporting every problem in one pass

A process learns its name, place, roles and addresses from a file of JSON with comments. Units, files, roles without settings, agents without controllers and repeated addresses are checked together, and each problem names file, line, column, the value found and what was expected.

--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 	"unicode/utf8"
 
@@ -52,6 +53,11 @@
 	return ok
 }
 
+// Failed reports whether a problem with the value at the path has been found.
+func (d *Document) Failed(path string) bool {
+	return slices.ContainsFunc(d.problems, func(p Problem) bool { return p.Path == path })
+}
+
 // Report adds a problem with the value at a path. If the document has no such value, the problem
 // is placed at the innermost value around it.
 func (d *Document) Report(path, format string, args ...any) {
@@ -123,7 +129,11 @@
 	d.problems = append(d.problems, p)
 }
 
+// shorten returns the start of a value on one line.
 func shorten(text []byte) string {
+	if bytes.ContainsRune(text, '\n') {
+		text = bytes.Join(bytes.Fields(text), []byte(" "))
+	}
 	if len(text) <= maxShownBytes {
 		return string(text)
 	}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,306 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/greengagelock/greengagelock/internal/jsonc"
+	"github.com/greengagelock/greengagelock/internal/model"
+)
+
+// maxMembers is the largest number of controllers that a replicated log is made for.
+const maxMembers = 7
+
+// checker checks what the types of the settings cannot express.
+type checker struct {
+	*jsonc.Document
+	s    *Settings
+	read Reader
+	// paths of the addresses that this process listens on, by protocol and address
+	listeners map[string]string
+}
+
+func (c *checker) check() {
+	c.listeners = map[string]string{}
+	c.name("name", c.s.Name)
+	c.name("vm", string(c.s.VM))
+	c.name("zone", string(c.s.Zone))
+	c.roles()
+	if c.valid("balancer") {
+		c.balancer(c.s.Balancer)
+	}
+	if c.valid("agent") {
+		c.agent(c.s.Agent)
+	}
+	if c.valid("controller") {
+		c.controller(c.s.Controller)
+	}
+	c.controllers()
+	c.files()
+	c.telemetry()
+	if c.valid("shutdown_timeout") && c.s.ShutdownTimeout == 0 {
+		c.Report("shutdown_timeout", "a duration above 0")
+	}
+}
+
+// valid reports whether the value at the path is the one in the settings: Decode has reported no
+// problem with it.
+func (c *checker) valid(path string) bool {
+	return c.Has(path) && !c.Failed(path)
+}
+
+// given reports a missing value and returns whether a valid one is there.
+func (c *checker) given(path, expected string) bool {
+	if !c.Has(path) {
+		c.Report(path, "%s", expected)
+	}
+	return c.valid(path)
+}
+
+func (c *checker) name(path, value string) {
+	if c.given(path, "a name") && (value == "" || strings.ContainsAny(value, " \t\n/")) {
+		c.Report(path, "a name without spaces and slashes")
+	}
+}
+
+func (c *checker) roles() {
+	if !c.given("roles", "at least one of the roles balancer, agent and controller") {
+		return
+	}
+	if len(c.s.Roles) == 0 {
+		c.Report("roles", "at least one of the roles balancer, agent and controller")
+	}
+	for i, role := range c.s.Roles {
+		path := jsonc.Index("roles", i)
+		switch {
+		case role != model.RoleBalancer && role != model.RoleAgent && role != model.RoleController:
+			c.Report(path, "balancer, agent or controller")
+		case slices.Index(c.s.Roles, role) < i:
+			c.Report(path, "each role once")
+		}
+	}
+	for _, role := range []model.Role{model.RoleBalancer, model.RoleAgent, model.RoleController} {
+		section := string(role)
+		switch {
+		case c.s.HasRole(role) && !c.Has(section):
+			c.Report(section, "the settings of role %s", role)
+		case !c.s.HasRole(role) && c.Has(section):
+			c.Report(section, "no such section, because roles does not contain %s", role)
+		}
+	}
+}
+
+func (c *checker) balancer(b *Balancer) {
+	c.port("balancer.ingress", b.Ingress, false)
+	c.listen("balancer.egress", "udp", b.Egress)
+	c.specific("balancer.egress", b.Egress)
+}
+
+func (c *checker) agent(a *Agent) {
+	c.listen("agent.data", "udp", a.Data)
+	c.specific("agent.data", a.Data)
+	c.port("agent.target", a.Target, true)
+	if c.given("agent.gateway", "the address that takes packets for callers") {
+		c.specific("agent.gateway", a.Gateway)
+	}
+	c.services(a.Services)
+	c.url("agent.health_url", a.HealthURL)
+	c.url("agent.load_url", a.LoadURL)
+}
+
+func (c *checker) services(services []Service) {
+	if c.given("agent.services", "at least one service") && len(services) == 0 {
+		c.Report("agent.services", "at least one service")
+	}
+	seen := map[string]bool{}
+	for i, s := range services {
+		path := jsonc.Index("agent.services", i)
+		c.name(jsonc.Key(path, "name"), s.Name)
+		if s.Name != "" && seen[s.Name] {
+			c.Report(jsonc.Key(path, "name"), "each service once")
+		}
+		seen[s.Name] = true
+		c.atLeastOne(jsonc.Key(path, "slots"), s.Slots)
+		c.atLeastOne(jsonc.Key(path, "connections"), s.Connections)
+	}
+}
+
+func (c *checker) atLeastOne(path string, value int) {
+	if c.given(path, "a whole number, at least 1") && value < 1 {
+		c.Report(path, "a whole number, at least 1")
+	}
+}
+
+func (c *checker) url(path, value string) {
+	const expected = `an HTTP URL with an IP address, such as "http://127.0.0.1:8080/health"`
+	if !c.given(path, expected) {
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" {
+		c.Report(path, expected)
+		return
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		c.Report(path, expected)
+	}
+}
+
+func (c *checker) port(path string, p PacketPort, needsPeer bool) {
+	kind := jsonc.Key(path, "kind")
+	if !c.given(kind, `"udp" or "tun"`) {
+		return
+	}
+	switch p.Kind {
+	case KindUDP:
+		c.listen(jsonc.Key(path, "listen"), "udp", p.Listen)
+		peer := jsonc.Key(path, "peer")
+		if needsPeer && c.given(peer, "the address that packets go to") {
+			c.specific(peer, p.Peer)
+		}
+		c.absent(jsonc.Key(path, "device"), p.Kind)
+	case KindTUN:
+		c.name(jsonc.Key(path, "device"), p.Device)
+		c.absent(jsonc.Key(path, "listen"), p.Kind)
+		c.absent(jsonc.Key(path, "peer"), p.Kind)
+	default:
+		c.Report(kind, `"udp" or "tun"`)
+	}
+}
+
+func (c *checker) absent(path, kind string) {
+	if c.Has(path) {
+		c.Report(path, "no such key for a port of kind %s", kind)
+	}
+}
+
+func (c *checker) controller(s *Controller) {
+	c.listen("controller.listen", "tcp", s.Listen)
+	c.given("controller.data_dir", "the folder of the replicated log")
+	if !c.given("controller.members", "the controllers of the replicated log, this one included") {
+		return
+	}
+	if n := len(s.Members); n%2 == 0 || n > maxMembers {
+		c.Report("controller.members", "an odd number of members, at most %d", maxMembers)
+	}
+	c.peers("controller.members", s.Members)
+	if !slices.ContainsFunc(s.Members, func(p Peer) bool { return p.Name == c.s.Name }) {
+		c.Report("controller.members", "a member with the name of this process, %q", c.s.Name)
+	}
+}
+
+// controllers checks that nodes can reach control.
+func (c *checker) controllers() {
+	c.peers("controllers", c.s.Controllers)
+	isNode := c.s.HasRole(model.RoleBalancer) || c.s.HasRole(model.RoleAgent)
+	if isNode && !c.Failed("controllers") && len(c.s.Controllers) == 0 {
+		c.Report("controllers", "at least one controller, because balancers and agents get their state from them")
+	}
+}
+
+func (c *checker) peers(path string, peers []Peer) {
+	names, addresses := map[string]bool{}, map[netip.AddrPort]bool{}
+	for i, p := range peers {
+		name, address := jsonc.Key(jsonc.Index(path, i), "name"), jsonc.Key(jsonc.Index(path, i), "address")
+		c.name(name, p.Name)
+		if p.Name != "" && names[p.Name] {
+			c.Report(name, "each name once")
+		}
+		names[p.Name] = true
+		if c.given(address, "the address of the controller") {
+			c.specific(address, p.Address)
+			if addresses[p.Address] {
+				c.Report(address, "each address once")
+			}
+		}
+		addresses[p.Address] = true
+	}
+}
+
+// listen checks an address that this process listens on.
+func (c *checker) listen(path, protocol string, addr netip.AddrPort) {
+	if !c.given(path, "the address to listen on") {
+		return
+	}
+	if !addr.Addr().Unmap().Is4() || addr.Port() == 0 {
+		c.Report(path, "an IPv4 address and a port above 0")
+		return
+	}
+	key := protocol + " " + addr.String()
+	if other, taken := c.listeners[key]; taken {
+		c.Report(path, "another address than %s", other)
+	}
+	c.listeners[key] = path
+}
+
+// specific checks an address that other processes send to.
+func (c *checker) specific(path string, addr netip.AddrPort) {
+	if c.valid(path) && (!addr.Addr().Unmap().Is4() || addr.Addr().IsUnspecified() || addr.Port() == 0) {
+		c.Report(path, "the IPv4 address of one VM and a port above 0")
+	}
+}
+
+func (c *checker) files() {
+	cert := c.file("tls.cert", c.s.TLS.Cert, "the file of the certificate of this process")
+	key := c.file("tls.key", c.s.TLS.Key, "the file of the key of this process")
+	if cert != nil && key != nil {
+		if _, err := tls.X509KeyPair(cert, key); err != nil {
+			c.Report("tls.cert", "a certificate in PEM for the key in tls.key")
+		}
+	}
+	ca := c.file("tls.ca", c.s.TLS.CA, "the file of the certificates that sign those of peers")
+	if ca != nil && !x509.NewCertPool().AppendCertsFromPEM(ca) {
+		c.Report("tls.ca", "certificates in PEM")
+	}
+	if !c.s.HasRole(model.RoleBalancer) && !c.s.HasRole(model.RoleAgent) && !c.Has("fleet_key_file") {
+		return
+	}
+	text := c.file("fleet_key_file", c.s.FleetKeyFile, "the file of the key that authenticates packets")
+	if text == nil {
+		return
+	}
+	decoded, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil || len(decoded) != len(c.s.FleetKey) {
+		c.Report("fleet_key_file", "a file with %d hexadecimal digits", 2*len(c.s.FleetKey))
+		return
+	}
+	copy(c.s.FleetKey[:], decoded)
+}
+
+// file returns the content of a file, or nil after reporting that it cannot be read.
+func (c *checker) file(path, file, expected string) []byte {
+	if !c.given(path, expected) {
+		return nil
+	}
+	data, err := c.read(file)
+	if err != nil {
+		c.Report(path, "a file that can be read (%v)", err)
+		return nil
+	}
+	return append([]byte{}, data...)
+}
+
+func (c *checker) telemetry() {
+	t := c.s.Telemetry
+	if c.Has("telemetry.listen") {
+		c.listen("telemetry.listen", "tcp", t.Listen)
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, t.LogLevel) {
+		c.Report("telemetry.log_level", "debug, info, warn or error")
+	}
+	switch t.Trace.Exporter {
+	case "none", "stdout":
+	case "otlp":
+		c.url("telemetry.trace.endpoint", t.Trace.Endpoint)
+	default:
+		c.Report("telemetry.trace.exporter", "none, stdout or otlp")
+	}
+	if t.Trace.SampleRatio < 0 || t.Trace.SampleRatio > 1 {
+		c.Report("telemetry.trace.sample_ratio", "a number from 0 to 1")
+	}
+}
