Add the example configurations and settings

Both deployments have four availability zones, three controllers, four balancers and an agent beside each target; a third example runs every role in one process. A test reads every settings file as the daemon does. The gateway of an agent is a packet port, so that it can be a TUN device.

--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,97 @@
+package examples_test
+
+import (
+	"crypto/ed25519"
+	"crypto/x509"
+	"encoding/pem"
+	"io/fs"
+	"math/big"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/greengagelock/greengagelock/examples"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/settings"
+	"github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+func TestExamples(t *testing.T) { testseed.RunSpecs(t, "examples") }
+
+var _ = Describe("the example settings", func() {
+	// Guards against examples that the daemon refuses or that do not form the deployment they show.
+	DescribeTable("form a deployment",
+		func(deployment string, agents map[string]int, slots int) {
+			got, zones := map[string]int{}, map[model.AvailabilityZone]bool{}
+			roles, addresses := map[model.Role]int{}, map[netip.AddrPort]bool{}
+			for _, path := range settingsOf(deployment) {
+				s := parse(path)
+				zones[s.Zone] = true
+				for _, role := range s.Roles {
+					roles[role]++
+				}
+				Expect(addresses).NotTo(HaveKey(s.Telemetry.Listen), path)
+				addresses[s.Telemetry.Listen] = true
+				if s.Agent == nil {
+					continue
+				}
+				Expect(s.Agent.Slots).To(Equal(slots), path)
+				for _, service := range s.Agent.Services {
+					got[service]++
+				}
+			}
+			Expect(got).To(Equal(agents))
+			Expect(zones).To(HaveLen(4))
+			Expect(roles[model.RoleController]).To(Equal(3))
+			Expect(roles[model.RoleBalancer]).To(Equal(4))
+		},
+		Entry(nil, examples.MigracionesAndinas, map[string]int{"execution-progress": 7, "execution-apply": 7, "plan-store": 4}, 2),
+		Entry(nil, examples.BaenatimiLabs, map[string]int{"notice-stream": 7, "timetable-edit": 7, "calendar": 4}, 5),
+	)
+
+	// Guards against a one-process example that lacks a role.
+	It("run every role in one process", func() {
+		s := parse(examples.Single + "/settings.json")
+		Expect(s.Roles).To(ConsistOf(model.RoleBalancer, model.RoleAgent, model.RoleController))
+	})
+})
+
+func settingsOf(deployment string) []string {
+	paths, err := fs.Glob(examples.Files, deployment+"/settings/*.json")
+	Expect(err).NotTo(HaveOccurred())
+	return paths
+}
+
+// parse checks settings as the daemon does, with contents for the files that exist on VMs only.
+func parse(path string) *settings.Settings {
+	data, err := examples.Files.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	s, err := settings.Parse(path, data, func(file string) ([]byte, error) {
+		if strings.HasSuffix(file, "fleet.key") {
+			return []byte(strings.Repeat("0", 32)), nil
+		}
+		return pair(), nil
+	})
+	Expect(err).NotTo(HaveOccurred(), path)
+	return s
+}
+
+// pair returns a certificate and its key in one PEM file.
+var pair = sync.OnceValue(func() []byte {
+	public, private, err := ed25519.GenerateKey(nil)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{SerialNumber: big.NewInt(1)}
+	cert, err := x509.CreateCertificate(nil, template, template, public, private)
+	Expect(err).NotTo(HaveOccurred())
+	key, err := x509.MarshalPKCS8PrivateKey(private)
+	Expect(err).NotTo(HaveOccurred())
+	return slices.Concat(
+		pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert}),
+		pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}),
+	)
+})
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -105,28 +105,24 @@
 	c.listen("agent.data", "udp", a.Data)
 	c.specific("agent.data", a.Data)
 	c.port("agent.target", a.Target, true)
-	if c.given("agent.gateway", "the address that takes packets for callers") {
-		c.specific("agent.gateway", a.Gateway)
-	}
+	c.port("agent.gateway", a.Gateway, true)
 	c.services(a.Services)
+	c.atLeastOne("agent.slots", a.Slots)
+	c.atLeastOne("agent.connections", a.Connections)
 	c.url("agent.health_url", a.HealthURL)
 	c.url("agent.load_url", a.LoadURL)
 }
 
-func (c *checker) services(services []Service) {
+func (c *checker) services(services []string) {
 	if c.given("agent.services", "at least one service") && len(services) == 0 {
 		c.Report("agent.services", "at least one service")
 	}
-	seen := map[string]bool{}
-	for i, s := range services {
+	for i, service := range services {
 		path := jsonc.Index("agent.services", i)
-		c.name(jsonc.Key(path, "name"), s.Name)
-		if s.Name != "" && seen[s.Name] {
-			c.Report(jsonc.Key(path, "name"), "each service once")
+		c.name(path, service)
+		if slices.Index(services, service) < i {
+			c.Report(path, "each service once")
 		}
-		seen[s.Name] = true
-		c.atLeastOne(jsonc.Key(path, "slots"), s.Slots)
-		c.atLeastOne(jsonc.Key(path, "connections"), s.Connections)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,21 +63,17 @@
 	Data netip.AddrPort `json:"data"`
 	// Target exchanges packets with the target.
 	Target PacketPort `json:"target"`
-	// Gateway is where packets for callers go.
-	Gateway  netip.AddrPort `json:"gateway"`
-	Services []Service      `json:"services"`
+	// Gateway takes packets for callers.
+	Gateway PacketPort `json:"gateway"`
+	// Services are the services that the target offers, each with Slots and Connections.
+	Services    []string `json:"services"`
+	Slots       int      `json:"slots"`
+	Connections int      `json:"connections"`
 	// HealthURL and LoadURL are the endpoints of the target.
 	HealthURL string `json:"health_url"`
 	LoadURL   string `json:"load_url"`
 }
 
-// Service is an endpoint that the target of an agent offers.
-type Service struct {
-	Name        string `json:"name"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-}
-
 // Kinds of packet ports.
 const (
 	KindUDP = "udp"
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,8 +37,8 @@
 	"agent": {
 		"data": "10.0.0.1:7402",
 		"target": {"kind": "tun", "device": "gg0"},
-		"gateway": "10.0.0.254:7400",
-		"services": [{"name": "apply", "slots": 2, "connections": 2000}],
+		"gateway": {"kind": "udp", "listen": "10.0.0.1:7403", "peer": "10.0.0.254:7400"},
+		"services": ["progress", "apply"], "slots": 2, "connections": 2000,
 		"health_url": "http://127.0.0.1:8080/health",
 		"load_url": "http://127.0.0.1:8080/load",
 	},
@@ -77,7 +77,8 @@
 	It("reads a complete file", func() {
 		s, err := settings.Parse("/etc/gg/s.json", []byte(complete), read)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Agent.Services).To(Equal([]settings.Service{{Name: "apply", Slots: 2, Connections: 2000}}))
+		Expect(s.Agent.Services).To(Equal([]string{"progress", "apply"}))
+		Expect(s.Agent.Slots).To(Equal(2))
 		Expect(s.Balancer.Ingress.Listen).To(Equal(netip.MustParseAddrPort("10.0.0.1:7400")))
 		Expect(s.Controller.DataDir).To(Equal("/etc/gg/data"))
 		Expect(s.FleetKey).To(Equal(encap.Key{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15}))
@@ -123,7 +124,7 @@
 		Entry("unspecified announced address", `"10.0.0.1:7402"`, `"0.0.0.0:7402"`,
 			`11:11: agent.data: found "0.0.0.0:7402", expected the IPv4 address of one VM and a port above 0`),
 		Entry("host name", `"10.0.0.254:7400"`, `"gateway:7400"`,
-			`13:14: agent.gateway: found "gateway:7400", expected an IP address and port, such as "10.0.1.5:7400"`),
+			`13:65: agent.gateway.peer: found "gateway:7400", expected an IP address and port, such as "10.0.1.5:7400"`),
 		Entry("port kind", `{"kind": "tun", "device": "gg0"}`, `{"kind": "raw"}`,
 			`12:22: agent.target.kind: found "raw", expected "udp" or "tun"`),
 		Entry("port keys of the other kind", `{"kind": "tun", "device": "gg0"}`, `{"kind": "udp", "device": "gg0"}`,
@@ -131,7 +132,9 @@
 			`12:13: agent.target.peer: expected the address that packets go to`,
 			`12:39: agent.target.device: found "gg0", expected no such key for a port of kind udp`),
 		Entry("no slots", `"slots": 2`, `"slots": 0`,
-			`14:43: agent.services[0].slots: found 0, expected a whole number, at least 1`),
+			`14:47: agent.slots: found 0, expected a whole number, at least 1`),
+		Entry("service twice", `["progress", "apply"]`, `["apply", "apply"]`,
+			`14:25: agent.services[1]: found "apply", expected each service once`),
 		Entry("URL with a host name", `"http://127.0.0.1:8080/load"`, `"http://localhost:8080/load"`,
 			`16:15: agent.load_url: found "http://localhost:8080/load", `+
 				`expected an HTTP URL with an IP address, such as "http://127.0.0.1:8080/health"`),
