--- a/internal/standin/app.go
+++ b/internal/standin/app.go
@@ -37,7 +37,7 @@
 		return fmt.Errorf("malformed line %q", line)
 	}
 	if service != e.Service {
-		t.cfg.Ledger.wrongService()
+		t.cfg.Ledger.wrongService(service)
 		return fmt.Errorf("%s %s of service %s reached service %s", verb, id, service, e.Service)
 	}
 	if verb == verbStream {
@@ -85,7 +85,7 @@
 }
 
 func (t *Target) serveRequest(e *endpoint, conn net.Conn, id string, size int) error {
-	t.cfg.Ledger.run(id)
+	t.cfg.Ledger.run(e.Service, id)
 	busy := e.busy.Add(1)
 	defer e.busy.Add(-1)
 	if int(busy) > t.cfg.Slots {
