Add placement and the balancer

Cause: packets need a chain of candidates that every node computes alike, and a process that sends them to the agents.

Change: placement ranks targets per bucket by rendezvous hashing, keeps the first 8 positions of two chains per bucket and rebuilds only services whose generation has changed. The balancer encapsulates packets in place and applies owner hints by reordering the candidates only, because a candidate pushed out of the list by a stale hint could be the owner. flow.Summary reads what a balancer needs without parsing options. UDP.WriteBatch returns an error for a datagram without an IPv4 address, where it panicked before.

A service without an active target sends SYNs to its draining and ejected targets, whose agents refuse them at once, instead of letting them time out.

--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -62,7 +62,8 @@
 
 // CandidateOf returns the candidate for a target.
 func CandidateOf(t *model.Target) Candidate {
-	return Candidate{Agent: t.Agent, Target: uint16(t.ID)}
+	agent := netip.AddrPortFrom(t.Agent.Addr().Unmap(), t.Agent.Port())
+	return Candidate{Agent: agent, Target: uint16(t.ID)}
 }
 
 // Header precedes the packet.
@@ -94,36 +95,57 @@
 	return h.Candidates[h.Cursor]
 }
 
+// Size returns the length of the encoded header.
+func (h *Header) Size() int {
+	return HeaderBytes + int(h.Count)*CandidateBytes
+}
+
 // Append appends the encoded header and the packet to dst.
 func (h *Header) Append(dst []byte, key *Key, packet []byte) []byte {
 	start := len(dst)
-	var fixed [HeaderBytes]byte
-	fixed[0] = Version
-	fixed[1] = typePacket
+	var zero [MaxHeaderBytes]byte
+	dst = append(dst, zero[:h.Size()]...)
+	dst = append(dst, packet...)
+	h.encode(dst[start:], key)
+	return dst
+}
+
+// Prepend writes the encoded header in front of the packet in buf[offset:] and returns the
+// datagram, which refers to buf. The offset must be at least Size; MaxHeaderBytes always is.
+func (h *Header) Prepend(buf []byte, offset int, key *Key) []byte {
+	datagram := buf[offset-h.Size():]
+	h.encode(datagram, key)
+	return datagram
+}
+
+// encode writes the header to the start of a datagram that holds the packet already.
+func (h *Header) encode(datagram []byte, key *Key) {
+	datagram[0] = Version
+	datagram[1] = typePacket
+	datagram[2] = 0
 	if h.Final {
-		fixed[2] |= flagFinal
+		datagram[2] = flagFinal
 	}
-	fixed[3] = h.Hops
-	binary.BigEndian.PutUint32(fixed[4:], uint32(h.Service))
-	binary.BigEndian.PutUint64(fixed[8:], uint64(h.Generation))
-	fixed[16] = h.Count
-	fixed[17] = h.Cursor
-	fixed[18] = h.BestIndex
-	fixed[19] = h.ControlAge
-	binary.BigEndian.PutUint16(fixed[20:], h.BestWait)
-	fixed[22] = h.Extensions
-	putAddrPort(fixed[24:30], h.Ingress)
-	dst = append(dst, fixed[:]...)
+	datagram[3] = h.Hops
+	binary.BigEndian.PutUint32(datagram[4:], uint32(h.Service))
+	binary.BigEndian.PutUint64(datagram[8:], uint64(h.Generation))
+	datagram[16] = h.Count
+	datagram[17] = h.Cursor
+	datagram[18] = h.BestIndex
+	datagram[19] = h.ControlAge
+	binary.BigEndian.PutUint16(datagram[20:], h.BestWait)
+	datagram[22] = h.Extensions
+	datagram[23] = 0
+	putAddrPort(datagram[24:30], h.Ingress)
+	datagram[30], datagram[31] = 0, 0
+	clear(datagram[tagOffset:HeaderBytes])
 	for i := range h.Count {
-		var c [CandidateBytes]byte
+		c := datagram[HeaderBytes+int(i)*CandidateBytes:]
 		putAddrPort(c[:6], h.Candidates[i].Agent)
 		binary.BigEndian.PutUint16(c[6:], h.Candidates[i].Target)
-		dst = append(dst, c[:]...)
 	}
-	end := len(dst)
-	dst = append(dst, packet...)
-	binary.BigEndian.PutUint64(dst[start+tagOffset:], tagOf(key, dst[start:end], packet))
-	return dst
+	covered := min(len(datagram), h.Size()+tagBytesOfPacket)
+	binary.BigEndian.PutUint64(datagram[tagOffset:], hash(key, datagram[:covered]))
 }
 
 // Decode reads a datagram into h and returns the packet, which refers to datagram.
@@ -232,8 +254,12 @@
 	n := copy(buf[:], header)
 	clear(buf[tagOffset : tagOffset+8])
 	n += copy(buf[n:], packet[:min(len(packet), tagBytesOfPacket)])
+	return hash(key, buf[:n])
+}
+
+func hash(key *Key, data []byte) uint64 {
 	k0, k1 := binary.LittleEndian.Uint64(key[:8]), binary.LittleEndian.Uint64(key[8:])
-	return siphash.Hash(k0, k1, buf[:n])
+	return siphash.Hash(k0, k1, data)
 }
 
 func validTag(datagram []byte, want uint64) bool {
@@ -243,11 +269,11 @@
 }
 
 func putAddrPort(dst []byte, a netip.AddrPort) {
-	addr := a.Addr().Unmap()
-	if addr.Is4() {
-		b := addr.As4()
-		copy(dst, b[:])
+	var b [4]byte
+	if addr := a.Addr().Unmap(); addr.Is4() {
+		b = addr.As4()
 	}
+	copy(dst, b[:])
 	binary.BigEndian.PutUint16(dst[4:], a.Port())
 }
 
--- a/internal/fabric/conn.go
+++ b/internal/fabric/conn.go
@@ -16,7 +16,8 @@
 	// ReadBatch blocks until at least one datagram has arrived. It fills Data[:cap(Data)] of the
 	// first n elements and sets their length and address.
 	ReadBatch(batch []Datagram) (n int, err error)
-	// WriteBatch sends the datagrams and returns how many were sent.
+	// WriteBatch sends the datagrams and returns how many were sent. On an error, the datagram
+	// after those is at fault and the rest may be tried again.
 	WriteBatch(batch []Datagram) (n int, err error)
 	// LocalAddr returns the bound address; it is not valid for a TUN device.
 	LocalAddr() netip.AddrPort
--- a/internal/fabric/udp.go
+++ b/internal/fabric/udp.go
@@ -1,6 +1,7 @@
 package fabric
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 
@@ -14,6 +15,9 @@
 // scheduled.
 const socketBufferBytes = 4 << 20
 
+// ErrAddress says that a datagram has no IPv4 address to go to.
+var ErrAddress = errors.New("datagram without an IPv4 address")
+
 // UDP is a Conn over a UDP socket. Reads and writes may run at the same time, but only one of
 // each.
 type UDP struct {
@@ -68,19 +72,26 @@
 	return n, nil
 }
 
-// WriteBatch implements Conn.
+// WriteBatch implements Conn. On an error, the datagram after those that were sent is at fault.
 func (u *UDP) WriteBatch(batch []Datagram) (int, error) {
 	sent := 0
 	for sent < len(batch) {
 		n := min(len(batch)-sent, BatchSize)
 		for i := range n {
 			d := &batch[sent+i]
+			if !d.Addr.Addr().Unmap().Is4() {
+				n = i
+				break
+			}
 			addr := d.Addr.Addr().As4()
 			copy(u.addrs[i].IP, addr[:])
 			u.addrs[i].Port = int(d.Addr.Port())
 			u.writes[i].Buffers[0] = d.Data
 			u.writes[i].Addr = &u.addrs[i]
 		}
+		if n == 0 {
+			return sent, ErrAddress
+		}
 		wrote, err := u.packet.WriteBatch(u.writes[:n], 0)
 		sent += wrote
 		if err != nil {
--- a/internal/flow/packet.go
+++ b/internal/flow/packet.go
@@ -1,9 +1,6 @@
 package flow
 
 import (
-	"encoding/binary"
-	"net/netip"
-
 	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
 )
@@ -43,39 +40,20 @@
 
 // Parse decodes a packet. On failure it returns the reason, and the packet is not valid.
 func (p *Packet) Parse(raw []byte) DropReason {
-	if len(raw) < ipv4HeaderBytes {
-		return DropTruncated
-	}
-	if raw[0]>>4 != 4 {
-		return DropNotIPv4
-	}
-	if total := int(binary.BigEndian.Uint16(raw[2:4])); total > len(raw) {
-		return DropTruncated
+	var s Summary
+	if drop := s.Parse(raw); drop != DropNone {
+		return drop
 	}
+	raw = raw[:s.Length]
 	if err := p.IP.DecodeFromBytes(raw, gopacket.NilDecodeFeedback); err != nil {
 		return DropMalformed
 	}
-	if len(raw) > MaxPacketBytes {
-		return DropOversized
-	}
-	if p.IP.Flags&layers.IPv4MoreFragments != 0 || p.IP.FragOffset != 0 {
-		return DropFragment
-	}
-	if p.IP.Protocol != layers.IPProtocolTCP {
-		return DropNotTCP
-	}
-	if len(p.IP.Payload) < tcpHeaderBytes {
-		return DropTruncated
-	}
 	if err := p.TCP.DecodeFromBytes(p.IP.Payload, gopacket.NilDecodeFeedback); err != nil {
 		return DropMalformed
 	}
 	p.Payload = p.TCP.Payload
-	p.Raw = raw[:p.IP.Length]
-	p.Key = Key{
-		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte(raw[12:16])), uint16(p.TCP.SrcPort)),
-		Service: netip.AddrPortFrom(netip.AddrFrom4([4]byte(raw[16:20])), uint16(p.TCP.DstPort)),
-	}
+	p.Raw = raw
+	p.Key = KeyOf(raw)
 	return DropNone
 }
 
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,301 @@
+package placement_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/greengagelock/greengagelock/internal/encap"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/placement"
+	_ "github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+const serviceID model.ServiceID = 7
+
+var chains = []placement.Chain{placement.Admitting, placement.Owners}
+
+// view returns a view with one service at a generation.
+func view(generation model.Generation, targets ...model.Target) *model.View {
+	v := model.NewView()
+	v.Generation = generation
+	v.Services[serviceID] = model.Service{
+		ID: serviceID, Generation: generation, Address: netip.MustParseAddrPort("10.9.0.1:443"),
+	}
+	for _, t := range targets {
+		v.Targets[t.ID] = t
+	}
+	return v
+}
+
+func build(targets ...model.Target) *placement.Service {
+	table, _ := placement.Build(nil, view(1, targets...))
+	return table.Service(serviceID)
+}
+
+func target(id model.TargetID, state model.TargetState) model.Target {
+	agent := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 6081)
+	return model.Target{ID: id, Service: serviceID, Agent: agent, Slots: 2, State: state}
+}
+
+// targets draws up to limit targets with unique IDs.
+func targets(t *rapid.T, limit int) []model.Target {
+	ids := rapid.SliceOfNDistinct(rapid.Uint32Range(1, 1<<15), 1, limit, rapid.ID[uint32]).Draw(t, "ids")
+	members := make([]model.Target, 0, len(ids))
+	for _, id := range ids {
+		state := model.TargetState(rapid.IntRange(0, 3).Draw(t, "state"))
+		members = append(members, target(model.TargetID(id), state))
+	}
+	return members
+}
+
+func bucket(t *rapid.T) placement.Bucket {
+	return placement.Bucket(rapid.IntRange(0, placement.BucketCount-1).Draw(t, "bucket"))
+}
+
+func idsOf(chain []model.Target) []model.TargetID {
+	ids := make([]model.TargetID, 0, len(chain))
+	for _, member := range chain {
+		ids = append(ids, member.ID)
+	}
+	return ids
+}
+
+// Guards against a join or a departure that moves other targets: such a change would send packets
+// of established flows along another order than that in which their SYN was offered.
+func TestOthersKeepTheirOrderWhenATargetJoinsOrLeaves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := targets(t, model.MaxTargetsPerService)
+		changed := rapid.IntRange(0, len(members)-1).Draw(t, "changed")
+		without := slices.Delete(slices.Clone(members), changed, changed+1)
+		b := bucket(t)
+		more := idsOf(build(members...).Full(placement.Owners, b))
+		less := idsOf(build(without...).Full(placement.Owners, b))
+		more = slices.DeleteFunc(more, func(id model.TargetID) bool { return id == members[changed].ID })
+		if !slices.Equal(more, less) {
+			t.Fatalf("with the target %v, without it %v", more, less)
+		}
+	})
+}
+
+// Guards against a change of state that changes the relative order of targets that are not lost.
+func TestRelativeOrderIsIndependentOfState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := targets(t, model.MaxTargetsPerService)
+		active := slices.Clone(members)
+		for i := range active {
+			active[i].State = model.TargetActive
+		}
+		b := bucket(t)
+		ranking := idsOf(build(active...).Full(placement.Owners, b))
+		service := build(members...)
+		for _, kind := range chains {
+			last := map[bool]int{true: -1, false: -1}
+			for _, member := range service.Full(kind, b) {
+				position := slices.Index(ranking, member.ID)
+				lost := member.State == model.TargetLost
+				if position <= last[lost] {
+					t.Fatalf("target %d stands at position %d of the ranking, but after %d", member.ID, position, last[lost])
+				}
+				last[lost] = position
+			}
+		}
+	})
+}
+
+// Guards against established flows that no candidate owns, and against lost targets that delay
+// packets of the others.
+func TestOwnersContainEveryMemberWithLostOnesLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := targets(t, model.MaxTargetsPerService)
+		chain := build(members...).Full(placement.Owners, bucket(t))
+		seenLost := false
+		for _, member := range chain {
+			lost := member.State == model.TargetLost
+			if seenLost && !lost {
+				t.Fatalf("target %d stands behind a lost one", member.ID)
+			}
+			seenLost = lost
+		}
+		got, want := idsOf(chain), idsOf(members)
+		slices.Sort(got)
+		slices.Sort(want)
+		if !slices.Equal(got, want) {
+			t.Fatalf("chain holds %v, members are %v", got, want)
+		}
+	})
+}
+
+// Guards against SYNs that are offered to a draining, ejected or lost target while another one
+// admits.
+func TestAdmittingHoldsActiveTargetsOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := targets(t, model.MaxTargetsPerService)
+		wanted := model.TargetActive
+		if !slices.ContainsFunc(members, func(m model.Target) bool { return m.State == model.TargetActive }) {
+			wanted = model.TargetEjected // and draining ones, which rank below
+		}
+		want := 0
+		for _, member := range members {
+			if member.State <= wanted {
+				want++
+			}
+		}
+		chain := build(members...).Full(placement.Admitting, bucket(t))
+		for _, member := range chain {
+			if member.State > wanted {
+				t.Fatalf("target %d is %v", member.ID, member.State)
+			}
+		}
+		if len(chain) != want {
+			t.Fatalf("chain holds %d targets, want %d", len(chain), want)
+		}
+	})
+}
+
+// Guards against chains that depend on the order in which a view lists its targets, and against
+// stored first positions and extensions that differ from the full chain.
+func TestStoredPositionsAgreeWithTheFullChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := targets(t, model.MaxTargetsPerService)
+		shuffled := rapid.Permutation(members).Draw(t, "shuffled")
+		one, other := build(members...), build(shuffled...)
+		b := bucket(t)
+		for _, kind := range chains {
+			full := one.Full(kind, b)
+			var stored, extended [encap.MaxCandidates]encap.Candidate
+			for k := range encap.MaxExtensions + 1 {
+				want := full[min(len(full), 8*k):min(len(full), 8*k+8)]
+				n := other.Extension(kind, b, k, &extended)
+				if n != len(want) {
+					t.Fatalf("extension %d has %d positions, want %d", k, n, len(want))
+				}
+				for i := range want {
+					if extended[i] != encap.CandidateOf(&want[i]) {
+						t.Fatalf("extension %d differs at %d", k, i)
+					}
+				}
+			}
+			n := other.Candidates(kind, b, &stored)
+			if n != min(len(full), encap.MaxCandidates) {
+				t.Fatalf("%d positions are stored of a chain of %d", n, len(full))
+			}
+			for i := range n {
+				if stored[i] != encap.CandidateOf(&full[i]) {
+					t.Fatalf("stored position %d differs", i)
+				}
+			}
+		}
+	})
+}
+
+// Guards against an incremental rebuild that differs from a full one.
+func TestIncrementalBuildEqualsFullBuild(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := model.NewView()
+		var table *placement.Table
+		steps := rapid.IntRange(1, 6).Draw(t, "steps")
+		for step := range steps {
+			v = v.Clone()
+			v.Generation++
+			for i := range rapid.IntRange(1, 3).Draw(t, "changes") {
+				change(t, v, fmt.Sprintf("%d.%d", step, i))
+			}
+			table, _ = placement.Build(table, v)
+		}
+		full, rebuilt := placement.Build(nil, v)
+		if rebuilt != len(v.Services) || table.Len() != full.Len() {
+			t.Fatalf("%d services rebuilt, %d and %d present, want %d", rebuilt, table.Len(), full.Len(), len(v.Services))
+		}
+		b := bucket(t)
+		for id := range v.Services {
+			for _, kind := range chains {
+				if !slices.Equal(table.Service(id).Full(kind, b), full.Service(id).Full(kind, b)) {
+					t.Fatalf("service %d differs", id)
+				}
+			}
+			if table.Lookup(v.Services[id].Address) != table.Service(id) {
+				t.Fatalf("service %d is not found by its address", id)
+			}
+		}
+	})
+}
+
+// change changes one service or one of its targets in a view.
+func change(t *rapid.T, v *model.View, label string) {
+	id := model.ServiceID(rapid.IntRange(1, 3).Draw(t, "service"+label))
+	if rapid.IntRange(0, 9).Draw(t, "remove"+label) == 0 {
+		delete(v.Services, id)
+		return
+	}
+	service := v.Services[id]
+	service.ID, service.Generation = id, v.Generation
+	service.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(id)}), 443)
+	v.Services[id] = service
+	number := rapid.IntRange(1, 4).Draw(t, "target"+label)
+	tid := model.TargetID(int(id)*10 + number)
+	if rapid.Bool().Draw(t, "leave"+label) {
+		delete(v.Targets, tid)
+		return
+	}
+	member := target(tid, model.TargetState(rapid.IntRange(0, 3).Draw(t, "state"+label)))
+	member.Service = id
+	v.Targets[tid] = member
+}
+
+// Guards against a rebuild of services that have not changed: at 750 services it would take the
+// forwarding of packets and the control budget.
+func TestOnlyChangedServicesAreRebuilt(t *testing.T) {
+	v := view(1, target(1, model.TargetActive), target(2, model.TargetActive))
+	other := v.Services[serviceID]
+	other.ID, other.Address = 8, netip.MustParseAddrPort("10.9.0.2:443")
+	v.Services[8] = other
+	table, rebuilt := placement.Build(nil, v)
+	if rebuilt != 2 {
+		t.Fatalf("first build made %d services, want 2", rebuilt)
+	}
+	v = v.Clone()
+	v.Generation, other.Generation = 2, 2
+	v.Services[8] = other
+	next, rebuilt := placement.Build(table, v)
+	if rebuilt != 1 || next.Service(serviceID) != table.Service(serviceID) {
+		t.Fatalf("%d services were rebuilt, want only the changed one", rebuilt)
+	}
+}
+
+// Guards against uneven shares of buckets. With 1,024 buckets over 8 targets a fair hash gives 128
+// each with a deviation of 10.6; the bound is five deviations.
+func TestBucketsAreSpreadOverTargets(t *testing.T) {
+	members := make([]model.Target, 0, 8)
+	for id := range model.TargetID(8) {
+		members = append(members, target(id+1, model.TargetActive))
+	}
+	service := build(members...)
+	first := map[model.TargetID]int{}
+	for b := range placement.Bucket(placement.BucketCount) {
+		first[service.Full(placement.Admitting, b)[0].ID]++
+	}
+	for id := range model.TargetID(8) {
+		if n := first[id+1]; n < 128-53 || n > 128+53 {
+			t.Errorf("target %d is first in %d buckets", id+1, n)
+		}
+	}
+}
+
+// Guards against a panic and an index overflow when control hands out more targets than allowed.
+func TestTargetsBeyondTheLimitAreOmitted(t *testing.T) {
+	var members []model.Target
+	for id := range model.TargetID(300) {
+		members = append(members, target(id+1, model.TargetActive))
+	}
+	service := build(members...)
+	if service.Omitted != 300-model.MaxTargetsPerService {
+		t.Fatalf("%d targets omitted", service.Omitted)
+	}
+	if n := len(service.Full(placement.Owners, 5)); n != model.MaxTargetsPerService {
+		t.Fatalf("chain holds %d targets", n)
+	}
+}
