Add admission, flow table and agent shell

The agent checks, admits, queues, refuses and forwards packets, recovers the flows of its target after a restart and probes silent flows. The flow table is a pure state machine; the shell owns sockets, timers and goroutines. The target package reads the health and load endpoints.

Specs cover the shell over loopback sockets; properties of the state machine follow.

--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,82 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/greengagelock/greengagelock/internal/flow"
+	"github.com/greengagelock/greengagelock/internal/flowtable"
+)
+
+// metrics are the counters and gauges of an agent.
+type metrics struct {
+	fromFabric, fromTarget       prometheus.Counter
+	toFabric, toTarget, toCaller portCounters
+	drops, events                *prometheus.CounterVec
+	flows, requests, records     prometheus.Gauge
+
+	// Counters by label, so that the packet path does not look them up in the vector.
+	dropOf  map[flow.DropReason]prometheus.Counter
+	eventOf map[flowtable.Event]prometheus.Counter
+}
+
+// portCounters count the datagrams that one port has sent.
+type portCounters struct {
+	sent, failed prometheus.Counter
+}
+
+func newMetrics(registry prometheus.Registerer, age func() time.Duration) (*metrics, error) {
+	counters := func(name, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "greengagelock_agent_" + name, Help: help}, []string{label})
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Name: "greengagelock_agent_" + name, Help: help})
+	}
+	received := counters("packets_received_total", "Packets received.", "port")
+	sent := counters("packets_sent_total", "Packets sent.", "port")
+	failed := counters("send_failures_total", "Packets that could not be sent.", "port")
+	controlAge := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "greengagelock_agent_control_age_seconds",
+		Help: "Time since a controller with a quorum was heard from.",
+	}, func() float64 { return age().Seconds() })
+	m := &metrics{
+		fromFabric: received.WithLabelValues("fabric"), fromTarget: received.WithLabelValues("target"),
+		drops:    counters("drops_total", "Packets dropped.", "reason"),
+		events:   counters("events_total", "Events of flows.", "event"),
+		flows:    gauge("flows", "Open flows."),
+		requests: gauge("request_flows", "Open flows that hold a slot."),
+		records:  gauge("flow_records", "Records in the flow table, ended flows included."),
+		dropOf:   map[flow.DropReason]prometheus.Counter{},
+		eventOf:  map[flowtable.Event]prometheus.Counter{},
+	}
+	for name, c := range map[string]*portCounters{"fabric": &m.toFabric, "target": &m.toTarget, "caller": &m.toCaller} {
+		*c = portCounters{sent: sent.WithLabelValues(name), failed: failed.WithLabelValues(name)}
+	}
+	for _, c := range []prometheus.Collector{
+		received, sent, failed, controlAge, m.drops, m.events, m.flows, m.requests, m.records,
+	} {
+		if err := registry.Register(c); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) drop(reason flow.DropReason) {
+	c, ok := m.dropOf[reason]
+	if !ok {
+		c = m.drops.WithLabelValues(string(reason))
+		m.dropOf[reason] = c
+	}
+	c.Inc()
+}
+
+func (m *metrics) event(event flowtable.Event) {
+	c, ok := m.eventOf[event]
+	if !ok {
+		c = m.events.WithLabelValues(string(event))
+		m.eventOf[event] = c
+	}
+	c.Inc()
+}
--- /dev/null
+++ b/internal/agent/owner.go
@@ -0,0 +1,110 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/encap"
+	"github.com/greengagelock/greengagelock/internal/flow"
+	"github.com/greengagelock/greengagelock/internal/target"
+)
+
+// publishInterval is how often the announced state is refreshed, and the longest time between two
+// ticks of the flow table.
+const publishInterval = 100 * time.Millisecond
+
+// own is the goroutine that owns the flow table.
+func (a *Agent) own(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case b := <-a.fromData.full:
+			a.handleData(b)
+			a.fromData.empty <- b
+		case b := <-a.fromTarget.full:
+			a.handleTarget(b)
+			a.fromTarget.empty <- b
+		case command := <-a.commands:
+			command()
+		case r := <-a.watcher.Reports():
+			a.handleReport(r)
+		case <-timer.C:
+			a.out.run(a.table.Tick(a.now()))
+			a.out.flush()
+			a.publish()
+		}
+		timer.Reset(a.untilTick())
+	}
+}
+
+// untilTick returns the time until the flow table has something to do.
+func (a *Agent) untilTick() time.Duration {
+	wait, ok := a.table.Next(a.now())
+	if !ok {
+		return publishInterval
+	}
+	return min(wait, publishInterval)
+}
+
+// handleData handles a batch of encapsulated packets.
+func (a *Agent) handleData(b *batch) {
+	now := a.now()
+	a.metrics.fromFabric.Add(float64(b.n))
+	var h encap.Header
+	var p flow.Packet
+	for i := range b.n {
+		raw, reason := h.Decode(b.datagrams[i].Data, &a.cfg.FleetKey)
+		if reason == flow.DropNone {
+			reason = p.Parse(raw)
+		}
+		if reason != flow.DropNone {
+			a.metrics.drop(reason)
+			continue
+		}
+		if p.IsSYN() && a.sampled(p.Key) {
+			a.tracedSYN(now, &h, &p)
+			continue
+		}
+		a.out.run(a.table.FromFabric(now, &h, &p))
+	}
+	a.out.flush()
+}
+
+// handleTarget handles a batch of packets that the target has sent.
+func (a *Agent) handleTarget(b *batch) {
+	now := a.now()
+	a.metrics.fromTarget.Add(float64(b.n))
+	var p flow.Packet
+	for i := range b.n {
+		if reason := p.Parse(b.datagrams[i].Data); reason != flow.DropNone {
+			a.metrics.drop(reason)
+			continue
+		}
+		a.out.run(a.table.FromTarget(now, &p))
+	}
+	a.out.flush()
+}
+
+// handleReport handles what the endpoints of the target have said.
+func (a *Agent) handleReport(r target.Report) {
+	now := a.now()
+	if r.Healthy != a.report.Healthy {
+		a.logger.Info().Str("agent", a.cfg.Name).Bool("healthy", r.Healthy).Msg("target health endpoint changed")
+	}
+	if r.Draining != a.report.Draining {
+		a.logger.Info().Str("agent", a.cfg.Name).Bool("draining", r.Draining).Msg("target announces drain")
+		a.out.run(a.table.SetLeaving(now, r.Draining))
+	}
+	if r.Restarted {
+		a.logger.Info().Str("agent", a.cfg.Name).Str("instance", r.Load.Instance).Msg("target restarted")
+		a.out.run(a.table.TargetRestarted(now))
+	}
+	if r.HasLoad {
+		a.table.Report(r.Load.SlotsInUse, r.Load.Connections)
+	}
+	a.report = r
+	a.out.flush()
+}
--- /dev/null
+++ b/internal/flowtable/target.go
@@ -0,0 +1,101 @@
+package flowtable
+
+import (
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/flow"
+)
+
+// FromTarget handles a packet that the target has sent.
+func (t *Table) FromTarget(now time.Duration, p *flow.Packet) []Action {
+	t.begin(now)
+	i, r := t.store.find(pack(p.Key.Reverse()))
+	if r == nil {
+		t.unknownAnswer(p)
+		return t.actions
+	}
+	ep := t.endpoints[r.service]
+	switch r.state {
+	case stateEstablished, stateClosing:
+		t.fromTarget(p, ep, i, r)
+	case stateHalfOpen:
+		t.halfOpenAnswer(p, ep, i, r)
+	case stateSynAckSeen:
+		t.synAckSeenAnswer(p, ep, i, r)
+	case stateProbing:
+		t.probeAnswer(p, ep, i, r)
+	case stateClosed:
+		t.sendCaller(p.Raw)
+	default:
+		t.drop(DropLateAnswer)
+	}
+	return t.actions
+}
+
+// fromTarget handles a packet of the target for an established flow.
+func (t *Table) fromTarget(p *flow.Packet, ep *endpoint, i uint32, r *record) {
+	r.lastTarget = t.millis
+	r.probesTarget = 0
+	if r.has(flagUnconfirmed) && !t.confirm(p, ep, i, r) {
+		return
+	}
+	if p.TCP.ACK {
+		advance(&r.targetAck, p.TCP.Ack)
+	}
+	end := p.TCP.Seq + p.SegmentLength()
+	if advance(&r.targetNext, end) && !r.has(flagUnacked) {
+		r.set(flagUnacked)
+		r.unackedAt = t.millis
+	}
+	t.sendCaller(p.Raw)
+	if p.TCP.RST {
+		t.end(ep, i, r)
+		return
+	}
+	if p.TCP.FIN && end == r.targetNext {
+		t.fin(ep, i, r, flagTargetFIN)
+	}
+	t.closeIfDone(ep, i, r)
+}
+
+// halfOpenAnswer handles the answer of the target to a SYN.
+func (t *Table) halfOpenAnswer(p *flow.Packet, ep *endpoint, i uint32, r *record) {
+	switch {
+	case p.TCP.SYN && p.TCP.ACK:
+		t.synAck(p, ep, i, r)
+	case p.TCP.RST && p.TCP.ACK && p.TCP.Ack == r.callerNext:
+		// The caller must not see this RST: the SYN may still succeed elsewhere.
+		t.handshakeFailed(ep, i, r)
+	case p.TCP.ACK && !p.TCP.RST && !p.TCP.FIN && len(p.Payload) == 0:
+		// A challenge ACK of an older connection with the same ports lets the caller reset it.
+		t.sendCaller(p.Raw)
+	default:
+		t.drop(DropLateAnswer)
+	}
+}
+
+// synAckSeenAnswer handles packets of the target between its SYN-ACK and the ACK of the caller.
+func (t *Table) synAckSeenAnswer(p *flow.Packet, ep *endpoint, i uint32, r *record) {
+	switch {
+	case p.TCP.SYN && p.TCP.ACK:
+		t.synAck(p, ep, i, r)
+	case p.TCP.RST:
+		t.sendCaller(p.Raw)
+		t.linger(ep, i, r)
+		t.serveQueue(ep)
+	case len(p.Payload) == 0 && !p.TCP.FIN:
+		t.sendCaller(p.Raw)
+	default:
+		t.drop(DropEarlyAnswer)
+	}
+}
+
+// endpointAt returns the endpoint that serves an address.
+func (t *Table) endpointAt(p *flow.Packet) *endpoint {
+	for _, ep := range t.endpoints {
+		if ep.present && ep.Service.Address == p.Key.Caller {
+			return ep
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/flowtable/timers.go
@@ -0,0 +1,185 @@
+package flowtable
+
+import (
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/admission"
+	"github.com/greengagelock/greengagelock/internal/flow"
+	"github.com/greengagelock/greengagelock/internal/result"
+)
+
+// queueCheck is how often waiting SYNs are looked at while nothing else happens: the ramp or the
+// end of a suspension may make room.
+const queueCheck = 20 * time.Millisecond
+
+// Tick handles what is due at now.
+func (t *Table) Tick(now time.Duration) []Action {
+	t.begin(now)
+	t.wheel.advance(t.millis, t.fire)
+	for _, ep := range t.endpoints {
+		t.checkQueue(ep)
+		if left, ok := t.drainLeft(ep); ok && left <= 0 {
+			ep.drained = true
+			t.resetAll(ep)
+		}
+	}
+	return t.actions
+}
+
+// checkQueue admits waiting SYNs, or refuses them if the target admits nothing any more.
+func (t *Table) checkQueue(ep *endpoint) {
+	if ep.admission.Queued() == 0 {
+		return
+	}
+	if state, code := ep.admission.State(t.now); state == admission.Closed {
+		t.refuseQueue(ep, code)
+		return
+	}
+	t.serveQueue(ep)
+}
+
+// drainLeft returns the time until the flows of a draining target are reset.
+func (t *Table) drainLeft(ep *endpoint) (time.Duration, bool) {
+	if !ep.draining || ep.drained || ep.Service.DrainTimeout <= 0 {
+		return 0, false
+	}
+	return ep.drainedAt + ep.Service.DrainTimeout - t.now, true
+}
+
+// Next returns the time until Tick has something to do.
+func (t *Table) Next(now time.Duration) (time.Duration, bool) {
+	t.now = now
+	steps, ok := t.wheel.next()
+	wait := time.Duration(0)
+	if ok {
+		due := time.Duration((t.wheel.current+steps)<<wheelStepBits) * time.Millisecond
+		wait = time.Duration(int32(ms(due)-millis(now/time.Millisecond))) * time.Millisecond
+		wait = max(wait, time.Millisecond)
+	}
+	for _, ep := range t.endpoints {
+		if ep.admission.Queued() > 0 && (!ok || wait > queueCheck) {
+			wait, ok = queueCheck, true
+		}
+		if left, draining := t.drainLeft(ep); draining && (!ok || wait > left) {
+			wait, ok = max(left, time.Millisecond), true
+		}
+	}
+	return wait, ok
+}
+
+// fire handles the timer of a flow.
+func (t *Table) fire(i uint32) {
+	r := t.store.at(i)
+	ep := t.endpoints[r.service]
+	switch r.state {
+	case stateQueued:
+		t.giveUp(ep, i, r, result.QueueTimeout)
+	case stateHalfOpen:
+		t.abortTarget(r)
+		t.handshakeFailed(ep, i, r)
+	case stateSynAckSeen:
+		t.halfOpenTimeout(ep, i, r)
+	case stateProbing:
+		t.probeSucceeded(ep, i, r)
+	case stateEstablished, stateClosing:
+		t.check(ep, i, r)
+	case stateClosed:
+		t.linger(ep, i, r)
+	case stateLingering:
+		t.forget(i, r)
+	}
+}
+
+// forget removes an ended flow. In recovery a flow that still passes by is remembered, so that the
+// target is not asked for it again.
+func (t *Table) forget(i uint32, r *record) {
+	if left := ms(ClosedLinger) - (t.millis - r.lastCaller); t.recovering && int32(left) > 0 {
+		t.wheel.arm(i, t.millis+left)
+		return
+	}
+	t.counts[r.state]--
+	t.store.remove(i)
+}
+
+// check looks at an established flow whose timer has fired.
+func (t *Table) check(ep *endpoint, i uint32, r *record) {
+	switch {
+	case r.has(flagUnconfirmed):
+		t.linger(ep, i, r)
+		return
+	case r.has(flagTargetFIN) && r.probesTarget >= closingProbes:
+		t.end(ep, i, r)
+		return
+	case !ep.present && t.quiet(r) >= ms(orphanIdle):
+		t.end(ep, i, r)
+		return
+	}
+	if r.has(flagCheckTarget) || t.closingLeft(r) <= 0 && r.has(flagTargetFIN) {
+		r.clear(flagCheckTarget)
+		t.probeTarget(r)
+	}
+	if t.checkSilence(ep, i, r) {
+		return
+	}
+	t.watch(ep, i, r)
+}
+
+// quiet returns the time since the last packet of either end.
+func (t *Table) quiet(r *record) millis {
+	return min(t.millis-r.lastCaller, t.millis-r.lastTarget)
+}
+
+// closingLeft returns the time until the target of a closing flow is checked.
+func (t *Table) closingLeft(r *record) int32 {
+	return int32(ms(closingIdle) - min(t.millis-r.lastCaller, t.millis-r.probedTarget))
+}
+
+// watch arms the timer of an established flow for whatever comes first.
+func (t *Table) watch(ep *endpoint, i uint32, r *record) {
+	wait, armed := t.silenceWait(ep, r)
+	consider := func(left int32) {
+		// What is already due is handled at the next step.
+		if w := millis(max(left, 1)); !armed || w < wait {
+			wait, armed = w, true
+		}
+	}
+	if r.has(flagCheckTarget) {
+		consider(int32(ms(checkWait)))
+	}
+	if r.has(flagTargetFIN) {
+		consider(t.closingLeft(r))
+	}
+	if !ep.present {
+		consider(int32(ms(orphanIdle) - t.quiet(r)))
+	}
+	if armed {
+		t.wheel.arm(i, t.millis+wait)
+	}
+}
+
+// resetAll resets the flows of an endpoint at both ends.
+func (t *Table) resetAll(ep *endpoint) {
+	t.store.each(func(i uint32, r *record) {
+		if r.service != ep.Service.ID {
+			return
+		}
+		switch r.state {
+		case stateEstablished, stateClosing, stateSynAckSeen:
+			t.note(EventBrokenDrain)
+			t.resetBoth(r)
+			t.release(ep, r, true)
+			t.linger(ep, i, r)
+		}
+	})
+}
+
+// resetBoth resets a flow at both ends. Each RST has the sequence number that its end expects.
+func (t *Table) resetBoth(r *record) {
+	k := r.key.unpack()
+	t.abortTarget(r)
+	seq := r.callerAck
+	if r.state == stateSynAckSeen {
+		seq = r.targetNext
+	}
+	t.sendCaller(build(flow.Segment{From: k.Service, To: k.Caller, Seq: seq, RST: true}))
+}
