--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,142 @@
+// Package config reads and checks the configuration document: the inventory of VMs from the asset
+// register, and the rules that select targets for services. It also says what an edit would
+// change, and which of these effects an operator has to acknowledge.
+package config
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/model"
+)
+
+// Bounds of the values in a document.
+const (
+	// MaxDocumentBytes leaves room for an inventory of 10,000 VMs.
+	MaxDocumentBytes = 4 << 20
+	// MaxQueueWait is below the initial TCP retransmission timeout of 1 s, so that a queued SYN
+	// and its retransmission do not race.
+	MaxQueueWait    = 500 * time.Millisecond
+	MaxRamp         = 10 * time.Minute
+	MaxDrainTimeout = 24 * time.Hour
+	MinSilenceIdle  = time.Second
+	MaxSilenceIdle  = time.Hour
+	MinProbePause   = time.Second
+	MaxProbePause   = time.Minute
+	MaxProbes       = 10
+	MaxSlots        = 1024
+	MaxConnections  = 65536
+)
+
+// Defaults of the values that a document may leave out.
+const (
+	DefaultRamp          = 10 * time.Second
+	DefaultSilenceIdle   = 30 * time.Second
+	DefaultProbeInterval = 5 * time.Second
+	DefaultProbeCount    = 3
+)
+
+// Document is a checked configuration.
+type Document struct {
+	VMs      []VM
+	Services []Service
+	// Leaving holds names of VMs and of targets ("vm/service") that take no new flows.
+	Leaving []string
+	Limits  Limits
+}
+
+// VM is an entry of the inventory.
+type VM struct {
+	Name     model.VM
+	Zone     model.AvailabilityZone
+	Customer model.Customer
+	Labels   map[string]string
+}
+
+// Service is the rule for one service address.
+type Service struct {
+	Name         string
+	Customer     model.Customer
+	Address      netip.AddrPort
+	Class        model.FlowClass
+	Select       map[string]string
+	MaxQueueWait time.Duration
+	Ramp         time.Duration
+	DrainTimeout time.Duration
+	Silence      model.Silence
+}
+
+// Limits bounds what a target may announce.
+type Limits struct {
+	SlotsPerTarget       int
+	ConnectionsPerTarget int
+}
+
+// TargetName is the name of the endpoint that a VM offers for a service.
+func TargetName(vm model.VM, service string) string {
+	return string(vm) + "/" + service
+}
+
+// Selects reports whether a VM may serve the service: it belongs to the same customer and carries
+// every selected label.
+func (s *Service) Selects(vm *VM) bool {
+	if vm.Customer != s.Customer {
+		return false
+	}
+	for label, value := range s.Select {
+		if got, ok := vm.Labels[label]; !ok || got != value {
+			return false
+		}
+	}
+	return true
+}
+
+// Index finds the entries of a document by name.
+type Index struct {
+	Document *Document
+	vms      map[model.VM]*VM
+	services map[string]*Service
+	leaving  map[string]bool
+}
+
+// NewIndex returns the index of a document, which must not change afterwards.
+func NewIndex(d *Document) *Index {
+	x := &Index{Document: d, vms: map[model.VM]*VM{}, services: map[string]*Service{}, leaving: map[string]bool{}}
+	for i := range d.VMs {
+		x.vms[d.VMs[i].Name] = &d.VMs[i]
+	}
+	for i := range d.Services {
+		x.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for _, name := range d.Leaving {
+		x.leaving[name] = true
+	}
+	return x
+}
+
+// VM returns the inventory entry of a VM, or nil.
+func (x *Index) VM(name model.VM) *VM { return x.vms[name] }
+
+// Service returns the rule of a service, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// Leaving reports whether the document lists a target or its VM as leaving.
+func (x *Index) Leaving(vm model.VM, service string) bool {
+	return x.leaving[string(vm)] || x.leaving[TargetName(vm, service)]
+}
+
+// Refusal returns why the document does not allow a VM to serve a service, or "" if it does.
+func (x *Index) Refusal(vm model.VM, service string) string {
+	entry, rule := x.vms[vm], x.services[service]
+	switch {
+	case entry == nil:
+		return "the VM is not in the inventory"
+	case rule == nil:
+		return "the service is not in the configuration"
+	case entry.Customer != rule.Customer:
+		return "the VM belongs to another customer than the service"
+	case !rule.Selects(entry):
+		return "the labels of the VM do not match the selector of the service"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/config/plan.go
@@ -0,0 +1,277 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/greengagelock/greengagelock/internal/model"
+)
+
+// MaxRemovedPercent is the share of a service's targets that one edit may take away without an
+// acknowledgement.
+const MaxRemovedPercent = 30
+
+// EffectKind is what an effect does.
+type EffectKind string
+
+// Kinds of effects.
+const (
+	ServiceAdded    EffectKind = "service added"
+	ServiceRemoved  EffectKind = "service removed"
+	ServiceChanged  EffectKind = "service changed"
+	ServiceEmptied  EffectKind = "service emptied"
+	AddressMoved    EffectKind = "address moved"
+	AddressChanged  EffectKind = "address changed"
+	TargetsDrained  EffectKind = "targets drained"
+	TargetsRemoved  EffectKind = "targets removed"
+	TargetsReturned EffectKind = "targets returned"
+	ManyRemoved     EffectKind = "many targets removed"
+)
+
+// Effect is one consequence of an edit.
+type Effect struct {
+	Kind    EffectKind
+	Service string
+	// From is the service that held the address before, for AddressMoved.
+	From      string
+	Address   netip.AddrPort
+	Targets   []string // names
+	Count     int      // of targets that the effect touches
+	Of        int      // targets of the service before the edit that were not leaving
+	OpenFlows int      // flows open on these targets
+	// Acknowledge is the string that an edit with this effect has to carry; empty if none.
+	Acknowledge string
+}
+
+// String returns the effect on one line.
+func (e Effect) String() string {
+	text := fmt.Sprintf("%s: %s", e.Kind, e.Service)
+	if e.From != "" {
+		text += fmt.Sprintf(" takes %v from %s", e.Address, e.From)
+	} else if e.Address.IsValid() {
+		text += fmt.Sprintf(" at %v", e.Address)
+	}
+	if e.Count > 0 {
+		text += fmt.Sprintf(", %d of %d targets, %d open flows", e.Count, e.Of, e.OpenFlows)
+	}
+	return text
+}
+
+// KnownTarget is a registered target at the time of an edit.
+type KnownTarget struct {
+	VM        model.VM
+	Service   string
+	Admitting bool // takes new flows now
+	Leaving   bool // drains already
+	OpenFlows int
+}
+
+// Holder is a service that still holds an address, because it is in the old document or because
+// flows of a removed service have not ended.
+type Holder struct {
+	Service  string
+	Customer model.Customer
+	Address  netip.AddrPort
+}
+
+// Plan returns the effects of replacing a document, ordered by service. Which effects there are
+// depends on the documents, the targets and the holders; open flows are only reported.
+func Plan(before, after *Document, targets []KnownTarget, retiring []Holder) []Effect {
+	p := &planner{before: NewIndex(before), after: NewIndex(after), byService: map[string][]KnownTarget{}}
+	for _, t := range targets {
+		p.byService[t.Service] = append(p.byService[t.Service], t)
+	}
+	p.addresses(retiring)
+	for i := range after.Services {
+		p.service(&after.Services[i])
+	}
+	for i := range before.Services {
+		if s := &before.Services[i]; p.after.Service(s.Name) == nil {
+			p.removed(s)
+		}
+	}
+	slices.SortStableFunc(p.effects, func(a, b Effect) int { return cmp.Compare(a.Service, b.Service) })
+	return p.effects
+}
+
+// Missing returns the acknowledgements that the effects need and that are not given.
+func Missing(effects []Effect, given []string) []string {
+	var missing []string
+	for _, e := range effects {
+		if e.Acknowledge != "" && !slices.Contains(given, e.Acknowledge) && !slices.Contains(missing, e.Acknowledge) {
+			missing = append(missing, e.Acknowledge)
+		}
+	}
+	return missing
+}
+
+type planner struct {
+	before, after *Index
+	byService     map[string][]KnownTarget
+	effects       []Effect
+}
+
+// addresses reports the addresses that pass from one service to another, and the removed services
+// that come back at another address while they still have flows.
+func (p *planner) addresses(retiring []Holder) {
+	holders := map[netip.AddrPort]Holder{}
+	for _, h := range retiring {
+		holders[h.Address] = h
+		if s := p.after.Service(h.Service); s != nil && s.Address != h.Address {
+			p.readdressed(s)
+		}
+	}
+	for i := range p.before.Document.Services {
+		s := &p.before.Document.Services[i]
+		holders[s.Address] = Holder{Service: s.Name, Customer: s.Customer, Address: s.Address}
+	}
+	for i := range p.after.Document.Services {
+		s := &p.after.Document.Services[i]
+		holder, held := holders[s.Address]
+		if !held || (holder.Service == s.Name && holder.Customer == s.Customer) {
+			continue
+		}
+		known := p.byService[holder.Service]
+		p.effects = append(p.effects, Effect{
+			Kind: AddressMoved, Service: s.Name, From: holder.Service, Address: s.Address,
+			Count: len(known), Of: len(known), OpenFlows: flowsOf(known),
+			Acknowledge: fmt.Sprintf("moves:%v:%s:%s", s.Address, holder.Service, s.Name),
+		})
+	}
+}
+
+// readdressed reports that flows to the old address cannot reach the service any more.
+func (p *planner) readdressed(s *Service) {
+	known := p.byService[s.Name]
+	p.effects = append(p.effects, Effect{
+		Kind: AddressChanged, Service: s.Name, Address: s.Address,
+		Count: len(known), Of: len(known), OpenFlows: flowsOf(known), Acknowledge: "readdresses:" + s.Name,
+	})
+}
+
+func (p *planner) service(after *Service) {
+	before := p.before.Service(after.Name)
+	if before == nil {
+		p.effects = append(p.effects, Effect{Kind: ServiceAdded, Service: after.Name, Address: after.Address})
+		return
+	}
+	p.changed(before, after)
+	p.targets(after.Name)
+}
+
+func (p *planner) changed(before, after *Service) {
+	if before.Address != after.Address {
+		p.readdressed(after)
+	}
+	if !sameRules(before, after) {
+		p.effects = append(p.effects, Effect{Kind: ServiceChanged, Service: after.Name})
+	}
+}
+
+func sameRules(a, b *Service) bool {
+	return a.Customer == b.Customer && a.Class == b.Class && a.MaxQueueWait == b.MaxQueueWait && a.Ramp == b.Ramp &&
+		a.DrainTimeout == b.DrainTimeout && a.Silence == b.Silence
+}
+
+func (p *planner) removed(s *Service) {
+	known := p.byService[s.Name]
+	p.effects = append(p.effects, Effect{
+		Kind: ServiceRemoved, Service: s.Name, Address: s.Address,
+		Count: len(known), Of: len(known), OpenFlows: flowsOf(known),
+	})
+	p.guard(s.Name, staying(known), nil, known)
+}
+
+// targets reports what happens to the targets of a service that stays.
+func (p *planner) targets(service string) {
+	known := p.byService[service]
+	var drained, removed, returned, rest []KnownTarget
+	for _, t := range known {
+		switch {
+		case p.after.Refusal(t.VM, service) != "":
+			if !t.Leaving {
+				removed = append(removed, t)
+			}
+		case p.after.Leaving(t.VM, service):
+			if !t.Leaving {
+				drained = append(drained, t)
+			}
+		case t.Leaving && (p.before.Leaving(t.VM, service) || p.before.Refusal(t.VM, service) != ""):
+			returned = append(returned, t)
+			rest = append(rest, t)
+		case !t.Leaving:
+			rest = append(rest, t)
+		}
+	}
+	before := staying(known)
+	p.group(TargetsDrained, service, drained, len(before))
+	p.group(TargetsRemoved, service, removed, len(before))
+	p.group(TargetsReturned, service, returned, len(before))
+	p.guard(service, before, rest, append(drained, removed...))
+}
+
+// guard adds the effects that need an acknowledgement. A service counts as emptied when no target
+// that takes new flows now is left, even if lost or ejected ones are.
+func (p *planner) guard(service string, before, rest, taken []KnownTarget) {
+	taken = staying(taken)
+	if len(taken) == 0 {
+		return
+	}
+	effect := Effect{Service: service, Targets: namesOf(taken), Count: len(taken), Of: len(before), OpenFlows: flowsOf(taken)}
+	if len(rest) == 0 || (admitting(before) > 0 && admitting(rest) == 0) {
+		effect.Kind, effect.Acknowledge = ServiceEmptied, "empties:"+service
+		p.effects = append(p.effects, effect)
+		return
+	}
+	if len(taken)*100 > MaxRemovedPercent*len(before) {
+		effect.Kind, effect.Acknowledge = ManyRemoved, "removes:"+service
+		p.effects = append(p.effects, effect)
+	}
+}
+
+func (p *planner) group(kind EffectKind, service string, targets []KnownTarget, of int) {
+	if len(targets) > 0 {
+		p.effects = append(p.effects, Effect{
+			Kind: kind, Service: service, Targets: namesOf(targets), Count: len(targets), Of: of, OpenFlows: flowsOf(targets),
+		})
+	}
+}
+
+func staying(targets []KnownTarget) []KnownTarget {
+	var list []KnownTarget
+	for _, t := range targets {
+		if !t.Leaving {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+func admitting(targets []KnownTarget) int {
+	count := 0
+	for _, t := range targets {
+		if t.Admitting {
+			count++
+		}
+	}
+	return count
+}
+
+func namesOf(targets []KnownTarget) []string {
+	var names []string
+	for _, t := range targets {
+		names = append(names, TargetName(t.VM, t.Service))
+	}
+	slices.Sort(names)
+	return names
+}
+
+func flowsOf(targets []KnownTarget) int {
+	total := 0
+	for _, t := range targets {
+		total += t.OpenFlows
+	}
+	return total
+}
