--- /dev/null
+++ b/internal/catalog/snapshot.go
@@ -0,0 +1,86 @@
+package catalog
+
+import (
+	"bytes"
+	"encoding/gob"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/greengagelock/greengagelock/internal/model"
+)
+
+// image is the state in a snapshot. It has slices in a fixed order where the catalog has maps,
+// because gob writes maps in random order.
+type image struct {
+	Applied     uint64
+	History     history
+	Results     []stored
+	NextService model.ServiceID
+	NextTarget  model.TargetID
+	Services    []service
+	Targets     []target
+	Quarantine  []Quarantined
+	Generation  model.Generation
+	Revision    model.Revision
+	ViewTargets []model.Target
+	Digest      uint64
+}
+
+// Snapshot returns the whole state.
+func (c *Catalog) Snapshot() ([]byte, error) {
+	img := image{
+		Applied: c.applied, History: c.history, NextService: c.nextService, NextTarget: c.nextTarget,
+		Quarantine: c.Quarantine(), Generation: c.view.Generation, Revision: c.view.Revision, Digest: c.digest,
+	}
+	for _, id := range c.order {
+		img.Results = append(img.Results, c.results[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.services)) {
+		img.Services = append(img.Services, *c.services[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.targets)) {
+		img.Targets = append(img.Targets, *c.targets[id])
+		img.ViewTargets = append(img.ViewTargets, c.view.Targets[id])
+	}
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(&img); err != nil {
+		return nil, errors.Wrap(err, "encode a snapshot")
+	}
+	return buf.Bytes(), nil
+}
+
+// Restore replaces the state by that of a snapshot. On an error the state is unchanged.
+func (c *Catalog) Restore(data []byte) error {
+	var img image
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&img); err != nil {
+		return errors.Wrap(err, "decode a snapshot")
+	}
+	next := New()
+	next.applied, next.history = img.Applied, img.History
+	next.nextService, next.nextTarget = img.NextService, img.NextTarget
+	next.view.Generation, next.view.Revision = img.Generation, img.Revision
+	for _, r := range img.Results {
+		next.results[r.CommandID] = r
+		next.order = append(next.order, r.CommandID)
+	}
+	for _, s := range img.Services {
+		next.services[s.Model.ID] = &s
+		next.view.Services[s.Model.ID] = s.Model
+	}
+	for i, t := range img.Targets {
+		next.targets[t.ID] = &t
+		next.view.Targets[t.ID] = img.ViewTargets[i]
+	}
+	for _, q := range img.Quarantine {
+		next.quarantine[q.Registration.Key] = q
+	}
+	next.derive()
+	next.digest = next.view.Digest()
+	if next.digest != img.Digest {
+		return errors.Newf("snapshot of generation %d has digest %016x, expected %016x", img.Generation, next.digest, img.Digest)
+	}
+	*c = *next
+	return nil
+}
