Add the controller with a log in memory

Change: sessions and their reports, leader duties, node and operator services, forwarding to the leader, merged read barriers.

--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,211 @@
+// Package controller runs the control plane: it drives the replicated log, holds the sessions of
+// nodes, carries out the duties of the leader and serves operators.
+package controller
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+)
+
+const (
+	// MaxAge is how long a controller without contact to a quorum still answers nodes and reads.
+	MaxAge = 2 * time.Second
+	// transferTimeout bounds the hand-over of leadership when a controller stops.
+	transferTimeout = 2 * time.Second
+	// compactEvery is the number of log entries between two snapshots. Replaying them takes less
+	// than a second.
+	compactEvery = 4096
+	// maxEdits bounds the edits that run at the same time. Only one of them can be accepted, as
+	// they name the same revision.
+	maxEdits = 16
+)
+
+// Config configures a Controller.
+type Config struct {
+	Name string
+	// Members are the controllers, this one included, that form the log when it starts for the
+	// first time. A member that joins later lists only the others.
+	Members map[string]string
+	Listen  string // address to listen at
+	// Listener is used instead of Listen if it is set.
+	Listener net.Listener
+	DataDir  string
+	TLS      rpc.Files
+	// MaxSessions bounds the nodes that may poll this controller.
+	MaxSessions int
+}
+
+// Controller is one member of the control plane.
+type Controller struct {
+	cfg      Config
+	tel      telemetry.Handle
+	metrics  *Metrics
+	log      Log
+	state    *state
+	sessions *sessions
+	server   *rpc.Server
+	peers    *peers
+	leader   *leader
+	barrier  *barrier
+	edits    chan struct{}
+	kick     chan struct{} // wakes the reporter
+}
+
+// New returns a controller.
+func New(cfg Config, t telemetry.Handle) (*Controller, error) {
+	if cfg.Name == "" || len(cfg.Members) == 0 {
+		return nil, result.New(result.SettingsInvalid, "a controller needs a name and the addresses of the members")
+	}
+	credentials, err := rpc.LoadCredentials(cfg.TLS)
+	if err != nil {
+		return nil, err
+	}
+	id, err := credentials.Identity()
+	if err != nil {
+		return nil, err
+	}
+	if want := (rpc.Identity{Role: model.RoleController, Name: cfg.Name}); id != want {
+		return nil, result.New(result.SettingsInvalid, "the certificate is for %s, expected %s", id, want)
+	}
+	return build(cfg, credentials, newMemoryLog(cfg.Name, cfg.Members[cfg.Name]), t)
+}
+
+func build(cfg Config, credentials *rpc.Credentials, log Log, t telemetry.Handle) (*Controller, error) {
+	if cfg.MaxSessions <= 0 {
+		cfg.MaxSessions = rpc.DefaultMaxConns
+	}
+	c := &Controller{
+		cfg: cfg, tel: t, log: log, state: newState(), sessions: newSessions(cfg.MaxSessions),
+		peers: newPeers(credentials), leader: &leader{log: log},
+		edits: make(chan struct{}, maxEdits), kick: make(chan struct{}, 1),
+	}
+	c.barrier = newBarrier(c.readBarrier)
+	var err error
+	if c.metrics, err = newMetrics(t.Metrics, c); err != nil {
+		return nil, err
+	}
+	c.server, err = rpc.NewServer(rpc.ServerConfig{
+		Credentials: credentials, Services: c.services, MaxConns: cfg.MaxSessions,
+	}, t)
+	return c, err
+}
+
+// services returns what a peer may call.
+func (c *Controller) services(p *rpc.Peer) (map[string]any, error) {
+	switch p.Role {
+	case model.RoleBalancer, model.RoleAgent:
+		return map[string]any{nodeServiceName: &Node{c: c, peer: p}}, nil
+	case model.RoleOperator:
+		return map[string]any{operatorServiceName: &Operator{c: c, peer: p}}, nil
+	case model.RoleController:
+		return map[string]any{
+			peerServiceName:     &Peer{c: c, peer: p},
+			operatorServiceName: &Operator{c: c, peer: p},
+		}, nil
+	}
+	return nil, result.New(result.PeerUnknown, "role %q has no service here", p.Role)
+}
+
+// Run serves until ctx is done. A leader hands over before it stops.
+func (c *Controller) Run(ctx context.Context) error {
+	listener := c.cfg.Listener
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", c.cfg.Listen); err != nil {
+			return errors.Wrap(err, "listen for control connections")
+		}
+	}
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, running := errgroup.WithContext(inner)
+	group.Go(func() error { return c.log.Run(running) })
+	group.Go(func() error { return c.server.Serve(running, listener) })
+	group.Go(func() error { return c.applyCommitted(running) })
+	group.Go(func() error { c.barrier.run(running); return nil })
+	group.Go(func() error { c.reportSessions(running); return nil })
+	group.Go(func() error { c.lead(running); return nil })
+	c.tel.Logger.Info().Str("controller", c.cfg.Name).Str("address", listener.Addr().String()).Msg("controller started")
+	select {
+	case <-ctx.Done():
+		c.handOver(running)
+	case <-running.Done():
+	}
+	cancel()
+	c.peers.close()
+	err := group.Wait()
+	c.tel.Logger.Info().Str("controller", c.cfg.Name).Msg("controller stopped")
+	return err
+}
+
+func (c *Controller) handOver(ctx context.Context) {
+	if !c.log.Status().IsLeader {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	if err := c.log.Transfer(ctx); err != nil {
+		c.tel.Logger.Warn().Str("controller", c.cfg.Name).Err(err).Msg("leadership was not handed over, the others will elect a leader")
+	}
+}
+
+func (c *Controller) applyCommitted(ctx context.Context) error {
+	sinceSnapshot := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case entry := <-c.log.Committed():
+			if err := c.state.apply(entry); err != nil {
+				return err
+			}
+			if sinceSnapshot++; entry.Snapshot != nil {
+				sinceSnapshot = 0
+			}
+			if sinceSnapshot < compactEvery {
+				continue
+			}
+			sinceSnapshot = 0
+			if err := c.compact(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *Controller) compact() error {
+	var applied uint64
+	var snapshot []byte
+	var err error
+	c.state.read(func(cat *catalog.Catalog) {
+		applied = cat.Applied()
+		snapshot, err = cat.Snapshot()
+	})
+	if err != nil {
+		return err
+	}
+	return c.log.Compact(applied, snapshot)
+}
+
+// current returns how old the knowledge of this controller is, or an error if it is too old to be
+// handed out.
+func (c *Controller) current() (time.Duration, error) {
+	age := c.log.Status().QuorumAge
+	if age > MaxAge {
+		return age, result.New(result.NoQuorum, "controller %s has had no contact to a quorum for %v", c.cfg.Name, age.Round(time.Millisecond))
+	}
+	return age, nil
+}
+
+// Module provides a Controller from a Config and a telemetry handle.
+var Module = fx.Module("controller", fx.Provide(New))
--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,95 @@
+package controller
+
+import (
+	"testing"
+
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+)
+
+func (h *harness) single() string {
+	h.t.Helper()
+	listener := h.listen()
+	address := listener.Addr().String()
+	c, err := New(Config{
+		Name: "c1", Members: map[string]string{"c1": address}, Listener: listener, DataDir: h.t.TempDir(),
+		TLS: h.files(model.RoleController, "c1"),
+	}, telemetry.Discard())
+	check(h.t, err)
+	h.run(c.Run)
+	return address
+}
+
+// Guards against a break anywhere on the way of an edit: from the operator through the log to the
+// views of balancers and agents, and back as applied revisions.
+func TestEditComesInForceOnAllNodes(t *testing.T) {
+	h := newHarness(t)
+	address := h.single()
+	ctl := h.operator(address)
+	balancer, agent := &standin{}, agentStandin("vm-0-0", 9000, "s0")
+	h.node(model.RoleBalancer, "b1", balancer, address)
+	h.node(model.RoleAgent, "vm-0-0", agent, address)
+	reply, err := ctl.Apply(t.Context(), operator.Edit{File: "doc", Document: document(2, 1, "")})
+	check(t, err)
+	check(t, reply.Result.Err())
+	eventually(t, "target in the views", func() bool {
+		return len(balancer.last().Targets) == 1 && len(balancer.last().Services) == 2 &&
+			len(agent.last().Targets) == 1 && len(agent.last().Services) == 1
+	})
+	wait, err := ctl.WaitInForce(t.Context(), reply.Result.Revision, patience)
+	check(t, err)
+	if wait.Nodes != 2 || wait.InForce != 2 {
+		t.Fatalf("in force on %d of %d nodes, want 2 of 2", wait.InForce, wait.Nodes)
+	}
+	drain, err := ctl.Drain(t.Context(), operator.Edit{Base: 1, Names: []string{"vm-0-0"}})
+	check(t, err)
+	if drain.Result.Code != result.AcknowledgeRequired {
+		t.Fatalf("draining the only target: got code %d, want %d", drain.Result.Code, result.AcknowledgeRequired)
+	}
+	drain, err = ctl.Drain(t.Context(), operator.Edit{Base: 1, Names: []string{"vm-0-0"}, Acknowledged: drain.Result.Missing})
+	check(t, err)
+	check(t, drain.Result.Err())
+	eventually(t, "draining state at the agent", func() bool {
+		for _, target := range agent.last().Targets {
+			return target.State == model.TargetDraining
+		}
+		return false
+	})
+}
+
+// Guards against a target that stays admitting after its agent is gone, and against the loss of
+// its number when the agent is back.
+func TestLostTargetComesBackUnderItsNumber(t *testing.T) {
+	h := newHarness(t)
+	address := h.single()
+	ctl := h.operator(address)
+	balancer := &standin{}
+	h.node(model.RoleBalancer, "b1", balancer, address)
+	var stops []func()
+	for _, vm := range []string{"vm-0-0", "vm-0-1"} {
+		_, stop := h.node(model.RoleAgent, vm, agentStandin(vm, 9000, "s0"), address)
+		stops = append(stops, stop)
+	}
+	reply, err := ctl.Apply(t.Context(), operator.Edit{File: "doc", Document: document(1, 2, "")})
+	check(t, err)
+	check(t, reply.Result.Err())
+	state := func(vm model.VM) (model.TargetID, model.TargetState) {
+		for id, target := range balancer.last().Targets {
+			if target.VM == vm {
+				return id, target.State
+			}
+		}
+		return 0, model.TargetLost
+	}
+	eventually(t, "both targets", func() bool { return len(balancer.last().Targets) == 2 })
+	before, _ := state("vm-0-1")
+	stops[1]()
+	eventually(t, "lost state", func() bool { _, s := state("vm-0-1"); return s == model.TargetLost })
+	h.node(model.RoleAgent, "vm-0-1", agentStandin("vm-0-1", 9000, "s0"), address)
+	eventually(t, "active state", func() bool { _, s := state("vm-0-1"); return s == model.TargetActive })
+	if after, _ := state("vm-0-1"); after != before {
+		t.Fatalf("target has number %d after the restart, want %d", after, before)
+	}
+}
--- /dev/null
+++ b/internal/controller/harness_test.go
@@ -0,0 +1,168 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/devcerts"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/node"
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+	_ "github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+// patience is how long a test waits for something that must happen. It is far above the time
+// that it takes, so that a busy machine does not change the verdict.
+const patience = time.Minute
+
+type harness struct {
+	t     *testing.T
+	certs *devcerts.Authority
+	wg    sync.WaitGroup
+	stop  context.CancelFunc
+	ctx   context.Context
+}
+
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	certs, err := devcerts.New(t.TempDir())
+	check(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &harness{t: t, certs: certs, ctx: ctx, stop: cancel}
+	t.Cleanup(func() {
+		cancel()
+		h.wg.Wait()
+	})
+	return h
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (h *harness) files(role model.Role, name string) rpc.Files {
+	h.t.Helper()
+	files, err := h.certs.Issue(role, name)
+	check(h.t, err)
+	return files
+}
+
+func (h *harness) listen() net.Listener {
+	h.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check(h.t, err)
+	return l
+}
+
+// run starts a component. The returned function stops it and waits for its end.
+func (h *harness) run(f func(ctx context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	done := make(chan struct{})
+	h.wg.Go(func() {
+		defer close(done)
+		if err := f(ctx); err != nil {
+			h.t.Errorf("component failed: %v", err)
+		}
+	})
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func (h *harness) operator(controllers ...string) *operator.Client {
+	h.t.Helper()
+	client, err := operator.NewClient(operator.Config{
+		Controllers: controllers, TLS: h.files(model.RoleOperator, "ana"), Timeout: patience,
+	})
+	check(h.t, err)
+	h.t.Cleanup(client.Close)
+	return client
+}
+
+// standin is a node without a data path.
+type standin struct {
+	mu           sync.Mutex
+	announcement model.Announcement
+	views        []*model.View
+}
+
+func (s *standin) Announcement() model.Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announcement
+}
+
+func (s *standin) ApplyView(v *model.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.views = append(s.views, v)
+}
+
+func (s *standin) last() *model.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.views) == 0 {
+		return model.NewView()
+	}
+	return s.views[len(s.views)-1]
+}
+
+func (s *standin) set(f func(a *model.Announcement)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.announcement)
+}
+
+func (h *harness) node(role model.Role, name string, s *standin, controllers ...string) (*node.Session, func()) {
+	h.t.Helper()
+	session, err := node.New(node.Config{
+		Name: name, Role: role, Controllers: controllers, TLS: h.files(role, name),
+	}, s, telemetry.Discard())
+	check(h.t, err)
+	return session, h.run(session.Run)
+}
+
+func agentStandin(vm string, port uint16, service string) *standin {
+	return &standin{announcement: model.Announcement{VM: model.VM(vm), Targets: []model.TargetAnnouncement{{
+		Service: service, Agent: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), Slots: 2, MaxConns: 2000,
+		Evidence: model.Evidence{EndpointHealthy: true},
+	}}}}
+}
+
+// document returns a configuration with services "s0", "s1", ... and the given VMs for each.
+func document(services, vms int, extra string) []byte {
+	var inventory, rules []string
+	for s := range services {
+		for v := range vms {
+			inventory = append(inventory, fmt.Sprintf(
+				`{"name": "vm-%d-%d", "zone": "a", "customer": "andinas", "labels": {"for": "s%d"}}`, s, v, s))
+		}
+		rules = append(rules, fmt.Sprintf(
+			`{"name": "s%d", "customer": "andinas", "address": "10.10.%d.%d:7001", "class": "stream", "select": {"for": "s%d"}}`,
+			s, s/250, s%250+1, s))
+	}
+	return []byte(fmt.Sprintf("{\n\"inventory\": {\"vms\": [%s]},\n\"services\": [%s]%s\n}\n",
+		strings.Join(inventory, ",\n"), strings.Join(rules, ",\n"), extra))
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not reached", what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/inforce.go
@@ -0,0 +1,90 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/membership"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/result"
+)
+
+// inForceInterval is how often a waiting call looks at the sessions. Reports come in every 100 ms
+// at most.
+const inForceInterval = 50 * time.Millisecond
+
+// WaitInForce waits until every node has a revision in force, at most operator.MaxWait.
+func (o *Operator) WaitInForce(request *operator.WaitRequest, reply *operator.WaitReply) error {
+	return atLeader(o, &request.Origin, "WaitInForce", request, reply, func(ctx context.Context) error {
+		limited, cancel := context.WithTimeout(ctx, min(max(request.Timeout, 0), operator.MaxWait))
+		defer cancel()
+		return o.c.waitInForce(limited, request.Revision, reply)
+	})
+}
+
+func (c *Controller) waitInForce(ctx context.Context, revision model.Revision, reply *operator.WaitReply) error {
+	if current := c.revision(); revision == 0 || revision > current {
+		return result.New(result.RevisionNotFound, "revision %d does not exist, the current one is %d", revision, current)
+	}
+	ticker := time.NewTicker(inForceInterval)
+	defer ticker.Stop()
+	for {
+		err := c.leader.with(func(t *membership.Table, now time.Time) {
+			reply.Lagging, reply.Nodes = t.Lagging(now, revision)
+			reply.InForce = reply.Nodes - len(reply.Lagging)
+			// A new leader has not heard of all nodes yet.
+			reply.Done = t.Settled(now) && len(reply.Lagging) == 0
+		})
+		if err != nil || reply.Done {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Controller) revision() (revision model.Revision) {
+	c.state.read(func(cat *catalog.Catalog) { revision = cat.Revision() })
+	return revision
+}
+
+func codeLabel(code result.Code) string { return fmt.Sprintf("GGL-%04d", code) }
+
+// Explain returns where packets of a flow go.
+func (o *Operator) Explain(request *operator.ExplainRequest, reply *operator.ExplainReply) error {
+	return atLeader(o, &request.Origin, "Explain", request, reply, func(context.Context) error {
+		var view *model.View
+		o.c.state.read(func(cat *catalog.Catalog) { view = cat.View() })
+		reply.Generation = view.Generation
+		for _, s := range view.Services {
+			if s.Address == request.Service {
+				reply.Found, reply.Service = true, s
+				explain(view, request, reply)
+			}
+		}
+		return nil
+	})
+}
+
+// explain lists the targets of the service: those that admit for a new flow, and all of them,
+// lost ones last, for an established one.
+func explain(view *model.View, _ *operator.ExplainRequest, reply *operator.ExplainReply) {
+	var lost []model.Target
+	for _, t := range view.TargetsOf(reply.Service.ID) {
+		switch t.State {
+		case model.TargetLost:
+			lost = append(lost, t)
+			continue
+		case model.TargetActive:
+			reply.New = append(reply.New, t)
+		}
+		reply.Established = append(reply.Established, t)
+	}
+	reply.Established = append(reply.Established, lost...)
+}
--- /dev/null
+++ b/internal/controller/peers.go
@@ -0,0 +1,146 @@
+package controller
+
+import (
+	"context"
+	"sync"
+
+	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/membership"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+)
+
+// Names of the RPC services.
+const (
+	nodeServiceName     = "Node"
+	operatorServiceName = operator.ServiceName
+	peerServiceName     = "Peer"
+)
+
+// peers holds the clients of the other controllers.
+type peers struct {
+	credentials *rpc.Credentials
+
+	mu      sync.Mutex
+	clients map[peerAddress]*rpc.Client
+	closed  bool
+}
+
+type peerAddress struct{ name, address string }
+
+func newPeers(credentials *rpc.Credentials) *peers {
+	return &peers{credentials: credentials, clients: map[peerAddress]*rpc.Client{}}
+}
+
+func (p *peers) client(name, address string) *rpc.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := peerAddress{name: name, address: address}
+	client := p.clients[key]
+	if client == nil {
+		client = rpc.NewClient(rpc.ClientConfig{
+			Address: address, Role: model.RoleController, Name: name, Credentials: p.credentials, CallTimeout: forwardTimeout,
+		})
+		p.clients[key] = client
+		if p.closed {
+			client.Close()
+		}
+	}
+	return client
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, client := range p.clients {
+		client.Close()
+	}
+}
+
+// leaderClient returns a client of the leader, which is another controller.
+func (c *Controller) leaderClient() (*rpc.Client, error) {
+	status := c.log.Status()
+	if status.IsLeader || status.Leader == "" {
+		return nil, result.New(result.NotLeader, "no other controller is known to be the leader")
+	}
+	for _, m := range status.Members {
+		if m.Name == status.Leader {
+			return c.peers.client(m.Name, m.Address), nil
+		}
+	}
+	return nil, result.New(result.NotLeader, "the address of leader %s is not known", status.Leader)
+}
+
+// Peer is the RPC service for other controllers.
+type Peer struct {
+	c    *Controller
+	peer *rpc.Peer
+}
+
+// SessionReports is what a session holder tells the leader.
+type SessionReports struct {
+	Reports []membership.Report
+}
+
+// SessionReportsReply names the nodes that the leader does not know.
+type SessionReportsReply struct {
+	Missing []string
+}
+
+// ReportSessions takes in the sessions of another controller.
+func (p *Peer) ReportSessions(request *SessionReports, reply *SessionReportsReply) error {
+	missing, err := p.c.leader.observe(request.Reports)
+	reply.Missing = missing
+	return err
+}
+
+// ReadIndexRequest asks the leader for a read barrier.
+type ReadIndexRequest struct{}
+
+// ReadIndexReply is the log entry that a current state contains.
+type ReadIndexReply struct {
+	Index uint64
+}
+
+// ReadIndex passes a read barrier.
+func (p *Peer) ReadIndex(_ *ReadIndexRequest, reply *ReadIndexReply) error {
+	ctx, cancel := p.peer.Deadline(barrierTimeout)
+	defer cancel()
+	index, err := p.c.log.ReadBarrier(ctx)
+	reply.Index = index
+	return err
+}
+
+// readBarrier waits until the state of this controller contains everything that was acknowledged
+// before the call.
+func (c *Controller) readBarrier(ctx context.Context) error {
+	var index uint64
+	if c.log.Status().IsLeader {
+		var err error
+		if index, err = c.log.ReadBarrier(ctx); err != nil {
+			return err
+		}
+	} else {
+		client, err := c.leaderClient()
+		if err != nil {
+			return err
+		}
+		reply, err := rpc.Call[ReadIndexReply](ctx, client, peerServiceName+".ReadIndex", &ReadIndexRequest{})
+		if err != nil {
+			return err
+		}
+		index = reply.Index
+	}
+	return c.state.wait(ctx, index)
+}
+
+// resultOf returns the first result of a command, if it is kept.
+func (c *Controller) resultOf(id string) (catalog.Result, bool) {
+	var r catalog.Result
+	var ok bool
+	c.state.read(func(cat *catalog.Catalog) { r, ok = cat.ResultOf(id) })
+	return r, ok
+}
