Drive the replicated log from the controller

Cause: the log in memory has one member and forgets everything. A controller whose data folder was lost is refused under its old name, because it has forgotten its votes; each folder has a random name in the catalog for that.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -78,6 +78,7 @@
 	services    map[model.ServiceID]*service
 	targets     map[model.TargetID]*target
 	quarantine  map[Key]Quarantined
+	members     map[string]Member
 	view        *model.View
 	digest      uint64
 
@@ -113,6 +114,7 @@
 		services:   map[model.ServiceID]*service{},
 		targets:    map[model.TargetID]*target{},
 		quarantine: map[Key]Quarantined{},
+		members:    map[string]Member{},
 		view:       model.NewView(),
 	}
 	c.digest = c.view.Digest()
@@ -190,7 +192,10 @@
 		}
 	}
 	c.applied = index
-	if cmd.Kind == KindBatch {
+	switch cmd.Kind {
+	case KindMember:
+		return c.member(cmd.Member)
+	case KindBatch:
 		c.batch(&cmd.Batch, model.Generation(index))
 		c.publish(model.Generation(index))
 		return Result{Revision: c.history.revision(), Generation: c.view.Generation}
--- a/internal/catalog/command.go
+++ b/internal/catalog/command.go
@@ -34,6 +34,8 @@
 	KindUndrain
 	// KindBatch carries what the leader has observed of targets.
 	KindBatch
+	// KindMember changes the list of controllers.
+	KindMember
 )
 
 // String returns the name of the kind.
@@ -49,6 +51,8 @@
 		return "undrain"
 	case KindBatch:
 		return "batch"
+	case KindMember:
+		return "member"
 	}
 	return "unknown"
 }
@@ -67,6 +71,7 @@
 	Revision     model.Revision
 	Names        []string
 	Batch        Batch
+	Member       Member
 }
 
 // Batch is a group of observations by the leader.
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -22,6 +22,7 @@
 	Services    []service
 	Targets     []target
 	Quarantine  []Quarantined
+	Members     []Member
 	Generation  model.Generation
 	Revision    model.Revision
 	ViewTargets []model.Target
@@ -32,7 +33,7 @@
 func (c *Catalog) Snapshot() ([]byte, error) {
 	img := image{
 		Applied: c.applied, History: c.history, NextService: c.nextService, NextTarget: c.nextTarget,
-		Quarantine: c.Quarantine(), Generation: c.view.Generation, Revision: c.view.Revision, Digest: c.digest,
+		Quarantine: c.Quarantine(), Members: c.Members(), Generation: c.view.Generation, Revision: c.view.Revision, Digest: c.digest,
 	}
 	for _, id := range c.order {
 		img.Results = append(img.Results, c.results[id])
@@ -76,6 +77,9 @@
 	for _, q := range img.Quarantine {
 		next.quarantine[q.Registration.Key] = q
 	}
+	for _, m := range img.Members {
+		next.members[m.Name] = m
+	}
 	next.derive()
 	next.digest = next.view.Digest()
 	if next.digest != img.Digest {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,7 +11,6 @@
 	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/greengagelock/greengagelock/internal/catalog"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
@@ -48,18 +47,21 @@
 
 // Controller is one member of the control plane.
 type Controller struct {
-	cfg      Config
-	tel      telemetry.Handle
-	metrics  *Metrics
-	log      Log
-	state    *state
-	sessions *sessions
-	server   *rpc.Server
-	peers    *peers
-	leader   *leader
-	barrier  *barrier
-	edits    chan struct{}
-	kick     chan struct{} // wakes the reporter
+	cfg       Config
+	tel       telemetry.Handle
+	metrics   *Metrics
+	log       Log
+	state     *state
+	sessions  *sessions
+	server    *rpc.Server
+	peers     *peers
+	leader    *leader
+	barrier   *barrier
+	directory *directory
+	transport *transport
+	members   *members
+	edits     chan struct{}
+	kick      chan struct{} // wakes the reporter
 }
 
 // New returns a controller.
@@ -78,16 +80,28 @@
 	if want := (rpc.Identity{Role: model.RoleController, Name: cfg.Name}); id != want {
 		return nil, result.New(result.SettingsInvalid, "the certificate is for %s, expected %s", id, want)
 	}
-	return build(cfg, credentials, newMemoryLog(cfg.Name, cfg.Members[cfg.Name]), t)
+	c, err := build(cfg, credentials, t)
+	if err != nil {
+		return nil, err
+	}
+	r, err := newReplica(cfg.Name, cfg.DataDir, firstMembers(cfg.Name, cfg.Members), c.directory, t)
+	if err != nil {
+		return nil, err
+	}
+	c.transport = newTransport(r.bootstrap.Folder, credentials, c.directory, c.metrics.Dropped)
+	r.send = c.transport.send
+	c.use(r, r.bootstrap.Folder)
+	return c, nil
 }
 
-func build(cfg Config, credentials *rpc.Credentials, log Log, t telemetry.Handle) (*Controller, error) {
+// build returns a controller without a log.
+func build(cfg Config, credentials *rpc.Credentials, t telemetry.Handle) (*Controller, error) {
 	if cfg.MaxSessions <= 0 {
 		cfg.MaxSessions = rpc.DefaultMaxConns
 	}
 	c := &Controller{
-		cfg: cfg, tel: t, log: log, state: newState(), sessions: newSessions(cfg.MaxSessions),
-		peers: newPeers(credentials), leader: &leader{log: log},
+		cfg: cfg, tel: t, state: newState(), sessions: newSessions(cfg.MaxSessions),
+		peers: newPeers(credentials), directory: newDirectory(cfg.Members),
 		edits: make(chan struct{}, maxEdits), kick: make(chan struct{}, 1),
 	}
 	c.barrier = newBarrier(c.readBarrier)
@@ -101,6 +115,11 @@
 	return c, err
 }
 
+// use gives the controller its log.
+func (c *Controller) use(log Log, folder string) {
+	c.log, c.leader, c.members = log, &leader{log: log}, newMembers(c, folder)
+}
+
 // services returns what a peer may call.
 func (c *Controller) services(p *rpc.Peer) (map[string]any, error) {
 	switch p.Role {
@@ -129,9 +148,9 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, running := errgroup.WithContext(inner)
-	group.Go(func() error { return c.log.Run(running) })
+	group.Go(func() error { return c.log.Run(running, c.state) })
 	group.Go(func() error { return c.server.Serve(running, listener) })
-	group.Go(func() error { return c.applyCommitted(running) })
+	group.Go(func() error { c.transport.run(running); return nil })
 	group.Go(func() error { c.barrier.run(running); return nil })
 	group.Go(func() error { c.reportSessions(running); return nil })
 	group.Go(func() error { c.lead(running); return nil })
@@ -159,49 +178,12 @@
 	}
 }
 
-func (c *Controller) applyCommitted(ctx context.Context) error {
-	sinceSnapshot := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case entry := <-c.log.Committed():
-			if err := c.state.apply(entry); err != nil {
-				return err
-			}
-			if sinceSnapshot++; entry.Snapshot != nil {
-				sinceSnapshot = 0
-			}
-			if sinceSnapshot < compactEvery {
-				continue
-			}
-			sinceSnapshot = 0
-			if err := c.compact(); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-func (c *Controller) compact() error {
-	var applied uint64
-	var snapshot []byte
-	var err error
-	c.state.read(func(cat *catalog.Catalog) {
-		applied = cat.Applied()
-		snapshot, err = cat.Snapshot()
-	})
-	if err != nil {
-		return err
-	}
-	return c.log.Compact(applied, snapshot)
-}
-
 // current returns how old the knowledge of this controller is, or an error if it is too old to be
 // handed out.
 func (c *Controller) current() (time.Duration, error) {
-	age := c.log.Status().QuorumAge
-	if age > MaxAge {
+	status := c.log.Status()
+	age := status.QuorumAge
+	if !status.Contact || age > MaxAge {
 		return age, result.New(result.NoQuorum, "controller %s has had no contact to a quorum for %v", c.cfg.Name, age.Round(time.Millisecond))
 	}
 	return age, nil
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -6,31 +6,17 @@
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
-	"github.com/greengagelock/greengagelock/internal/telemetry"
 )
 
-func (h *harness) single() string {
-	h.t.Helper()
-	listener := h.listen()
-	address := listener.Addr().String()
-	c, err := New(Config{
-		Name: "c1", Members: map[string]string{"c1": address}, Listener: listener, DataDir: h.t.TempDir(),
-		TLS: h.files(model.RoleController, "c1"),
-	}, telemetry.Discard())
-	check(h.t, err)
-	h.run(c.Run)
-	return address
-}
-
 // Guards against a break anywhere on the way of an edit: from the operator through the log to the
 // views of balancers and agents, and back as applied revisions.
 func TestEditComesInForceOnAllNodes(t *testing.T) {
 	h := newHarness(t)
-	address := h.single()
-	ctl := h.operator(address)
+	addresses := h.cluster(3).addresses()
+	ctl := h.operator(addresses...)
 	balancer, agent := &standin{}, agentStandin("vm-0-0", 9000, "s0")
-	h.node(model.RoleBalancer, "b1", balancer, address)
-	h.node(model.RoleAgent, "vm-0-0", agent, address)
+	h.node(model.RoleBalancer, "b1", balancer, addresses...)
+	h.node(model.RoleAgent, "vm-0-0", agent, addresses...)
 	reply, err := ctl.Apply(t.Context(), operator.Edit{File: "doc", Document: document(2, 1, "")})
 	check(t, err)
 	check(t, reply.Result.Err())
@@ -63,13 +49,13 @@
 // its number when the agent is back.
 func TestLostTargetComesBackUnderItsNumber(t *testing.T) {
 	h := newHarness(t)
-	address := h.single()
-	ctl := h.operator(address)
+	addresses := h.cluster(3).addresses()
+	ctl := h.operator(addresses...)
 	balancer := &standin{}
-	h.node(model.RoleBalancer, "b1", balancer, address)
+	h.node(model.RoleBalancer, "b1", balancer, addresses...)
 	var stops []func()
 	for _, vm := range []string{"vm-0-0", "vm-0-1"} {
-		_, stop := h.node(model.RoleAgent, vm, agentStandin(vm, 9000, "s0"), address)
+		_, stop := h.node(model.RoleAgent, vm, agentStandin(vm, 9000, "s0"), addresses...)
 		stops = append(stops, stop)
 	}
 	reply, err := ctl.Apply(t.Context(), operator.Edit{File: "doc", Document: document(1, 2, "")})
@@ -87,7 +73,7 @@
 	before, _ := state("vm-0-1")
 	stops[1]()
 	eventually(t, "lost state", func() bool { _, s := state("vm-0-1"); return s == model.TargetLost })
-	h.node(model.RoleAgent, "vm-0-1", agentStandin("vm-0-1", 9000, "s0"), address)
+	h.node(model.RoleAgent, "vm-0-1", agentStandin("vm-0-1", 9000, "s0"), addresses...)
 	eventually(t, "active state", func() bool { _, s := state("vm-0-1"); return s == model.TargetActive })
 	if after, _ := state("vm-0-1"); after != before {
 		t.Fatalf("target has number %d after the restart, want %d", after, before)
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -91,6 +93,65 @@
 	return client
 }
 
+// cluster is a group of controllers in this process.
+type cluster struct {
+	h       *harness
+	members map[string]string
+	folders map[string]string
+	stops   map[string]func()
+	running map[string]*Controller
+}
+
+// cluster starts controllers c1, c2, ...
+func (h *harness) cluster(n int) *cluster {
+	h.t.Helper()
+	c := &cluster{
+		h: h, members: map[string]string{}, folders: map[string]string{}, stops: map[string]func(){}, running: map[string]*Controller{},
+	}
+	listeners := map[string]net.Listener{}
+	for i := range n {
+		name := fmt.Sprintf("c%d", i+1)
+		listeners[name] = h.listen()
+		c.members[name] = listeners[name].Addr().String()
+	}
+	for name, listener := range listeners {
+		c.start(name, listener, c.members)
+	}
+	return c
+}
+
+// start starts a controller; with a nil listener it listens at its address again.
+func (c *cluster) start(name string, listener net.Listener, members map[string]string) {
+	c.h.t.Helper()
+	if c.folders[name] == "" {
+		c.folders[name] = c.h.t.TempDir()
+	}
+	made, err := New(Config{
+		Name: name, Members: members, Listen: c.members[name], Listener: listener, DataDir: c.folders[name],
+		TLS: c.h.files(model.RoleController, name),
+	}, telemetry.Discard())
+	check(c.h.t, err)
+	c.running[name] = made
+	c.stops[name] = c.h.run(made.Run)
+}
+
+func (c *cluster) stop(name string) {
+	c.stops[name]()
+	delete(c.running, name)
+}
+
+func (c *cluster) addresses() []string { return slices.Sorted(maps.Values(c.members)) }
+
+// leader returns the name of the controller that leads, or "".
+func (c *cluster) leader() string {
+	for name, controller := range c.running {
+		if controller.log.Status().IsLeader {
+			return name
+		}
+	}
+	return ""
+}
+
 // standin is a node without a data path.
 type standin struct {
 	mu           sync.Mutex
@@ -119,12 +180,6 @@
 	return s.views[len(s.views)-1]
 }
 
-func (s *standin) set(f func(a *model.Announcement)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f(&s.announcement)
-}
-
 func (h *harness) node(role model.Role, name string, s *standin, controllers ...string) (*node.Session, func()) {
 	h.t.Helper()
 	session, err := node.New(node.Config{
--- a/internal/controller/inforce.go
+++ b/internal/controller/inforce.go
@@ -55,36 +55,3 @@
 }
 
 func codeLabel(code result.Code) string { return fmt.Sprintf("GGL-%04d", code) }
-
-// Explain returns where packets of a flow go.
-func (o *Operator) Explain(request *operator.ExplainRequest, reply *operator.ExplainReply) error {
-	return atLeader(o, &request.Origin, "Explain", request, reply, func(context.Context) error {
-		var view *model.View
-		o.c.state.read(func(cat *catalog.Catalog) { view = cat.View() })
-		reply.Generation = view.Generation
-		for _, s := range view.Services {
-			if s.Address == request.Service {
-				reply.Found, reply.Service = true, s
-				explain(view, request, reply)
-			}
-		}
-		return nil
-	})
-}
-
-// explain lists the targets of the service: those that admit for a new flow, and all of them,
-// lost ones last, for an established one.
-func explain(view *model.View, _ *operator.ExplainRequest, reply *operator.ExplainReply) {
-	var lost []model.Target
-	for _, t := range view.TargetsOf(reply.Service.ID) {
-		switch t.State {
-		case model.TargetLost:
-			lost = append(lost, t)
-			continue
-		case model.TargetActive:
-			reply.New = append(reply.New, t)
-		}
-		reply.Established = append(reply.Established, t)
-	}
-	reply.Established = append(reply.Established, lost...)
-}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -74,6 +74,7 @@
 		case <-ticker.C:
 		}
 		status := c.log.Status()
+		c.members.refresh()
 		if c.leader.with(func(*membership.Table, time.Time) {}) != nil {
 			continue
 		}
@@ -84,6 +85,7 @@
 			ready = status.Term
 			c.tel.Logger.Info().Str("controller", c.cfg.Name).Uint64("term", status.Term).Msg("leading")
 		}
+		c.members.decide(ctx, status)
 		c.decide(ctx)
 	}
 }
--- a/internal/controller/log.go
+++ b/internal/controller/log.go
@@ -4,39 +4,40 @@
 	"context"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/operator"
 )
 
 // Log is the replicated log as the controller uses it.
 type Log interface {
-	// Run drives the log until ctx is done.
-	Run(ctx context.Context) error
+	// Run drives the log until ctx is done. It hands everything that is committed to m, in order.
+	Run(ctx context.Context, m Machine) error
 	// Propose appends an entry at the leader. It returns the place that the entry has if it is
 	// committed; another entry may be committed there instead after a change of leader.
-	Propose(ctx context.Context, data []byte) (Position, error)
-	// Committed delivers what is committed, in order.
-	Committed() <-chan Committed
-	// Compact says that a snapshot holds the effects of all entries up to an index.
-	Compact(index uint64, snapshot []byte) error
-	// ReadBarrier confirms leadership with a quorum. It returns the index that a state must have
+	Propose(ctx context.Context, data []byte) (consensus.Position, error)
+	// ReadBarrier confirms with a quorum who leads. It returns the index that a state must have
 	// reached to contain everything that was acknowledged before the call.
 	ReadBarrier(ctx context.Context) (uint64, error)
+	// Step takes in messages of another member.
+	Step(ctx context.Context, messages []consensus.Message) error
 	Status() LogStatus
-	AddMember(ctx context.Context, name, address string) error
-	RemoveMember(ctx context.Context, name string) error
+	// ChangeMember starts a change of one member and waits until it is committed.
+	ChangeMember(ctx context.Context, change consensus.MemberChange) error
 	// Transfer hands leadership to another member if this one is the leader.
 	Transfer(ctx context.Context) error
 }
 
-// Position is the place of an entry.
-type Position struct {
-	Index, Term uint64
+// Machine is the state machine behind a log. The log calls it from one goroutine.
+type Machine interface {
+	Apply(c Committed) error
+	// Snapshot returns the state after the last entry that was applied.
+	Snapshot() ([]byte, error)
 }
 
 // Committed is a committed entry, or a snapshot that replaces all entries up to its index. An
 // entry of the log's own, such as a change of members, has no data.
 type Committed struct {
-	Position
+	consensus.Position
 	Data     []byte
 	Snapshot []byte
 }
@@ -47,8 +48,9 @@
 	IsLeader bool
 	Term     uint64
 	Commit   uint64
-	// QuorumAge is how long ago this member knew to be in contact with a quorum, by itself or
-	// through the leader.
+	// QuorumAge is how long ago a leader known to this member was in contact with a quorum.
+	// Without any contact it is the time since the start, and Contact is false.
 	QuorumAge time.Duration
+	Contact   bool
 	Members   []operator.Member
 }
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -9,8 +9,8 @@
 
 // Metrics counts what a controller does.
 type Metrics struct {
-	Polls, Announcements, Deltas, Snapshots, Stale, Proposals, ReportErrors prometheus.Counter
-	Edits                                                                   *prometheus.CounterVec
+	Polls, Announcements, Deltas, Snapshots, Stale, Proposals, ReportErrors, Dropped prometheus.Counter
+	Edits                                                                            *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer, c *Controller) (*Metrics, error) {
@@ -24,13 +24,14 @@
 		Snapshots:     counter("views_total", "Whole views sent to nodes."),
 		Stale:         counter("stale_total", "Polls refused because this controller was not current."),
 		Proposals:     counter("batches_total", "Batches of observations that the leader proposed."),
+		Dropped:       counter("dropped_messages_total", "Messages of the replicated log that were not delivered."),
 		ReportErrors:  counter("report_errors_total", "Session reports that did not reach the leader."),
 		Edits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "greengagelock_controller_edits_total", Help: "Edits that this controller decided as leader, by result code.",
 		}, []string{"code"}),
 	}
 	collectors := []prometheus.Collector{
-		m.Polls, m.Announcements, m.Deltas, m.Snapshots, m.Stale, m.Proposals, m.ReportErrors, m.Edits,
+		m.Polls, m.Announcements, m.Deltas, m.Snapshots, m.Stale, m.Proposals, m.ReportErrors, m.Dropped, m.Edits,
 		gauge("sessions", "Nodes that polled this controller lately.", func() float64 { return float64(c.sessions.count()) }),
 		gauge("quorum_age_seconds", "Time since the last contact to a quorum.", func() float64 { return c.log.Status().QuorumAge.Seconds() }),
 		gauge("generation", "Generation of the replicated state.", func() float64 {
--- a/internal/controller/operatorservice.go
+++ b/internal/controller/operatorservice.go
@@ -186,7 +186,7 @@
 	status := c.log.Status()
 	*reply = operator.StatusReply{
 		Controller: c.cfg.Name, Leader: status.Leader, Term: status.Term,
-		Current: status.QuorumAge <= MaxAge, Age: status.QuorumAge, Targets: map[string]int{},
+		Current: status.Contact && status.QuorumAge <= MaxAge, Age: status.QuorumAge, Targets: map[string]int{},
 	}
 	c.state.read(func(cat *catalog.Catalog) {
 		view := cat.View()
@@ -236,7 +236,7 @@
 // AddMember adds a controller.
 func (o *Operator) AddMember(change *operator.MemberChange, reply *operator.MemberChangeReply) error {
 	return atLeader(o, &change.Origin, "AddMember", change, reply, func(ctx context.Context) error {
-		err := o.c.log.AddMember(ctx, change.Name, change.Address)
+		err := o.c.members.add(ctx, change.Name, change.Address)
 		reply.Members = o.c.log.Status().Members
 		return err
 	})
@@ -245,7 +245,7 @@
 // RemoveMember removes a controller.
 func (o *Operator) RemoveMember(change *operator.MemberChange, reply *operator.MemberChangeReply) error {
 	return atLeader(o, &change.Origin, "RemoveMember", change, reply, func(ctx context.Context) error {
-		err := o.c.log.RemoveMember(ctx, change.Name)
+		err := o.c.members.remove(ctx, change.Name)
 		reply.Members = o.c.log.Status().Members
 		return err
 	})
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -97,42 +97,12 @@
 	return err
 }
 
-// ReadIndexRequest asks the leader for a read barrier.
-type ReadIndexRequest struct{}
-
-// ReadIndexReply is the log entry that a current state contains.
-type ReadIndexReply struct {
-	Index uint64
-}
-
-// ReadIndex passes a read barrier.
-func (p *Peer) ReadIndex(_ *ReadIndexRequest, reply *ReadIndexReply) error {
-	ctx, cancel := p.peer.Deadline(barrierTimeout)
-	defer cancel()
-	index, err := p.c.log.ReadBarrier(ctx)
-	reply.Index = index
-	return err
-}
-
 // readBarrier waits until the state of this controller contains everything that was acknowledged
 // before the call.
 func (c *Controller) readBarrier(ctx context.Context) error {
-	var index uint64
-	if c.log.Status().IsLeader {
-		var err error
-		if index, err = c.log.ReadBarrier(ctx); err != nil {
-			return err
-		}
-	} else {
-		client, err := c.leaderClient()
-		if err != nil {
-			return err
-		}
-		reply, err := rpc.Call[ReadIndexReply](ctx, client, peerServiceName+".ReadIndex", &ReadIndexRequest{})
-		if err != nil {
-			return err
-		}
-		index = reply.Index
+	index, err := c.log.ReadBarrier(ctx)
+	if err != nil {
+		return err
 	}
 	return c.state.wait(ctx, index)
 }
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
 
@@ -31,11 +32,14 @@
 	return &state{catalog: catalog.New(), changed: make(chan struct{}), outcomes: map[uint64]outcome{}}
 }
 
-// apply takes in what the log has committed.
-func (s *state) apply(c Committed) error {
+// Apply implements Machine. What is applied already is skipped, since the log begins again with
+// older entries when its files are opened again.
+func (s *state) Apply(c Committed) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case c.Index <= s.catalog.Applied():
+		return nil
 	case c.Snapshot != nil:
 		if err := s.catalog.Restore(c.Snapshot); err != nil {
 			return errors.Wrapf(err, "restore the snapshot at log entry %d", c.Index)
@@ -52,6 +56,13 @@
 	return nil
 }
 
+// Snapshot implements Machine.
+func (s *state) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.catalog.Snapshot()
+}
+
 func (s *state) keep(c Committed, r catalog.Result) {
 	s.outcomes[c.Index] = outcome{term: c.Term, result: r}
 	delete(s.outcomes, c.Index-keptOutcomes)
@@ -90,7 +101,7 @@
 }
 
 // outcome waits for the result of a proposed entry.
-func (s *state) outcome(ctx context.Context, p Position) (catalog.Result, error) {
+func (s *state) outcome(ctx context.Context, p consensus.Position) (catalog.Result, error) {
 	if err := s.wait(ctx, p.Index); err != nil {
 		return catalog.Result{}, result.New(result.OutcomeUnknown, "the log did not commit in time, the command may still run")
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -73,7 +73,8 @@
 // retryable reports whether another controller, or the same one later, may give an answer.
 func retryable(err error) bool {
 	switch result.CodeOf(err) {
-	case result.NotLeader, result.NoQuorum, result.Overloaded, result.DeadlineExceeded, result.OutcomeUnknown:
+	case result.NotLeader, result.NoQuorum, result.Overloaded, result.DeadlineExceeded, result.OutcomeUnknown,
+		result.MemberChangeBusy, result.StorageFull, result.StorageFailed:
 		return true
 	}
 	return errors.Is(err, rpc.ErrUnreachable)
