--- /dev/null
+++ b/internal/wal/check_test.go
@@ -0,0 +1,135 @@
+package wal_test
+
+import (
+	"strings"
+
+	"github.com/greengagelock/greengagelock/internal/consensus"
+)
+
+func splitLines(b []byte) []string { return strings.Split(string(b), "\n") }
+
+func joinLines(lines []string) []byte { return []byte(strings.Join(lines, "\n")) }
+
+// entryAt returns the entry at index in storage; known is false if it was compacted away.
+func entryAt(r consensus.Restored, index uint64) (e consensus.Entry, found, known bool) {
+	if index <= r.Snapshot.Index {
+		return e, false, false
+	}
+	if len(r.Entries) == 0 || index < r.Entries[0].Index || index-r.Entries[0].Index >= uint64(len(r.Entries)) {
+		return e, false, true
+	}
+	return r.Entries[index-r.Entries[0].Index], true, true
+}
+
+// note keeps what a member has synced, and checks log matching and election safety.
+func (m *member) note(r consensus.Ready) {
+	c, d := m.c, &m.durable
+	if r.MustSync {
+		d.HardState = r.HardState
+	}
+	if r.Snapshot != nil {
+		d.Snapshot, d.Entries = *r.Snapshot, nil
+	}
+	for _, e := range r.Entries {
+		if len(d.Entries) > 0 {
+			d.Entries = d.Entries[: e.Index-d.Entries[0].Index : e.Index-d.Entries[0].Index]
+		}
+		d.Entries = append(d.Entries, e)
+		c.checkMatching(m, e)
+	}
+	if r.SoftState.Role == consensus.Leader && (m.soft.Role != consensus.Leader || m.soft.Term != r.SoftState.Term) {
+		c.checkLeader(m, r.SoftState.Term)
+	}
+	m.soft = r.SoftState
+}
+
+// checkMatching: two logs with an entry of the same index and term are equal up to it.
+func (c *cluster) checkMatching(m *member, e consensus.Entry) {
+	previous := uint64(0)
+	if before, found, _ := entryAt(m.durable, e.Index-1); found {
+		previous = before.Term
+	} else if m.durable.Snapshot.Index == e.Index-1 {
+		previous = m.durable.Snapshot.Term
+	}
+	p := consensus.Position{Index: e.Index, Term: e.Term}
+	content := string(append([]byte{byte(e.Kind), byte(previous)}, e.Data...))
+	if known, ok := c.content[p]; ok && known != content {
+		c.t.Fatalf("log matching: member %d has other content at %+v", m.id, p)
+	}
+	c.content[p] = content
+}
+
+// checkLeader: a term has one leader, whose log holds every committed entry.
+func (c *cluster) checkLeader(m *member, term uint64) {
+	if other, ok := c.leaders[term]; ok && other != m.id {
+		c.t.Fatalf("election safety: members %d and %d lead term %d", other, m.id, term)
+	}
+	c.leaders[term] = m.id
+	for index, want := range c.committed {
+		e, found, known := entryAt(m.durable, index)
+		if known && want.Term < term && (!found || e.Term != want.Term) {
+			c.t.Fatalf("leader completeness: leader %d of term %d misses entry %d of term %d", m.id, term, index, want.Term)
+		}
+	}
+}
+
+// checkVote: a member votes once in a term, over all of its lives.
+func (c *cluster) checkVote(msg consensus.Message) {
+	if msg.VoteReply == nil || msg.VoteReply.PreVote || !msg.VoteReply.Granted {
+		return
+	}
+	key := [2]uint64{uint64(msg.From), msg.Term}
+	if other, ok := c.votes[key]; ok && other != msg.To {
+		c.t.Fatalf("votes: member %d votes for %d and %d in term %d", msg.From, other, msg.To, msg.Term)
+	}
+	c.votes[key] = msg.To
+}
+
+// checkCommitted: entries are applied in order, never change, and were synced by a majority of
+// the voters when they were first applied.
+func (c *cluster) checkCommitted(m *member, e consensus.Entry) {
+	if e.Index != m.applied+1 {
+		c.t.Fatalf("order: member %d applies entry %d after %d", m.id, e.Index, m.applied)
+	}
+	known, ok := c.committed[e.Index]
+	if ok && (known.Term != e.Term || string(known.Data) != string(e.Data)) {
+		c.t.Fatalf("committed entry %d has changed from term %d to term %d", e.Index, known.Term, e.Term)
+	}
+	if ok {
+		return
+	}
+	c.committed[e.Index] = e
+	c.top = max(c.top, e.Index)
+	voters := m.node.Members().Voters
+	holders := 0
+	for _, id := range voters {
+		stored, found, knows := entryAt(c.members[id].durable, e.Index)
+		if !knows || found && stored.Term == e.Term {
+			holders++
+		}
+	}
+	if holders <= len(voters)/2 {
+		c.t.Fatalf("durability: entry %d is applied and synced by %d of %d voters", e.Index, holders, len(voters))
+	}
+}
+
+// checkRestored: a start finds everything that was reported as synced.
+func (m *member) checkRestored(r consensus.Restored) {
+	t, d := m.c.t, m.durable
+	if r.HardState.Term < d.HardState.Term || r.HardState.Term == d.HardState.Term && d.HardState.Vote != 0 && r.HardState.Vote != d.HardState.Vote {
+		t.Fatalf("restart: member %d forgets %+v, has %+v", m.id, d.HardState, r.HardState)
+	}
+	if r.Snapshot.Index < d.Snapshot.Index {
+		t.Fatalf("restart: member %d forgets the snapshot at %d, has %d", m.id, d.Snapshot.Index, r.Snapshot.Index)
+	}
+	for _, want := range d.Entries {
+		e, found, known := entryAt(r, want.Index)
+		replaced := found && e.Term > want.Term // by a frame that was written and not reported
+		if known && !replaced && (!found || e.Term != want.Term || string(e.Data) != string(want.Data)) {
+			if cut, ok, _ := entryAt(r, want.Index-1); ok && cut.Term > want.Term {
+				continue
+			}
+			t.Fatalf("restart: member %d forgets entry %d of term %d", m.id, want.Index, want.Term)
+		}
+	}
+}
--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -31,9 +31,14 @@
 		return nil
 	}
 	first, next := r.entries[0].Index, r.entries[len(r.entries)-1].Index+1
-	if e.Index < first || e.Index > next {
+	if e.Index > next || e.Index <= r.base.Index {
 		return errors.Newf("entry %d follows entry %d", e.Index, next-1)
 	}
+	if e.Index < first {
+		// The entries that it replaces began in a segment that was removed.
+		r.entries = append(r.entries[:0], e)
+		return nil
+	}
 	r.entries = append(r.entries[:e.Index-first], e)
 	return nil
 }
--- /dev/null
+++ b/internal/wal/sim_property_test.go
@@ -0,0 +1,194 @@
+package wal_test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/greengagelock/greengagelock/internal/consensus"
+	_ "github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+// recoveryBound is the time in which an accepted change must be in force everywhere.
+const recoveryBound = 4 * time.Second
+
+type machine struct {
+	*cluster
+	proposed int
+	nextID   consensus.MemberID
+}
+
+func (m *machine) any(t *rapid.T) *member {
+	return m.members[rapid.SampledFrom(m.ids).Draw(t, "member")]
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"": func(*rapid.T) {},
+		"wait": func(t *rapid.T) {
+			m.run(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms"))*ms, nil)
+		},
+		"propose": func(t *rapid.T) {
+			l := m.leader()
+			for range rapid.IntRange(1, 8).Draw(t, "count") {
+				if l == nil || l.node == nil {
+					return
+				}
+				m.proposed++
+				_, _ = l.propose(fmt.Sprintf("command-%d", m.proposed))
+			}
+		},
+		"block one direction": func(t *rapid.T) { m.blocked[link{m.any(t).id, m.any(t).id}] = true },
+		"isolate": func(t *rapid.T) {
+			lost := m.any(t).id
+			for _, id := range m.ids {
+				m.blocked[link{lost, id}], m.blocked[link{id, lost}] = true, true
+			}
+		},
+		"unblock": func(*rapid.T) { clear(m.blocked) },
+		"bad network": func(t *rapid.T) {
+			m.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+			m.duplicate = rapid.Float64Range(0, 0.3).Draw(t, "duplicate")
+			spread := rapid.Int64Range(1, 200).Draw(t, "spread")
+			m.delay = func() time.Duration { return time.Duration(m.rng.Int64N(spread))*ms + 1 }
+		},
+		"crash": func(t *rapid.T) {
+			if v := m.any(t); v.node != nil {
+				v.crash()
+			}
+		},
+		"crash at operation": func(t *rapid.T) {
+			v := m.any(t)
+			v.fs.failAt, v.fs.failWith = v.fs.ops+rapid.IntRange(1, 12).Draw(t, "operation"), nil
+		},
+		"disk fails": func(t *rapid.T) {
+			v := m.any(t)
+			v.fs.failAt, v.fs.failWith = v.fs.ops+rapid.IntRange(1, 12).Draw(t, "operation"), syscall.EIO
+		},
+		"restart": func(t *rapid.T) {
+			v := m.any(t)
+			if v.node != nil {
+				v.crash()
+			}
+			v.fs.failAt = 0
+			v.restart()
+		},
+		"lose leader twice": func(*rapid.T) {
+			for range 2 {
+				if l := m.leader(); l != nil {
+					l.crash()
+					m.run(2*time.Second, nil)
+					if l.node == nil {
+						l.restart()
+					}
+				}
+			}
+		},
+		"compact": func(t *rapid.T) {
+			m.any(t).compact(rapid.Uint64Range(0, 10).Draw(t, "trailing"))
+		},
+		"transfer": func(t *rapid.T) {
+			if l := m.leader(); l != nil {
+				_ = l.node.TransferLeadership(m.any(t).id)
+				l.pump()
+			}
+		},
+		"add learner": func(*rapid.T) {
+			l := m.leader()
+			if l == nil || m.nextID > 8 {
+				return
+			}
+			m.nextID++
+			m.addMember(m.nextID, nil)
+			_, _ = l.node.ProposeMemberChange(consensus.MemberChange{AddLearner: m.nextID})
+			l.pump()
+		},
+		"promote": func(*rapid.T) { m.promote() },
+		"remove": func(t *rapid.T) {
+			if l := m.leader(); l != nil {
+				_, _ = l.node.ProposeMemberChange(consensus.MemberChange{Remove: m.any(t).id})
+				l.pump()
+			}
+		},
+	}
+}
+
+// promote makes a learner a voter and checks that it has every entry that was committed.
+func (m *machine) promote() {
+	l := m.leader()
+	if l == nil {
+		return
+	}
+	commit := l.node.Status(l.clock()).Commit
+	for _, id := range l.node.Members().Learners {
+		_, err := l.node.ProposeMemberChange(consensus.MemberChange{Promote: id})
+		if _, found, known := entryAt(m.members[id].durable, commit); err == nil && known && !found && commit > 0 {
+			m.t.Fatalf("learner %d was promoted without entry %d", id, commit)
+		}
+	}
+	l.pump()
+}
+
+// checkRecovery heals everything and checks that a command reaches every member in force in time.
+func (m *machine) checkRecovery() {
+	m.heal()
+	for _, id := range m.ids {
+		v := m.members[id]
+		if v.log.Err() != nil {
+			v.crash()
+			v.restart()
+		}
+	}
+	m.delay = func() time.Duration { return 1500 * time.Microsecond }
+	last := fmt.Sprintf("last-%d", m.proposed)
+	sent := map[uint64]bool{}
+	done := func() bool {
+		l := m.leader()
+		if l == nil {
+			return false
+		}
+		if !sent[l.soft.Term] {
+			_, err := l.propose(last)
+			sent[l.soft.Term] = err == nil
+		}
+		for _, id := range l.node.Members().Voters {
+			v := m.members[id]
+			if len(v.state) == 0 || v.state[len(v.state)-1] != last {
+				return false
+			}
+		}
+		return true
+	}
+	if !m.run(recoveryBound, done) {
+		m.t.Fatalf("no command reached every voter within %s after the repair%s", recoveryBound, m.describe())
+	}
+}
+
+// Guards against two leaders in a term, lost or changed committed entries, forgotten votes,
+// learners that count too early, and clusters that do not recover, under lost, duplicated,
+// delayed and reordered messages, partitions, crashes in storage operations and member changes.
+func TestSafetyAndRecovery(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 5, 7}).Draw(t, "size")
+		seed := rapid.Uint64().Draw(t, "seed")
+		m := &machine{cluster: newCluster(t, seed, size), nextID: consensus.MemberID(size)}
+		m.run(2*time.Second, func() bool { return m.leader() != nil })
+		actions := m.actions()
+		for name, action := range actions {
+			actions[name] = func(t *rapid.T) {
+				action(t)
+				if name != "" {
+					m.run(time.Duration(rapid.IntRange(0, 400).Draw(t, "then ms"))*ms, nil)
+				}
+			}
+		}
+		for _, name := range []string{"propose again", "propose more"} {
+			actions[name] = actions["propose"]
+		}
+		t.Repeat(actions)
+		m.checkRecovery()
+	})
+}
--- /dev/null
+++ b/internal/wal/sim_test.go
@@ -0,0 +1,324 @@
+package wal_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/wal"
+)
+
+const ms = time.Millisecond
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+type link struct{ from, to consensus.MemberID }
+
+// fatal is implemented by *testing.T, *testing.B and *rapid.T.
+type fatal interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// cluster runs members over a simulated network and checks the safety of the log at every step.
+type cluster struct {
+	t         fatal
+	rng       *rand.Rand
+	now       time.Duration
+	events    eventHeap
+	seq       int
+	ids       []consensus.MemberID
+	members   map[consensus.MemberID]*member
+	blocked   map[link]bool
+	loss      float64
+	duplicate float64
+	delay     func() time.Duration
+
+	leaders   map[uint64]consensus.MemberID
+	votes     map[[2]uint64]consensus.MemberID
+	committed map[uint64]consensus.Entry
+	top       uint64
+	content   map[consensus.Position]string
+}
+
+// member is a shell: it persists, sends, applies and advances.
+type member struct {
+	c       *cluster
+	id      consensus.MemberID
+	first   []consensus.MemberID
+	fs      *memFS
+	log     *wal.Log
+	node    *consensus.Node
+	life    int
+	start   time.Duration // of this life; the clock of a process starts at zero
+	durable consensus.Restored
+	applied uint64
+	state   []string // the commands applied so far
+	machine func(e consensus.Entry)
+	reads   func(r consensus.ReadState)
+	soft    consensus.SoftState
+}
+
+func newCluster(t fatal, seed uint64, size int) *cluster {
+	c := &cluster{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), members: map[consensus.MemberID]*member{}, blocked: map[link]bool{},
+		leaders: map[uint64]consensus.MemberID{}, votes: map[[2]uint64]consensus.MemberID{},
+		committed: map[uint64]consensus.Entry{}, content: map[consensus.Position]string{},
+	}
+	c.delay = func() time.Duration { return 1500 * time.Microsecond }
+	var first []consensus.MemberID
+	for i := range size {
+		first = append(first, consensus.MemberID(i+1))
+	}
+	for _, id := range first {
+		c.addMember(id, first)
+	}
+	return c
+}
+
+func (c *cluster) addMember(id consensus.MemberID, first []consensus.MemberID) {
+	m := &member{c: c, id: id, first: first, fs: newMemFS(rand.New(rand.NewPCG(c.rng.Uint64(), 2)))}
+	c.members[id] = m
+	c.ids = append(c.ids, id)
+	m.restart()
+}
+
+func (c *cluster) after(d time.Duration, run func()) {
+	c.seq++
+	heap.Push(&c.events, event{at: c.now + d, seq: c.seq, run: run})
+}
+
+// run lets simulated time pass until done, which may be nil, and reports whether it was done.
+func (c *cluster) run(d time.Duration, done func() bool) bool {
+	end := c.now + d
+	for {
+		if done != nil && done() {
+			return true
+		}
+		if len(c.events) == 0 || c.events[0].at > end {
+			c.now = end
+			return false
+		}
+		e := heap.Pop(&c.events).(event)
+		c.now = max(c.now, e.at)
+		e.run()
+	}
+}
+
+func (c *cluster) send(msg consensus.Message) {
+	copies := 1
+	if c.rng.Float64() < c.duplicate {
+		copies = 2
+	}
+	for range copies {
+		if c.blocked[link{msg.From, msg.To}] || c.rng.Float64() < c.loss {
+			continue
+		}
+		c.after(c.delay(), func() {
+			m := c.members[msg.To]
+			if m == nil || m.node == nil || c.blocked[link{msg.From, msg.To}] {
+				return
+			}
+			if err := m.node.Step(msg, m.clock()); err != nil {
+				c.t.Fatalf("member %d refuses a message: %v", m.id, err)
+			}
+			m.pump()
+		})
+	}
+}
+
+func (c *cluster) leader() *member {
+	var newest *member
+	for _, id := range c.ids {
+		m := c.members[id]
+		if m.node != nil && m.soft.Role == consensus.Leader && (newest == nil || m.soft.Term > newest.soft.Term) {
+			newest = m
+		}
+	}
+	return newest
+}
+
+// heal repairs network and members.
+func (c *cluster) heal() {
+	c.loss, c.duplicate = 0, 0
+	clear(c.blocked)
+	for _, id := range c.ids {
+		m := c.members[id]
+		m.fs.failAt = 0
+		if m.node == nil {
+			m.restart()
+		}
+	}
+}
+
+func (m *member) clock() time.Duration { return m.c.now - m.start }
+
+func (m *member) crash() {
+	m.life++
+	m.node, m.log = nil, nil
+	m.soft = consensus.SoftState{}
+	m.fs.crash()
+}
+
+func (m *member) restart() {
+	t := m.c.t
+	log, err := wal.New(wal.Config{
+		Identity: wal.Identity{Cluster: "test", Member: m.id}, SegmentSize: 2048, FS: m.fs,
+	}, telemetry.Discard())
+	if err != nil {
+		t.Fatalf("member %d does not start: %v", m.id, err)
+	}
+	restored, err := log.Restored()
+	if err != nil {
+		t.Fatalf("member %d is not restored: %v", m.id, err)
+	}
+	m.checkRestored(restored)
+	m.life++
+	m.start, m.log, m.durable = m.c.now, log, restored
+	m.state = nil
+	m.restore(restored.Snapshot)
+	m.node, err = consensus.New(consensus.Config{
+		ID: m.id, Members: m.first, MaxEntriesPerMessage: 4, MaxInflight: 3, SnapshotChunkSize: 64,
+		Rand: rand.New(rand.NewPCG(m.c.rng.Uint64(), 3)),
+	}, restored)
+	if err != nil {
+		t.Fatalf("member %d does not start: %v", m.id, err)
+	}
+	m.schedule()
+}
+
+func (m *member) schedule() {
+	life := m.life
+	m.c.after(max(m.node.Deadline()-m.clock(), 0), func() {
+		if m.life != life {
+			return
+		}
+		if m.clock() >= m.node.Deadline() {
+			m.node.Tick(m.clock())
+			m.pump()
+		}
+		if m.life == life {
+			m.schedule()
+		}
+	})
+}
+
+func (m *member) pump() {
+	for m.node != nil {
+		r, ok := m.node.Ready()
+		if !ok {
+			return
+		}
+		if err := m.log.Persist(r); err != nil {
+			if m.fs.crashed {
+				m.crash()
+				return
+			}
+			for _, msg := range m.node.PersistFailed() {
+				m.c.send(msg)
+			}
+			m.soft = consensus.SoftState{}
+			return
+		}
+		m.note(r)
+		for _, msg := range r.Messages {
+			m.c.checkVote(msg)
+			m.c.send(msg)
+		}
+		if r.Snapshot != nil {
+			m.restore(*r.Snapshot)
+		}
+		for _, e := range r.Committed {
+			m.apply(e)
+		}
+		for _, read := range r.Reads {
+			if m.reads != nil {
+				m.reads(read)
+			}
+		}
+		m.node.Advance(r)
+	}
+}
+
+func (m *member) restore(s consensus.Snapshot) {
+	m.applied = s.Index
+	if s.Index > 0 {
+		m.state = nil
+		for line := range slices.Values(splitLines(s.Data)) {
+			m.state = append(m.state, line)
+		}
+	}
+}
+
+func (m *member) apply(e consensus.Entry) {
+	m.c.checkCommitted(m, e)
+	m.applied = e.Index
+	if e.Kind == consensus.EntryCommand {
+		m.state = append(m.state, string(e.Data))
+		if m.machine != nil {
+			m.machine(e)
+		}
+	}
+}
+
+// compact makes a snapshot and forgets the entries but the last few.
+func (m *member) compact(trailing uint64) {
+	if m.node == nil || m.log.Err() != nil || m.applied == 0 {
+		return
+	}
+	s, err := m.node.NewSnapshot(joinLines(m.state))
+	if err != nil {
+		m.c.t.Fatalf("snapshot: %v", err)
+	}
+	keep := s.Index - min(trailing, s.Index)
+	if err := m.log.SaveSnapshot(s, keep); err != nil {
+		if m.fs.crashed {
+			m.crash()
+		}
+		return
+	}
+	if err := m.node.Compact(keep, s); err != nil {
+		m.c.t.Fatalf("compact: %v", err)
+	}
+	m.durable.Snapshot = s
+}
+
+func (m *member) propose(data string) (consensus.Position, error) {
+	p, err := m.node.Propose([]byte(data))
+	m.pump()
+	return p, err
+}
+
+func (c *cluster) describe() string {
+	s := ""
+	for _, id := range c.ids {
+		m := c.members[id]
+		if m.node != nil {
+			s += fmt.Sprintf("\n%d: %+v", id, m.node.Status(m.clock()))
+		}
+	}
+	return s
+}
