--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -200,6 +200,9 @@
 	if term > n.term {
 		n.term, n.vote = term, 0
 	}
+	if n.role == Leader {
+		n.currentAt = max(n.currentAt, n.quorumContact())
+	}
 	n.role = Follower
 	n.leader = leader
 	n.votes = nil
--- a/internal/wal/sim_test.go
+++ b/internal/wal/sim_test.go
@@ -77,9 +77,16 @@
 	durable consensus.Restored
 	applied uint64
 	state   []string // the commands applied so far
-	machine func(e consensus.Entry)
-	reads   func(r consensus.ReadState)
 	soft    consensus.SoftState
+
+	// What clients of this life wait for.
+	answers  map[uint64]consensus.ReadState
+	outcomes map[uint64]applied
+}
+
+type applied struct {
+	term     uint64
+	commands int // applied up to it
 }
 
 func newCluster(t fatal, seed uint64, size int) *cluster {
@@ -198,7 +205,7 @@
 	m.checkRestored(restored)
 	m.life++
 	m.start, m.log, m.durable = m.c.now, log, restored
-	m.state = nil
+	m.state, m.answers, m.outcomes = nil, map[uint64]consensus.ReadState{}, map[uint64]applied{}
 	m.restore(restored.Snapshot)
 	m.node, err = consensus.New(consensus.Config{
 		ID: m.id, Members: m.first, MaxEntriesPerMessage: 4, MaxInflight: 3, SnapshotChunkSize: 64,
@@ -255,9 +262,7 @@
 			m.apply(e)
 		}
 		for _, read := range r.Reads {
-			if m.reads != nil {
-				m.reads(read)
-			}
+			m.answers[read.ID] = read
 		}
 		m.node.Advance(r)
 	}
@@ -278,10 +283,8 @@
 	m.applied = e.Index
 	if e.Kind == consensus.EntryCommand {
 		m.state = append(m.state, string(e.Data))
-		if m.machine != nil {
-			m.machine(e)
-		}
 	}
+	m.outcomes[e.Index] = applied{term: e.Term, commands: len(m.state)}
 }
 
 // compact makes a snapshot and forgets the entries but the last few.
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -97,7 +97,7 @@
 	return l, nil
 }
 
-// Restored returns what the folder held when it was opened. The first call hands the memory over;
+// Restored returns what the folder holds. The first call after New hands over what New has read;
 // later calls read the folder again, which also works after a failed write.
 func (l *Log) Restored() (consensus.Restored, error) {
 	if l.restored == nil {
@@ -120,6 +120,7 @@
 	if l.failed != nil {
 		return l.failed
 	}
+	l.restored = nil
 	if err := l.persist(r); err != nil {
 		return l.fail(err, "write the log")
 	}
@@ -200,6 +201,7 @@
 	if l.failed != nil {
 		return l.failed
 	}
+	l.restored = nil
 	err := l.writeSnapshot(s)
 	if err != nil {
 		wrapped := storageError(err, "write a snapshot")
