Add greengagelockctl, and guard a service whose targets have not announced themselves

Cause: operators had no tool; its first spec showed that draining every VM of a service was accepted without an acknowledgement while no target had announced itself, because the guard counted known targets only. Change: internal/ctl with the commands on the operator API; the plan also compares the VMs that the inventory selects. Conclusion: an edit that empties a service always needs its acknowledgement.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -125,6 +125,21 @@
 	return x.leaving[string(vm)] || x.leaving[TargetName(vm, service)]
 }
 
+// Selected returns the number of VMs of the inventory that may serve a service and are not leaving.
+func (x *Index) Selected(service string) int {
+	rule := x.services[service]
+	if rule == nil {
+		return 0
+	}
+	count := 0
+	for name, vm := range x.vms {
+		if rule.Selects(vm) && !x.Leaving(name, service) {
+			count++
+		}
+	}
+	return count
+}
+
 // Refusal returns why the document does not allow a VM to serve a service, or "" if it does.
 func (x *Index) Refusal(vm model.VM, service string) string {
 	entry, rule := x.vms[vm], x.services[service]
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -182,6 +182,7 @@
 		Count: len(known), Of: len(known), OpenFlows: flowsOf(known),
 	})
 	p.guard(s.Name, staying(known), nil, known)
+	p.guardSelection(s.Name)
 }
 
 // targets reports what happens to the targets of a service that stays.
@@ -210,6 +211,21 @@
 	p.group(TargetsRemoved, service, removed, len(before))
 	p.group(TargetsReturned, service, returned, len(before))
 	p.guard(service, before, rest, append(drained, removed...))
+	p.guardSelection(service)
+}
+
+// guardSelection adds the effect of an edit that leaves no VM to serve a service, even if none of
+// its targets has announced itself yet: the service would stay empty without a word.
+func (p *planner) guardSelection(service string) {
+	before := p.before.Selected(service)
+	if before == 0 || p.after.Selected(service) > 0 {
+		return
+	}
+	acknowledge := "empties:" + service
+	if slices.ContainsFunc(p.effects, func(e Effect) bool { return e.Acknowledge == acknowledge }) {
+		return
+	}
+	p.effects = append(p.effects, Effect{Kind: ServiceEmptied, Service: service, Acknowledge: acknowledge})
 }
 
 // guard adds the effects that need an acknowledgement. A service counts as emptied when no target
--- /dev/null
+++ b/internal/ctl/change.go
@@ -0,0 +1,93 @@
+package ctl
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/greengagelock/greengagelock/internal/operator"
+)
+
+func (a *app) drainCommand() *cobra.Command {
+	return a.leaving("drain NAME...", "List VMs or targets (VM/SERVICE) as leaving: they take no new flows", (*operator.Client).Drain)
+}
+
+func (a *app) undrainCommand() *cobra.Command {
+	return a.leaving("undrain NAME...", "Take VMs or targets off the leaving list", (*operator.Client).Undrain)
+}
+
+func (a *app) leaving(use, short string, send func(*operator.Client, context.Context, operator.Edit) (*operator.EditReply, error)) *cobra.Command {
+	var f editFlags
+	c := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			edit := f.edit()
+			edit.Names = args
+			var err error
+			if edit.Base, err = a.base(cmd.Context(), &f); err != nil {
+				return err
+			}
+			return a.run(cmd.Context(), &f, edit, send)
+		},
+	}
+	f.add(c)
+	return c
+}
+
+func (a *app) membersCommand() *cobra.Command {
+	list := query(a, "members", "List the controllers of the replicated log, or change them",
+		func(c *operator.Client, cmd *cobra.Command) ([]operator.Member, error) {
+			return c.Members(cmd.Context())
+		},
+		printMembers)
+	add := &cobra.Command{
+		Use:   "add NAME ADDRESS:PORT",
+		Short: "Add a controller; it counts for the majority once it has caught up",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.changeMembers(cmd, func(c *operator.Client, ctx context.Context) ([]operator.Member, error) {
+				return c.AddMember(ctx, args[0], args[1])
+			})
+		},
+	}
+	remove := &cobra.Command{
+		Use:   "remove NAME",
+		Short: "Remove a controller",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.changeMembers(cmd, func(c *operator.Client, ctx context.Context) ([]operator.Member, error) {
+				return c.RemoveMember(ctx, args[0])
+			})
+		},
+	}
+	list.AddCommand(add, remove)
+	return list
+}
+
+func (a *app) changeMembers(cmd *cobra.Command, change func(*operator.Client, context.Context) ([]operator.Member, error)) error {
+	client, err := a.connect()
+	if err != nil {
+		return err
+	}
+	members, err := change(client, cmd.Context())
+	if err != nil {
+		return err
+	}
+	return a.print(members, func(t *table) { printMembers(t, members) })
+}
+
+func printMembers(t *table, members []operator.Member) {
+	t.row("CONTROLLER", "ADDRESS", "ROLE", "LOG INDEX")
+	for _, m := range members {
+		role := "voter"
+		switch {
+		case m.Learner:
+			role = "learner"
+		case m.Leader:
+			role = "leader"
+		}
+		t.row(m.Name, m.Address, role, m.Match)
+	}
+}
--- /dev/null
+++ b/internal/ctl/config.go
@@ -0,0 +1,359 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/greengagelock/greengagelock/internal/config"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/result"
+)
+
+// defaultWait is the time that --wait gives a configuration to be in force everywhere: the stated
+// 4 s with room for a change of the leader.
+const defaultWait = 15 * time.Second
+
+// editFlags are the flags of every command that changes the configuration.
+type editFlags struct {
+	base         int64
+	acknowledged []string
+	commandID    string
+	wait         bool
+	waitTimeout  time.Duration
+}
+
+func (f *editFlags) add(c *cobra.Command) {
+	c.Flags().Int64Var(&f.base, "base", -1, "revision that the edit starts from; the default is the \"// revision N\" line of the file")
+	c.Flags().StringSliceVar(&f.acknowledged, "ack", nil, "acknowledge an effect that config plan names; may be repeated")
+	c.Flags().StringVar(&f.commandID, "id", "", "identifier of the command; repeat it to resend a command whose answer was lost")
+	c.Flags().BoolVar(&f.wait, "wait", false, "return once the revision is in force on every node")
+	c.Flags().DurationVar(&f.waitTimeout, "wait-timeout", defaultWait, "time limit of --wait")
+}
+
+func (f *editFlags) edit() operator.Edit {
+	id := f.commandID
+	if id == "" {
+		id = operator.NewCommandID()
+	}
+	return operator.Edit{CommandID: id, Acknowledged: f.acknowledged}
+}
+
+func (a *app) configCommand() *cobra.Command {
+	group := &cobra.Command{Use: "config", Short: "Check, plan, apply and show the configuration"}
+	group.AddCommand(a.configCheck(), a.configPlan(), a.configApply(), a.configHistory(), a.configShow(), a.configRollback())
+	return group
+}
+
+func (a *app) configCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a configuration document by itself, without a controller",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			text, err := read(args[0])
+			if err != nil {
+				return err
+			}
+			if _, err := config.Parse(args[0], text); err != nil {
+				return invalid(err)
+			}
+			return a.print(checked{File: args[0], Valid: true}, func(t *table) {
+				t.row("FILE", "RESULT")
+				t.row(args[0], "valid")
+			})
+		},
+	}
+}
+
+func invalid(err error) error {
+	if result.CodeOf(err) != result.Internal {
+		return err
+	}
+	return result.New(result.ConfigInvalid, "%v", err)
+}
+
+func (a *app) configPlan() *cobra.Command {
+	var f editFlags
+	c := &cobra.Command{
+		Use:   "plan FILE",
+		Short: "Show what applying a document would change",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := read(args[0])
+			if err != nil {
+				return err
+			}
+			client, err := a.connect()
+			if err != nil {
+				return err
+			}
+			edit := f.edit()
+			edit.Kind, edit.File, edit.Document = applyKind, args[0], text
+			reply, err := client.Plan(cmd.Context(), &edit)
+			if err != nil {
+				return err
+			}
+			if len(reply.Problems) > 0 {
+				return result.New(result.ConfigInvalid, "%v", reply.Problems)
+			}
+			if err := a.printEffects(reply); err != nil {
+				return err
+			}
+			if missing := reply.Result.Missing; len(missing) > 0 {
+				fmt.Fprintf(a.errOut, "apply needs: --ack %s\n", strings.Join(missing, " --ack "))
+			}
+			return nil
+		},
+	}
+	f.add(c)
+	return c
+}
+
+func (a *app) printEffects(reply *operator.EditReply) error {
+	return a.print(reply, func(t *table) {
+		if len(reply.Effects) == 0 {
+			t.row("no effect on services and targets")
+			return
+		}
+		t.row("EFFECT", "ACKNOWLEDGE")
+		for _, effect := range reply.Effects {
+			t.row(effect, orDash(effect.Acknowledge))
+		}
+	})
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// revisionLine is the comment that config show puts in front of a document.
+var revisionLine = regexp.MustCompile(`(?m)^\s*// revision (\d+)\s*$`)
+
+// baseOf returns the revision that a document was made from.
+func baseOf(f *editFlags, text []byte) (model.Revision, error) {
+	if f.base >= 0 {
+		return model.Revision(f.base), nil
+	}
+	match := revisionLine.FindSubmatch(text)
+	if match == nil {
+		return 0, usageError{errors.New("the document has no line \"// revision N\" from config show; give --base with the revision that it starts from")}
+	}
+	n, err := strconv.ParseUint(string(match[1]), 10, 63)
+	return model.Revision(n), err
+}
+
+func (a *app) configApply() *cobra.Command {
+	var f editFlags
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Put a document in force",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := read(args[0])
+			if err != nil {
+				return err
+			}
+			base, err := baseOf(&f, text)
+			if err != nil {
+				return err
+			}
+			edit := f.edit()
+			edit.Base, edit.File, edit.Document = base, args[0], revisionLine.ReplaceAll(text, nil)
+			return a.run(cmd.Context(), &f, edit, (*operator.Client).Apply)
+		},
+	}
+	f.add(c)
+	return c
+}
+
+// run sends an edit and reports its outcome.
+func (a *app) run(ctx context.Context, f *editFlags, edit operator.Edit,
+	send func(*operator.Client, context.Context, operator.Edit) (*operator.EditReply, error),
+) error {
+	client, err := a.connect()
+	if err != nil {
+		return err
+	}
+	reply, err := send(client, ctx, edit)
+	if err != nil {
+		fmt.Fprintf(a.errOut, "command identifier: %s (give it with --id to resend this command)\n", edit.CommandID)
+		return err
+	}
+	if len(reply.Problems) > 0 {
+		return result.New(result.ConfigInvalid, "%v", reply.Problems)
+	}
+	if missing := reply.Result.Missing; len(missing) > 0 {
+		return result.New(reply.Result.Code, "%s: --ack %s", reply.Result.Message, strings.Join(missing, " --ack "))
+	}
+	if err := reply.Result.Err(); err != nil {
+		return err
+	}
+	if !f.wait {
+		return a.printOutcome(outcome{Revision: reply.Result.Revision, CommandID: edit.CommandID})
+	}
+	return a.awaitInForce(ctx, client, f, reply.Result.Revision, edit.CommandID)
+}
+
+// outcome is what an accepted edit led to.
+type outcome struct {
+	Revision  model.Revision `json:"revision"`
+	CommandID string         `json:"command_id"`
+	Waited    bool           `json:"waited"`
+	Nodes     int            `json:"nodes,omitempty"`
+	InForce   int            `json:"in_force,omitempty"`
+	Lagging   []string       `json:"lagging,omitempty"`
+}
+
+func (a *app) awaitInForce(ctx context.Context, client *operator.Client, f *editFlags, revision model.Revision, id string) error {
+	reply, err := client.WaitInForce(ctx, revision, f.waitTimeout)
+	o := outcome{Revision: revision, CommandID: id, Waited: true}
+	if reply != nil {
+		o.Nodes, o.InForce = reply.Nodes, reply.InForce
+		for _, lag := range reply.Lagging {
+			o.Lagging = append(o.Lagging, lag.Node)
+		}
+		if printed := a.printOutcome(o); printed != nil {
+			return printed
+		}
+	}
+	return err
+}
+
+func (a *app) printOutcome(o outcome) error {
+	return a.print(o, func(t *table) {
+		t.row("REVISION", "STATE", "IN FORCE")
+		if !o.Waited {
+			t.row(o.Revision, "accepted", "see status")
+			return
+		}
+		t.row(o.Revision, "accepted", fmt.Sprintf("%d of %d nodes", o.InForce, o.Nodes))
+		for _, node := range o.Lagging {
+			t.row("", "not in force on", node)
+		}
+	})
+}
+
+func (a *app) configHistory() *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "List the kept revisions",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := a.connect()
+			if err != nil {
+				return err
+			}
+			revisions, err := client.History(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(revisions, func(t *table) {
+				t.row("REVISION", "TIME", "AUTHOR", "KIND", "SOURCE", "COMMAND")
+				for _, r := range revisions {
+					source := "-"
+					if r.Source != 0 {
+						source = fmt.Sprint(r.Source)
+					}
+					t.row(r.Revision, r.Time.Format(time.RFC3339), orDash(r.Author), r.Kind, source, r.CommandID)
+				}
+			})
+		},
+	}
+}
+
+func (a *app) configShow() *cobra.Command {
+	return &cobra.Command{
+		Use:   "show [REVISION]",
+		Short: "Print the document of a revision, the current one by default",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			revision, err := revisionArgument(args)
+			if err != nil {
+				return err
+			}
+			client, err := a.connect()
+			if err != nil {
+				return err
+			}
+			reply, err := client.Show(cmd.Context(), revision)
+			if err != nil {
+				return err
+			}
+			if a.output == "json" {
+				return a.print(shown{Revision: reply.Revision, Document: string(reply.Document)}, nil)
+			}
+			_, err = fmt.Fprintf(a.out, "// revision %d\n%s", reply.Revision, reply.Document)
+			return err
+		},
+	}
+}
+
+// shown is a document with its revision.
+type shown struct {
+	Revision model.Revision `json:"revision"`
+	Document string         `json:"document"`
+}
+
+func revisionArgument(args []string) (model.Revision, error) {
+	if len(args) == 0 {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(args[0], 10, 63)
+	if err != nil || n == 0 {
+		return 0, usageError{errors.Newf("revision %q is not a positive number", args[0])}
+	}
+	return model.Revision(n), nil
+}
+
+func (a *app) configRollback() *cobra.Command {
+	var f editFlags
+	c := &cobra.Command{
+		Use:   "rollback REVISION",
+		Short: "Put the document of an earlier revision in force again, as a new revision",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			revision, err := revisionArgument(args)
+			if err != nil {
+				return err
+			}
+			edit := f.edit()
+			edit.Revision = revision
+			if edit.Base, err = a.base(cmd.Context(), &f); err != nil {
+				return err
+			}
+			return a.run(cmd.Context(), &f, edit, (*operator.Client).Rollback)
+		},
+	}
+	f.add(c)
+	return c
+}
+
+// base returns --base, or the current revision for edits that do not replace the document.
+func (a *app) base(ctx context.Context, f *editFlags) (model.Revision, error) {
+	if f.base >= 0 {
+		return model.Revision(f.base), nil
+	}
+	if f.commandID != "" {
+		return 0, usageError{errors.New("--id resends a command: give its --base too, so that it is the same command")}
+	}
+	client, err := a.connect()
+	if err != nil {
+		return 0, err
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return status.Revision, nil
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,162 @@
+// Package ctl implements the commands of greengagelockctl on top of the operator API.
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/result"
+)
+
+// Exit statuses, the same as in docs/errors.md.
+const (
+	exitOK           = 0
+	exitFailure      = 1
+	exitUsage        = 2
+	exitInvalid      = 10
+	exitConflict     = 11
+	exitAcknowledge  = 12
+	exitNotInForce   = 13
+	exitRefused      = 20
+	exitNotRun       = 30
+	exitUnknown      = 31
+	exitStorage      = 40
+	thousandsInvalid = 1
+	thousandsRefused = 2
+	thousandsControl = 3
+	thousandsStorage = 4
+)
+
+// DefaultSettings is the client settings file that is read when --settings is not given.
+const DefaultSettings = "/etc/greengagelock/ctl.jsonc"
+
+// app holds what all commands share.
+type app struct {
+	out     io.Writer
+	errOut  io.Writer
+	output  string
+	file    string
+	timeout time.Duration
+	client  *operator.Client
+}
+
+// usageError is a mistake in the command line itself.
+type usageError struct{ error }
+
+// Run runs one command and returns the exit status.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	a := &app{out: out, errOut: errOut}
+	root := a.root()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if a.client != nil {
+		a.client.Close()
+	}
+	if err == nil {
+		return exitOK
+	}
+	a.report(err)
+	return exitStatus(err)
+}
+
+// report prints an error and what to do next.
+func (a *app) report(err error) {
+	fmt.Fprintln(a.errOut, "error:", err)
+	var numbered *result.Error
+	if !errors.As(err, &numbered) {
+		return
+	}
+	if info, ok := result.Lookup(numbered.Code); ok {
+		fmt.Fprintf(a.errOut, "%s\nnext: %s\n", info.Meaning, info.Next)
+	}
+}
+
+func exitStatus(err error) int {
+	var usage usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	var numbered *result.Error
+	if !errors.As(err, &numbered) {
+		// Cobra reports wrong flags and arguments as plain errors.
+		return exitUsage
+	}
+	switch numbered.Code {
+	case result.RevisionConflict:
+		return exitConflict
+	case result.AcknowledgeRequired:
+		return exitAcknowledge
+	case result.NotInForceEverywhere:
+		return exitNotInForce
+	case result.DeadlineExceeded, result.OutcomeUnknown:
+		return exitUnknown
+	}
+	switch numbered.Code / 1000 {
+	case thousandsInvalid:
+		return exitInvalid
+	case thousandsRefused:
+		return exitRefused
+	case thousandsControl:
+		return exitNotRun
+	case thousandsStorage:
+		return exitStorage
+	}
+	return exitFailure
+}
+
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "greengagelockctl",
+		Short:         "Operate a greengagelock load balancer",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&a.file, "settings", DefaultSettings, "client settings: controllers and TLS files")
+	flags.StringVarP(&a.output, "output", "o", "table", "output format: table or json")
+	flags.DurationVar(&a.timeout, "timeout", operator.DefaultTimeout, "time limit of one operation with its retries")
+	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		if a.output != "table" && a.output != "json" {
+			return usageError{errors.Newf("--output is %q, want table or json", a.output)}
+		}
+		return nil
+	}
+	root.AddCommand(a.settingsCommand(), a.configCommand(), a.statusCommand(), a.targetsCommand(), a.servicesCommand(),
+		a.drainCommand(), a.undrainCommand(), a.membersCommand(), a.explainCommand(), a.errorsCommand())
+	return root
+}
+
+// connect returns the client, which is made on first use: some commands need no controller.
+func (a *app) connect() (*operator.Client, error) {
+	if a.client != nil {
+		return a.client, nil
+	}
+	s, err := loadSettings(a.file)
+	if err != nil {
+		return nil, err
+	}
+	cfg := operator.Config{Controllers: s.Controllers, TLS: s.files(), Timeout: a.timeout}
+	a.client, err = operator.NewClient(cfg)
+	return a.client, err
+}
+
+// read returns the content of a file that the operator names; "-" is standard input.
+func read(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/ctl/output.go
@@ -0,0 +1,35 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+)
+
+// table writes aligned columns for people.
+type table struct{ w *tabwriter.Writer }
+
+// columnPadding is the space between columns.
+const columnPadding = 2
+
+func (t *table) row(cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(t.w, "\t")
+		}
+		fmt.Fprint(t.w, cell)
+	}
+	fmt.Fprintln(t.w)
+}
+
+// print writes value as JSON, or the table that fill makes of it.
+func (a *app) print(value any, fill func(*table)) error {
+	if a.output == "json" {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	t := &table{w: tabwriter.NewWriter(a.out, 0, 0, columnPadding, ' ', 0)}
+	fill(t)
+	return t.w.Flush()
+}
--- /dev/null
+++ b/internal/ctl/settings.go
@@ -0,0 +1,76 @@
+package ctl
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"github.com/greengagelock/greengagelock/internal/jsonc"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/settings"
+)
+
+// clientSettings are the settings of greengagelockctl itself.
+type clientSettings struct {
+	Controllers []string     `json:"controllers"` // addresses, such as "10.0.0.1:7300"
+	TLS         settings.TLS `json:"tls"`
+}
+
+func loadSettings(path string) (*clientSettings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.New(result.SettingsInvalid, "client settings: %v", err)
+	}
+	s := &clientSettings{}
+	doc := jsonc.Decode(path, data, s)
+	if len(s.Controllers) == 0 {
+		doc.Report("controllers", "the addresses of the controllers")
+	}
+	dir := filepath.Dir(path)
+	for key, file := range map[string]*string{"tls.cert": &s.TLS.Cert, "tls.key": &s.TLS.Key, "tls.ca": &s.TLS.CA} {
+		if *file != "" && !filepath.IsAbs(*file) {
+			*file = filepath.Join(dir, *file)
+		}
+		if _, err := os.Stat(*file); err != nil {
+			doc.Report(key, "a file that can be read")
+		}
+	}
+	if err := doc.Err(); err != nil {
+		return nil, result.New(result.SettingsInvalid, "%v", err)
+	}
+	return s, nil
+}
+
+func (s *clientSettings) files() rpc.Files {
+	return rpc.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA}
+}
+
+func (a *app) settingsCommand() *cobra.Command {
+	check := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file of the daemon and report every problem",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := settings.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return a.print(checked{File: args[0], Valid: true, Name: s.Name}, func(t *table) {
+				t.row("FILE", "NAME", "RESULT")
+				t.row(args[0], s.Name, "valid")
+			})
+		},
+	}
+	group := &cobra.Command{Use: "settings", Short: "Check settings files of the daemon"}
+	group.AddCommand(check)
+	return group
+}
+
+// checked is the result of a successful check.
+type checked struct {
+	File  string `json:"file"`
+	Name  string `json:"name,omitempty"`
+	Valid bool   `json:"valid"`
+}
--- /dev/null
+++ b/internal/ctl/show.go
@@ -0,0 +1,279 @@
+package ctl
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/result"
+)
+
+const applyKind = catalog.KindApply
+
+// query returns a command without arguments that asks the client once.
+func query[R any](a *app, use, short string, ask func(*operator.Client, *cobra.Command) (R, error), fill func(*table, R)) *cobra.Command {
+	return &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := a.connect()
+			if err != nil {
+				return err
+			}
+			reply, err := ask(client, cmd)
+			if err != nil {
+				return err
+			}
+			return a.print(reply, func(t *table) { fill(t, reply) })
+		},
+	}
+}
+
+func (a *app) statusCommand() *cobra.Command {
+	return query(a, "status", "Show the state of control and which nodes have the configuration in force",
+		func(c *operator.Client, cmd *cobra.Command) (*operator.StatusReply, error) {
+			return c.Status(cmd.Context())
+		},
+		func(t *table, s *operator.StatusReply) {
+			t.row("controller", s.Controller)
+			t.row("leader", orDash(s.Leader))
+			if s.Current {
+				t.row("state", "current")
+			} else {
+				t.row("state", fmt.Sprintf("not current: no contact to a majority for %v", s.Age.Round(time.Second)))
+			}
+			t.row("revision", s.Revision)
+			t.row("generation", s.Generation)
+			if s.Settled {
+				t.row("in force", fmt.Sprintf("%d of %d nodes", s.InForce, s.Nodes))
+			} else {
+				t.row("in force", "not known yet: the leader is new")
+			}
+			for _, lag := range s.Lagging {
+				t.row("not in force on", fmt.Sprintf("%s (%s, revision %d, last seen %v ago)", lag.Node, lag.Role, lag.Revision, lag.LastSeen.Round(time.Second)))
+			}
+			for _, state := range slices.Sorted(maps.Keys(s.Targets)) {
+				t.row("targets "+state, s.Targets[state])
+			}
+			t.row("quarantined", s.Quarantined)
+		})
+}
+
+func (a *app) targetsCommand() *cobra.Command {
+	return query(a, "targets", "List targets and quarantined announcements",
+		func(c *operator.Client, cmd *cobra.Command) (*operator.TargetsReply, error) {
+			return c.Targets(cmd.Context())
+		},
+		func(t *table, reply *operator.TargetsReply) {
+			t.row("TARGET", "ID", "ZONE", "SERVICE", "STATE", "SLOTS", "FLOWS", "REFUSED", "HEALTH")
+			for _, target := range reply.Targets {
+				m := target.Model
+				t.row(m.Name, m.ID, m.Zone, target.ServiceName, m.State, slots(target), flows(target), refused(target), health(target))
+			}
+			for _, q := range reply.Quarantine {
+				t.row(q.Registration.VM, "-", "-", q.Registration.Service, "quarantined: "+q.Reason)
+			}
+		})
+}
+
+func slots(t operator.TargetInfo) string {
+	if !t.EvidenceKnown {
+		return fmt.Sprintf("?/%d", t.Model.Slots)
+	}
+	return fmt.Sprintf("%d/%d", t.Evidence.BusySlots, t.Model.Slots)
+}
+
+func flows(t operator.TargetInfo) string {
+	if !t.EvidenceKnown {
+		return "?"
+	}
+	return fmt.Sprint(t.Evidence.OpenFlows)
+}
+
+func refused(t operator.TargetInfo) string {
+	if !t.EvidenceKnown {
+		return "?"
+	}
+	return fmt.Sprint(t.Evidence.Refused)
+}
+
+func health(t operator.TargetInfo) string {
+	switch {
+	case !t.EvidenceKnown:
+		return "no report"
+	case t.Evidence.Suspended:
+		return fmt.Sprintf("suspended after %d failed handshakes", t.Evidence.HandshakeFailures)
+	case !t.Evidence.EndpointHealthy:
+		return "endpoint reports unhealthy"
+	}
+	return "ok"
+}
+
+func (a *app) servicesCommand() *cobra.Command {
+	return query(a, "services", "List services",
+		func(c *operator.Client, cmd *cobra.Command) ([]catalog.ServiceStatus, error) {
+			return c.Services(cmd.Context())
+		},
+		func(t *table, services []catalog.ServiceStatus) {
+			t.row("SERVICE", "ID", "ADDRESS", "CLASS", "CUSTOMER", "TARGETS", "ADMITTING", "STATE")
+			for _, s := range services {
+				state := "active"
+				if s.Retiring {
+					state = "retiring"
+				}
+				t.row(s.Model.Name, s.Model.ID, s.Model.Address, className(s.Model.Class), orDash(string(s.Model.Customer)), len(s.Targets), admitting(s.Targets), state)
+			}
+		})
+}
+
+func className(c model.FlowClass) string {
+	if c == model.ClassRequest {
+		return "request"
+	}
+	return "stream"
+}
+
+func admitting(targets []model.Target) int {
+	n := 0
+	for _, t := range targets {
+		if t.State == model.TargetActive {
+			n++
+		}
+	}
+	return n
+}
+
+func (a *app) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain CALLER:PORT SERVICE:PORT",
+		Short: "Explain where the packets of a flow go and why a request may be refused",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			caller, err := netip.ParseAddrPort(args[0])
+			if err != nil {
+				return usageError{errors.Newf("caller %q: want ADDRESS:PORT", args[0])}
+			}
+			service, err := netip.ParseAddrPort(args[1])
+			if err != nil {
+				return usageError{errors.Newf("service %q: want ADDRESS:PORT", args[1])}
+			}
+			client, err := a.connect()
+			if err != nil {
+				return err
+			}
+			reply, err := client.Explain(cmd.Context(), operator.ExplainRequest{Caller: caller, Service: service})
+			if err != nil {
+				return err
+			}
+			if !reply.Found {
+				return result.New(result.ServiceNotFound, "no service has the address %v: its packets are dropped", service)
+			}
+			targets, err := client.Targets(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.printExplanation(explain(reply, targets.Targets))
+		},
+	}
+}
+
+// explanation says which targets are asked for a flow, in order.
+type explanation struct {
+	Service    string           `json:"service"`
+	ServiceID  model.ServiceID  `json:"service_id"`
+	Generation model.Generation `json:"generation"`
+	Bucket     int              `json:"bucket"`
+	Candidates []candidate      `json:"candidates"`
+}
+
+// candidate is a target in the order in which packets of an established flow look for it.
+type candidate struct {
+	Position int    `json:"position"`
+	Target   string `json:"target"`
+	State    string `json:"state"`
+	// NewFlow says what happens to a new flow here.
+	NewFlow string `json:"new_flow"`
+}
+
+func explain(reply *operator.ExplainReply, known []operator.TargetInfo) explanation {
+	e := explanation{
+		Service: reply.Service.Name, ServiceID: reply.Service.ID, Generation: reply.Generation, Bucket: reply.Bucket,
+	}
+	info := map[model.TargetID]operator.TargetInfo{}
+	for _, t := range known {
+		info[t.Model.ID] = t
+	}
+	for i, t := range reply.Established {
+		position := slices.IndexFunc(reply.New, func(n model.Target) bool { return n.ID == t.ID })
+		e.Candidates = append(e.Candidates, candidate{
+			Position: i + 1, Target: t.Name, State: t.State.String(),
+			NewFlow: newFlow(position, reply.Service.Class, t, info[t.ID]),
+		})
+	}
+	return e
+}
+
+// newFlow says what a target does with a new flow, from the last evidence of its agent.
+func newFlow(position int, class model.FlowClass, t model.Target, info operator.TargetInfo) string {
+	if position < 0 {
+		return "not asked: " + t.State.String()
+	}
+	asked := fmt.Sprintf("asked as number %d", position+1)
+	switch {
+	case !info.EvidenceKnown:
+		return asked + ", no report yet"
+	case info.Evidence.Suspended:
+		return asked + ", passes it on: admission suspended"
+	case class == model.ClassRequest && info.Evidence.BusySlots >= t.Slots:
+		return asked + ", passes it on or queues it: all slots taken"
+	case info.Evidence.OpenFlows >= t.MaxConns:
+		return asked + ", passes it on or queues it: all connections taken"
+	}
+	return asked + ", takes it"
+}
+
+func (a *app) printExplanation(e explanation) error {
+	return a.print(e, func(t *table) {
+		t.row("service", fmt.Sprintf("%s (number %d)", e.Service, e.ServiceID))
+		t.row("generation", e.Generation)
+		t.row("bucket", e.Bucket)
+		for _, c := range e.Candidates {
+			t.row(fmt.Sprintf("candidate %d", c.Position), fmt.Sprintf("%s, %s; new flow: %s", c.Target, c.State, c.NewFlow))
+		}
+	})
+}
+
+func (a *app) errorsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "errors [CODE]",
+		Short: "Explain result codes, such as GGL-2002",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var infos []result.Info
+			for _, info := range result.Table() {
+				if len(args) == 0 || strings.EqualFold(info.Code.String(), args[0]) || strings.EqualFold(info.Name, args[0]) {
+					infos = append(infos, info)
+				}
+			}
+			if len(infos) == 0 {
+				return usageError{errors.Newf("no result code %q", args[0])}
+			}
+			return a.print(infos, func(t *table) {
+				t.row("CODE", "NAME", "MEANING", "NEXT")
+				for _, info := range infos {
+					t.row(info.Code, info.Name, info.Meaning, info.Next)
+				}
+			})
+		},
+	}
+}
