--- /dev/null
+++ b/internal/wal/bench_test.go
@@ -0,0 +1,186 @@
+package wal_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/wal"
+)
+
+func benchLog(b *testing.B, folder string) *wal.Log {
+	b.Helper()
+	l, err := wal.New(wal.Config{Folder: folder, Identity: wal.Identity{Cluster: "bench", Member: 1}}, telemetry.Discard())
+	if err != nil {
+		b.Fatal(err)
+	}
+	return l
+}
+
+// entrySize is about the size of a change of the liveness of some targets.
+const entrySize = 256
+
+// BenchmarkSyncedCommit compares the storage of one entry with a bare write and sync.
+func BenchmarkSyncedCommit(b *testing.B) {
+	for _, size := range []int{entrySize, 64 << 10} {
+		b.Run(fmt.Sprintf("bytes=%d/bare write and sync", size), func(b *testing.B) {
+			f, err := os.Create(filepath.Join(b.TempDir(), "file"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			data, offset := make([]byte, size), int64(0)
+			for b.Loop() {
+				if _, err := f.WriteAt(data, offset); err != nil {
+					b.Fatal(err)
+				}
+				if err := f.Sync(); err != nil {
+					b.Fatal(err)
+				}
+				offset += int64(size)
+			}
+			if err := f.Close(); err != nil {
+				b.Fatal(err)
+			}
+		})
+		b.Run(fmt.Sprintf("bytes=%d/log", size), func(b *testing.B) { persistBatches(b, 1, size) })
+	}
+}
+
+// BenchmarkGroupCommit measures one sync for batches of entries.
+func BenchmarkGroupCommit(b *testing.B) {
+	for _, count := range []int{1, 8, 64, 256} {
+		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) { persistBatches(b, count, entrySize) })
+	}
+}
+
+func persistBatches(b *testing.B, count, size int) {
+	l := benchLog(b, b.TempDir())
+	index := uint64(1)
+	for b.Loop() {
+		if err := l.Persist(batch(index, count, size)); err != nil {
+			b.Fatal(err)
+		}
+		index += uint64(count)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*count), "ns/entry")
+	if err := l.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+const replayed = 10_000
+
+// BenchmarkReplay measures a start with 10,000 entries; the baseline only reads the files.
+func BenchmarkReplay(b *testing.B) {
+	folder := b.TempDir()
+	l := benchLog(b, folder)
+	for i := range replayed / 100 {
+		if err := l.Persist(batch(uint64(1+100*i), 100, entrySize)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := l.Close(); err != nil {
+		b.Fatal(err)
+	}
+	b.Run("bare read", func(b *testing.B) {
+		files, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+		for b.Loop() {
+			for _, name := range files {
+				if _, err := os.ReadFile(name); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+	})
+	b.Run("log", func(b *testing.B) {
+		for b.Loop() {
+			l := benchLog(b, folder)
+			r, err := l.Restored()
+			if err != nil || len(r.Entries) != replayed {
+				b.Fatalf("%d entries: %v", len(r.Entries), err)
+			}
+			if _, err := consensus.New(consensus.Config{ID: 1, Rand: rand.New(rand.NewPCG(1, 1))}, r); err != nil {
+				b.Fatal(err)
+			}
+			if err := l.Close(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkCatchUp measures a member that has missed 500 entries, in processor time of all
+// members and in simulated time with 1.5 ms between members.
+func BenchmarkCatchUp(b *testing.B) {
+	const missed = 500
+	for _, way := range []string{"log", "snapshot"} {
+		b.Run(way, func(b *testing.B) {
+			var simulated time.Duration
+			for b.Loop() {
+				b.StopTimer()
+				c := newCluster(b, 1, 3)
+				c.defaultSizes = true
+				for _, id := range c.ids { // start again with the default sizes
+					c.members[id].crash()
+					c.members[id].restart()
+				}
+				c.run(10*time.Second, func() bool { return c.leader() != nil })
+				l := c.leader()
+				late := c.members[1+l.id%3]
+				c.run(time.Second, nil)
+				late.crash()
+				for i := range missed {
+					_, _ = l.propose(fmt.Sprintf("%d %s", i, strings.Repeat("x", entrySize)))
+					c.run(ms, nil)
+				}
+				c.run(time.Second, nil)
+				if way == "snapshot" {
+					l.compact(0)
+				}
+				start := c.now
+				b.StartTimer()
+				late.restart()
+				if !c.run(10*time.Second, func() bool { return late.applied >= c.top }) {
+					b.Fatalf("no catch-up%s", c.describe())
+				}
+				simulated += c.now - start
+			}
+			b.ReportMetric(float64(simulated.Milliseconds())/float64(b.N), "simulated-ms/op")
+		})
+	}
+}
+
+// BenchmarkMemory measures the memory of a log with 10,000 entries against that of the data.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() uint64 {
+		runtime.GC()
+		var s runtime.MemStats
+		runtime.ReadMemStats(&s)
+		return s.HeapAlloc
+	}
+	var log, data uint64
+	for b.Loop() {
+		before := heap()
+		entries := batch(1, replayed, entrySize).Entries
+		data = heap() - before
+		node, err := consensus.New(consensus.Config{ID: 1, Rand: rand.New(rand.NewPCG(1, 1))}, consensus.Restored{
+			HardState: consensus.HardState{Term: 1}, Entries: entries,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		entries = nil
+		log = heap() - before
+		runtime.KeepAlive(node)
+		runtime.KeepAlive(entries)
+	}
+	b.ReportMetric(float64(log)/1e6, "MB-log")
+	b.ReportMetric(float64(data)/1e6, "MB-entries-alone")
+}
--- a/internal/wal/sim_test.go
+++ b/internal/wal/sim_test.go
@@ -56,6 +56,8 @@
 	loss      float64
 	duplicate float64
 	delay     func() time.Duration
+	// defaultSizes uses the default sizes of messages and segments, not small ones.
+	defaultSizes bool
 
 	leaders   map[uint64]consensus.MemberID
 	votes     map[[2]uint64]consensus.MemberID
@@ -192,9 +194,13 @@
 
 func (m *member) restart() {
 	t := m.c.t
-	log, err := wal.New(wal.Config{
-		Identity: wal.Identity{Cluster: "test", Member: m.id}, SegmentSize: 2048, FS: m.fs,
-	}, telemetry.Discard())
+	storage := wal.Config{Identity: wal.Identity{Cluster: "test", Member: m.id}, SegmentSize: 2048, FS: m.fs}
+	settings := consensus.Config{ID: m.id, Members: m.first, MaxEntriesPerMessage: 4, MaxInflight: 3, SnapshotChunkSize: 64}
+	if m.c.defaultSizes {
+		storage.SegmentSize = 0
+		settings = consensus.Config{ID: m.id, Members: m.first}
+	}
+	log, err := wal.New(storage, telemetry.Discard())
 	if err != nil {
 		t.Fatalf("member %d does not start: %v", m.id, err)
 	}
@@ -207,10 +213,8 @@
 	m.start, m.log, m.durable = m.c.now, log, restored
 	m.state, m.answers, m.outcomes = nil, map[uint64]consensus.ReadState{}, map[uint64]applied{}
 	m.restore(restored.Snapshot)
-	m.node, err = consensus.New(consensus.Config{
-		ID: m.id, Members: m.first, MaxEntriesPerMessage: 4, MaxInflight: 3, SnapshotChunkSize: 64,
-		Rand: rand.New(rand.NewPCG(m.c.rng.Uint64(), 3)),
-	}, restored)
+	settings.Rand = rand.New(rand.NewPCG(m.c.rng.Uint64(), 3))
+	m.node, err = consensus.New(settings, restored)
 	if err != nil {
 		t.Fatalf("member %d does not start: %v", m.id, err)
 	}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,111 @@
+package wal_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/testseed"
+	"github.com/greengagelock/greengagelock/internal/wal"
+)
+
+func TestWAL(t *testing.T) { testseed.RunSpecs(t, "wal") }
+
+func batch(from uint64, count, size int) consensus.Ready {
+	r := consensus.Ready{MustSync: true, HardState: consensus.HardState{Term: 1, Vote: 2}}
+	for i := range uint64(count) {
+		r.Entries = append(r.Entries, consensus.Entry{Index: from + i, Term: 1, Data: make([]byte, size)})
+	}
+	return r
+}
+
+var _ = Describe("a log in a folder", func() {
+	var config wal.Config
+	handle := telemetry.Discard()
+	open := func() *wal.Log {
+		l, err := wal.New(config, handle)
+		Expect(err).NotTo(HaveOccurred())
+		return l
+	}
+	haveCode := func(code result.Code) OmegaMatcher { return WithTransform(result.CodeOf, Equal(code)) }
+
+	BeforeEach(func() {
+		config = wal.Config{
+			Folder: filepath.Join(GinkgoT().TempDir(), "data", "log"), SegmentSize: 1000,
+			Identity: wal.Identity{Cluster: "andinas", Member: 2},
+		}
+	})
+
+	// Guards against state that is lost by a plain stop and start, over several segments.
+	It("keeps hard state, entries and snapshot", func() {
+		l := open()
+		for i := range 10 {
+			Expect(l.Persist(batch(uint64(1+3*i), 3, 100))).To(Succeed())
+		}
+		s := consensus.Snapshot{
+			SnapshotMeta: consensus.SnapshotMeta{Index: 20, Term: 1, Members: consensus.Members{Voters: []consensus.MemberID{1, 2, 3}}},
+			Data:         []byte("state"),
+		}
+		before := len(list(config.Folder))
+		Expect(l.SaveSnapshot(s, 18)).To(Succeed())
+		Expect(len(list(config.Folder))).To(BeNumerically("<", before))
+		Expect(l.Close()).To(Succeed())
+		l = open()
+		r, err := l.Restored()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.HardState).To(Equal(consensus.HardState{Term: 1, Vote: 2}))
+		Expect(r.Snapshot).To(Equal(s))
+		Expect(r.Entries[0].Index).To(BeNumerically("<=", 19))
+		Expect(r.Entries[len(r.Entries)-1].Index).To(BeEquivalentTo(30))
+		Expect(l.Close()).To(Succeed())
+		Expect(l.Persist(batch(31, 1, 1))).NotTo(Succeed())
+	})
+
+	// Guards against two processes that write the same folder.
+	It("is open once", func() {
+		l := open()
+		_, err := wal.New(config, handle)
+		Expect(err).To(haveCode(result.StorageFailed))
+		Expect(l.Close()).To(Succeed())
+		Expect(open().Close()).To(Succeed())
+	})
+
+	// Guards against a member that votes with the memory of another one.
+	It("belongs to one member of one cluster", func() {
+		Expect(open().Close()).To(Succeed())
+		config.Identity.Member = 3
+		_, err := wal.New(config, handle)
+		Expect(err).To(haveCode(result.SettingsInvalid))
+		config.Identity = wal.Identity{Cluster: "baenatimi", Member: 2}
+		_, err = wal.New(config, handle)
+		Expect(err).To(haveCode(result.SettingsInvalid))
+	})
+
+	// Guards against a start with an empty log when its files were deleted: votes would be lost.
+	It("does not start without its segments", func() {
+		Expect(open().Close()).To(Succeed())
+		for _, name := range list(config.Folder) {
+			if filepath.Ext(name) == ".log" {
+				Expect(os.Remove(filepath.Join(config.Folder, name))).To(Succeed())
+			}
+		}
+		_, err := wal.New(config, handle)
+		Expect(err).To(haveCode(result.StorageCorrupt))
+	})
+})
+
+func list(folder string) []string {
+	entries, err := os.ReadDir(folder)
+	Expect(err).NotTo(HaveOccurred())
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names
+}
