Let targets notice broken streams, and check that devices differ

A target could not tell a stream that its caller ended from a broken one; streams now end with a line of their own. Two packet ports of one process cannot share a TUN device.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,7 +21,7 @@
 	*jsonc.Document
 	s    *Settings
 	read Reader
-	// paths of the addresses that this process listens on, by protocol and address
+	// paths of the addresses and devices that this process opens, by protocol and address
 	listeners map[string]string
 }
 
@@ -162,6 +162,7 @@
 		c.absent(jsonc.Key(path, "device"), p.Kind)
 	case KindTUN:
 		c.name(jsonc.Key(path, "device"), p.Device)
+		c.once(jsonc.Key(path, "device"), "tun "+p.Device, "device")
 		c.absent(jsonc.Key(path, "listen"), p.Kind)
 		c.absent(jsonc.Key(path, "peer"), p.Kind)
 	default:
@@ -227,9 +228,14 @@
 		c.Report(path, "an IPv4 address and a port above 0")
 		return
 	}
-	key := protocol + " " + addr.String()
-	if other, taken := c.listeners[key]; taken {
-		c.Report(path, "another address than %s", other)
+	c.once(path, protocol+" "+addr.String(), "address")
+}
+
+// once reports that another setting of this process names the same address or device.
+func (c *checker) once(path, key, noun string) {
+	if other, taken := c.listeners[key]; taken && c.valid(path) {
+		c.Report(path, "another %s than %s", noun, other)
+		return
 	}
 	c.listeners[key] = path
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -131,6 +131,8 @@
 			`12:13: agent.target.listen: expected the address to listen on`,
 			`12:13: agent.target.peer: expected the address that packets go to`,
 			`12:39: agent.target.device: found "gg0", expected no such key for a port of kind udp`),
+		Entry("device twice", `{"kind": "udp", "listen": "10.0.0.1:7403", "peer": "10.0.0.254:7400"}`, `{"kind": "tun", "device": "gg0"}`,
+			`13:40: agent.gateway.device: found "gg0", expected another device than agent.target.device`),
 		Entry("no slots", `"slots": 2`, `"slots": 0`,
 			`14:47: agent.slots: found 0, expected a whole number, at least 1`),
 		Entry("service twice", `["progress", "apply"]`, `["apply", "apply"]`,
--- a/internal/standin/app.go
+++ b/internal/standin/app.go
@@ -11,12 +11,14 @@
 
 // The application protocol is made of text lines. A caller starts with
 //
-//	STREAM service id        and receives "LINE id number" at an interval, and its own lines back
+//	STREAM service id        and receives "LINE id number" at an interval, and its own lines back;
+//	                         it ends with the line END
 //	REQUEST service id size  and receives "ANSWER id size" and a body of that size
 const (
 	verbStream  = "STREAM"
 	verbRequest = "REQUEST"
 	verbLine    = "LINE"
+	verbEnd     = "END"
 	verbAnswer  = "ANSWER"
 )
 
@@ -70,6 +72,9 @@
 		select {
 		case line, open := <-lines:
 			if !open {
+				return fmt.Errorf("stream %s ended without %s", id, verbEnd)
+			}
+			if line == verbEnd+"\n" {
 				return nil
 			}
 			if _, err := io.WriteString(conn, line); err != nil {
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -211,5 +211,11 @@
 	return addr
 }
 
-// Close ends the stream.
+// End ends the stream in the way that the target expects.
+func (s *Stream) End() error {
+	_, err := io.WriteString(s.conn, verbEnd+"\n")
+	return errors.Join(err, s.conn.Close())
+}
+
+// Close ends the stream as a caller does that gives up on it.
 func (s *Stream) Close() error { return s.conn.Close() }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -109,6 +109,18 @@
 		Expect(outcome).To(Equal(standin.OutcomeNotRun))
 	})
 
+	// Guards against a broken stream that the target does not notice.
+	It("counts a stream that ends without the caller's word as failed", func() {
+		for _, finish := range []func(*standin.Stream) error{(*standin.Stream).End, (*standin.Stream).Close} {
+			s, err := caller.OpenStream(ctx, stream, "s")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Receive()).To(Succeed())
+			Expect(finish(s)).To(Succeed())
+		}
+		Eventually(func() int64 { return target.Stats("progress").Open }).WithTimeout(limit).Should(BeZero())
+		Expect(target.Stats("progress").Failed).To(Equal(int64(1)))
+	})
+
 	// Guards against a fabric that silences other flows than the chosen ones.
 	It("drops every packet of a silenced flow and of no other", func() {
 		silenced, err := caller.OpenStream(ctx, stream, "silenced")
@@ -153,7 +165,7 @@
 	if err := s.Echo("echo " + id); err != nil {
 		return err
 	}
-	return s.Close()
+	return s.End()
 }
 
 func start() context.Context {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -80,7 +80,7 @@
 	return Handle{
 		Logger: &log.Logger{
 			Level:   log.ParseLevel(t.cfg.LogLevel),
-			Context: log.NewContext(nil).Str("node", t.cfg.Node).Str("component", component).Value(),
+			Context: log.NewContext(nil).Str("process", t.cfg.Node).Str("component", component).Value(),
 			Writer:  log.IOWriter{Writer: t.cfg.Logs},
 		},
 		Metrics: prometheus.WrapRegistererWith(prometheus.Labels{"component": component}, t.registry),
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -37,7 +37,7 @@
 		Expect(body).To(ContainSubstring(`test_total{component="agent"} 0`))
 		Expect(body).To(ContainSubstring(`test_total{component="balancer"} 0`))
 		Expect(stop()).To(Succeed())
-		Expect(logs.String()).To(ContainSubstring(`"node":"exec-1","component":"agent","message":"started"`))
+		Expect(logs.String()).To(ContainSubstring(`"process":"exec-1","component":"agent","message":"started"`))
 		Expect(logs.String()).NotTo(ContainSubstring("hidden"))
 	})
 
