Let greengagelockctl write certificates and a fleet key for trials

Cause: a newcomer needs certificates with the right URIs before the first process starts. Change: trial certs DIR ROLE/NAME..., on top of the development authority.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -131,7 +131,7 @@
 		return nil
 	}
 	root.AddCommand(a.settingsCommand(), a.configCommand(), a.statusCommand(), a.targetsCommand(), a.servicesCommand(),
-		a.drainCommand(), a.undrainCommand(), a.membersCommand(), a.explainCommand(), a.errorsCommand())
+		a.drainCommand(), a.undrainCommand(), a.membersCommand(), a.explainCommand(), a.errorsCommand(), a.trialCommand())
 	return root
 }
 
