--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -129,11 +129,13 @@
 	// is sent.
 	stop := context.AfterFunc(groupCtx, func() { _ = b.cfg.Ingress.Close() })
 	defer stop()
+	packets := newPipeline()
+	group.Go(func() error { return b.forward(groupCtx, packets) })
 	group.Go(func() error {
-		err := b.forward(groupCtx)
+		b.write(packets)
 		cancel()
 		_ = b.cfg.Egress.Close()
-		return err
+		return nil
 	})
 	group.Go(func() error { return b.readHints(groupCtx) })
 	b.telemetry.Logger.Info().Str("name", b.cfg.Name).Str("ingress", b.cfg.IngressAddress.String()).
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -10,6 +10,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/encap"
 	"github.com/greengagelock/greengagelock/internal/flow"
+	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/placement"
 )
 
@@ -36,24 +37,30 @@
 
 // Decider decides for one packet at a time. It is not safe for concurrent use.
 type Decider struct {
-	key     encap.Key
-	ingress netip.AddrPort
-	hints   *simplelru.LRU[uint64, encap.Hint]
-	header  encap.Header
+	key    encap.Key
+	hints  *simplelru.LRU[uint64, owner] // by flow.Key.Hash; a collision only costs hops
+	header encap.Header
+}
+
+// owner is what is kept of a hint.
+type owner struct {
+	service   model.ServiceID
+	candidate encap.EncodedCandidate
 }
 
 // NewDecider returns a decider without hints. The ingress address is where agents send hints to.
 func NewDecider(key encap.Key, ingress netip.AddrPort) (*Decider, error) {
-	hints, err := simplelru.NewLRU[uint64, encap.Hint](HintCacheSize, nil)
+	hints, err := simplelru.NewLRU[uint64, owner](HintCacheSize, nil)
 	if err != nil {
 		return nil, err
 	}
-	return &Decider{key: key, ingress: ingress, hints: hints}, nil
+	header := encap.Header{BestWait: encap.NoWait, Ingress: ingress}
+	return &Decider{key: key, hints: hints, header: header}, nil
 }
 
 // AddHint remembers the owner of a flow.
 func (d *Decider) AddHint(hint encap.Hint) {
-	d.hints.Add(hint.Flow.Hash(), hint)
+	d.hints.Add(hint.Flow.Hash(), owner{service: hint.Service, candidate: hint.Owner.Encode()})
 }
 
 // Decide encapsulates the packet in buf[offset:] in place, where offset is at least
@@ -73,22 +80,19 @@
 	if service == nil {
 		return Decision{Drop: DropNoService}
 	}
-	h := &d.header
 	kind := placement.ChainOf(summary.SYN)
-	count := service.Candidates(kind, placement.BucketOf(summary.Hash), &h.Candidates)
+	var candidates [encap.MaxCandidates]encap.EncodedCandidate
+	count := service.Candidates(kind, placement.BucketOf(summary.Hash), &candidates)
 	if count == 0 {
 		return Decision{Drop: DropNoTarget}
 	}
-	hinted := d.applyHint(summary.Hash, service, h.Candidates[:count])
-	h.Count = uint8(count)
-	h.Service = service.ID
-	h.Generation = service.Generation
-	h.BestWait = encap.NoWait
-	h.ControlAge = controlAge
-	h.Ingress = d.ingress
+	hinted := d.applyHint(summary.Hash, service, candidates[:count])
+	d.header.Service = service.ID
+	d.header.Generation = service.Generation
+	d.header.ControlAge = controlAge
 	return Decision{
-		Datagram: h.Prepend(buf[:offset+summary.Length], offset, &d.key),
-		To:       h.Candidates[0].Agent,
+		Datagram: d.header.PrependEncoded(buf[:offset+summary.Length], offset, &d.key, candidates[:count]),
+		To:       candidates[0].Agent(),
 		SYN:      summary.SYN,
 		Hinted:   hinted,
 		Hash:     summary.Hash,
@@ -99,16 +103,16 @@
 // applyHint moves the owner of a flow to the front of its candidates and reports whether it did.
 // It never adds a candidate: one that is not among the first positions of the chain would push out
 // another, and a stale hint could then hide the real owner.
-func (d *Decider) applyHint(hash uint64, service *placement.Service, candidates []encap.Candidate) bool {
+func (d *Decider) applyHint(hash uint64, service *placement.Service, candidates []encap.EncodedCandidate) bool {
 	if d.hints.Len() == 0 || len(candidates) < 2 {
 		return false
 	}
 	hint, ok := d.hints.Get(hash)
-	if !ok || hint.Service != service.ID {
+	if !ok || hint.service != service.ID {
 		return false
 	}
 	for i, c := range candidates {
-		if c == hint.Owner {
+		if c == hint.candidate {
 			copy(candidates[1:i+1], candidates[:i])
 			candidates[0] = c
 			return i > 0
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -42,19 +42,39 @@
 	b.out = b.out[:0]
 }
 
-// forward reads packets from the fabric and sends them to agents.
-func (b *Balancer) forward(ctx context.Context) error {
-	buffers := newBatch()
+// batchCount is the number of batches between reading and writing. Four keep both sides busy when
+// one of them is not scheduled for a moment.
+const batchCount = 4
+
+// pipeline passes batches from the reading to the writing goroutine and back. Both channels have
+// room for every batch, so only a lack of batches blocks, and that only the reader.
+type pipeline struct {
+	free, filled chan *batch
+}
+
+func newPipeline() *pipeline {
+	p := &pipeline{free: make(chan *batch, batchCount), filled: make(chan *batch, batchCount)}
+	for range batchCount {
+		p.free <- newBatch()
+	}
+	return p
+}
+
+// forward reads packets from the fabric and decides on them. It closes the channel of filled
+// batches at its end.
+func (b *Balancer) forward(ctx context.Context, p *pipeline) error {
+	defer close(p.filled)
 	var failed readErrors
 	for {
+		buffers := <-p.free
 		buffers.prepare()
 		n, err := b.cfg.Ingress.ReadBatch(buffers.in[:])
 		if n > 0 {
 			failed = 0
 			b.takeHints()
 			b.decideBatch(buffers, n)
-			b.writeAll(buffers.out)
 		}
+		p.filled <- buffers
 		if err == nil {
 			continue
 		}
@@ -65,6 +85,14 @@
 	}
 }
 
+// write sends the filled batches to agents until their channel is closed.
+func (b *Balancer) write(p *pipeline) {
+	for buffers := range p.filled {
+		b.writeAll(buffers.out)
+		p.free <- buffers
+	}
+}
+
 // decideBatch puts the datagrams for the first n packets of a batch into its output.
 func (b *Balancer) decideBatch(buffers *batch, n int) {
 	table := b.table.Load()
--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -66,6 +66,22 @@
 	return Candidate{Agent: agent, Target: uint16(t.ID)}
 }
 
+// EncodedCandidate is a candidate as it stands in a datagram.
+type EncodedCandidate [CandidateBytes]byte
+
+// Encode returns the encoded form of the candidate.
+func (c Candidate) Encode() EncodedCandidate {
+	var e EncodedCandidate
+	putAddrPort(e[:6], c.Agent)
+	binary.BigEndian.PutUint16(e[6:], c.Target)
+	return e
+}
+
+// Agent returns the UDP endpoint of the candidate's agent.
+func (e *EncodedCandidate) Agent() netip.AddrPort {
+	return addrPort(e[:])
+}
+
 // Header precedes the packet.
 type Header struct {
 	// Final tells the receiver to queue or refuse a SYN: every candidate has passed it on.
@@ -106,20 +122,34 @@
 	var zero [MaxHeaderBytes]byte
 	dst = append(dst, zero[:h.Size()]...)
 	dst = append(dst, packet...)
-	h.encode(dst[start:], key)
+	h.encode(dst[start:], key, h.encodeCandidates(new([MaxCandidates]EncodedCandidate)))
 	return dst
 }
 
 // Prepend writes the encoded header in front of the packet in buf[offset:] and returns the
 // datagram, which refers to buf. The offset must be at least Size; MaxHeaderBytes always is.
 func (h *Header) Prepend(buf []byte, offset int, key *Key) []byte {
+	return h.PrependEncoded(buf, offset, key, h.encodeCandidates(new([MaxCandidates]EncodedCandidate)))
+}
+
+// PrependEncoded is Prepend with candidates that are encoded already. It sets Count and ignores
+// Candidates.
+func (h *Header) PrependEncoded(buf []byte, offset int, key *Key, candidates []EncodedCandidate) []byte {
+	h.Count = uint8(len(candidates))
 	datagram := buf[offset-h.Size():]
-	h.encode(datagram, key)
+	h.encode(datagram, key, candidates)
 	return datagram
 }
 
+func (h *Header) encodeCandidates(encoded *[MaxCandidates]EncodedCandidate) []EncodedCandidate {
+	for i := range h.Count {
+		encoded[i] = h.Candidates[i].Encode()
+	}
+	return encoded[:h.Count]
+}
+
 // encode writes the header to the start of a datagram that holds the packet already.
-func (h *Header) encode(datagram []byte, key *Key) {
+func (h *Header) encode(datagram []byte, key *Key, candidates []EncodedCandidate) {
 	datagram[0] = Version
 	datagram[1] = typePacket
 	datagram[2] = 0
@@ -139,10 +169,8 @@
 	putAddrPort(datagram[24:30], h.Ingress)
 	datagram[30], datagram[31] = 0, 0
 	clear(datagram[tagOffset:HeaderBytes])
-	for i := range h.Count {
-		c := datagram[HeaderBytes+int(i)*CandidateBytes:]
-		putAddrPort(c[:6], h.Candidates[i].Agent)
-		binary.BigEndian.PutUint16(c[6:], h.Candidates[i].Target)
+	for i := range candidates {
+		copy(datagram[HeaderBytes+i*CandidateBytes:], candidates[i][:])
 	}
 	covered := min(len(datagram), h.Size()+tagBytesOfPacket)
 	binary.BigEndian.PutUint64(datagram[tagOffset:], hash(key, datagram[:covered]))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -130,7 +130,7 @@
 	from := min(k*encap.MaxCandidates, len(chain))
 	to := min(from+encap.MaxCandidates, len(chain))
 	for i, index := range chain[from:to] {
-		candidates[i] = s.candidates[index]
+		candidates[i] = encap.CandidateOf(&s.targets[index])
 	}
 	return to - from
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -166,7 +166,8 @@
 		b := bucket(t)
 		for _, kind := range chains {
 			full := one.Full(kind, b)
-			var stored, extended [encap.MaxCandidates]encap.Candidate
+			var stored [encap.MaxCandidates]encap.EncodedCandidate
+			var extended [encap.MaxCandidates]encap.Candidate
 			for k := range encap.MaxExtensions + 1 {
 				want := full[min(len(full), 8*k):min(len(full), 8*k+8)]
 				n := other.Extension(kind, b, k, &extended)
@@ -184,7 +185,7 @@
 				t.Fatalf("%d positions are stored of a chain of %d", n, len(full))
 			}
 			for i := range n {
-				if stored[i] != encap.CandidateOf(&full[i]) {
+				if stored[i] != encap.CandidateOf(&full[i]).Encode() {
 					t.Fatalf("stored position %d differs", i)
 				}
 			}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -24,7 +24,7 @@
 	// configuration check keeps it at zero.
 	Omitted    int
 	targets    []model.Target // ordered by ID
-	candidates []encap.Candidate
+	candidates []encap.EncodedCandidate
 	active     int
 	admitting  []positions // per bucket
 	owners     []positions // per bucket, the same slice as admitting while they agree
@@ -35,9 +35,9 @@
 	return s.targets
 }
 
-// Candidates puts the start of a chain into the candidates of a header and returns how many there
-// are.
-func (s *Service) Candidates(kind Chain, bucket Bucket, candidates *[encap.MaxCandidates]encap.Candidate) int {
+// Candidates puts the start of a chain, encoded for a header, into candidates and returns how many
+// there are.
+func (s *Service) Candidates(kind Chain, bucket Bucket, candidates *[encap.MaxCandidates]encap.EncodedCandidate) int {
 	chain := &s.owners[bucket]
 	if kind == Admitting {
 		chain = &s.admitting[bucket]
@@ -110,9 +110,9 @@
 		s.targets = s.targets[:model.MaxTargetsPerService]
 	}
 	s.targets = slices.Clip(s.targets)
-	s.candidates = make([]encap.Candidate, 0, len(s.targets))
+	s.candidates = make([]encap.EncodedCandidate, 0, len(s.targets))
 	for i := range s.targets {
-		s.candidates = append(s.candidates, encap.CandidateOf(&s.targets[i]))
+		s.candidates = append(s.candidates, encap.CandidateOf(&s.targets[i]).Encode())
 		if s.targets[i].State == model.TargetActive {
 			s.active++
 		}
