Add the policy experiment

Cause: the chain with queues costs hops, so its gain over simpler policies has to be shown.

Change: a simulation with discrete events compares it with a plain consistent hash, least connections on lagging load reports, and one shared queue as the bound, all with the same bounded queue at a target. A second part follows flows through changes of the tables. cmd/experiment prints Markdown tables.

--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,94 @@
+// Command experiment prints the tables of the policy experiment as Markdown.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/olekukonko/tablewriter"
+	"github.com/olekukonko/tablewriter/renderer"
+	"github.com/olekukonko/tablewriter/tw"
+
+	"github.com/greengagelock/greengagelock/internal/experiment"
+)
+
+func main() {
+	if err := run(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "experiment:", err)
+		os.Exit(1)
+	}
+}
+
+func run(out io.Writer) error {
+	for _, mean := range experiment.Means {
+		if err := loadTable(out, mean); err != nil {
+			return err
+		}
+	}
+	return flowTable(out)
+}
+
+func newTable(out io.Writer, header []string) *tablewriter.Table {
+	table := tablewriter.NewTable(out,
+		tablewriter.WithRenderer(renderer.NewMarkdown()),
+		tablewriter.WithHeaderAutoFormat(tw.Off))
+	table.Header(header)
+	return table
+}
+
+// loadTable prints refused and queued requests at one mean holding time.
+func loadTable(out io.Writer, mean time.Duration) error {
+	fmt.Fprintf(out, "\nMean holding time %v, %d requests per run, seed %d:\n\n",
+		mean, experiment.Requests, experiment.Seed)
+	table := newTable(out, []string{
+		"targets × slots", "load", "policy", "refused", "queued", "refused without queue",
+		"mean hops", "max hops", "max/mean per target",
+	})
+	for _, shape := range experiment.Shapes {
+		for _, load := range experiment.Loads {
+			for _, policy := range experiment.Policies {
+				s := experiment.NewScenario(policy, shape, load, mean)
+				with := experiment.Run(s)
+				s.MaxWait = 0
+				without := experiment.Run(s)
+				err := table.Append([]string{
+					shape.String(), percent(load, 0), string(policy),
+					percent(with.RefusedShare(), 2), percent(with.QueuedShare(), 1), percent(without.RefusedShare(), 2),
+					fmt.Sprintf("%.2f", with.MeanHops()), fmt.Sprint(with.MaxHops), fmt.Sprintf("%.2f", with.Imbalance()),
+				})
+				if err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return table.Render()
+}
+
+// flowTable prints the broken flows per kind of change.
+func flowTable(out io.Writer) error {
+	s := experiment.NewFlowScenario()
+	fmt.Fprintf(out, "\n%d flows on %d targets, each candidate busy with a chance of %s, seed %d:\n\n",
+		s.Flows, s.Targets, percent(s.Busy, 0), s.Seed)
+	table := newTable(out, []string{
+		"change", "broken, chain", "delayed, chain", "lost with the VM, chain",
+		"broken, consistent hash", "broken, hash modulo targets", "mean hops, chain",
+	})
+	for _, change := range experiment.Changes {
+		r := experiment.RunFlows(s, change)
+		err := table.Append([]string{
+			string(change), fmt.Sprint(r.Chain), fmt.Sprint(r.Delayed), fmt.Sprint(r.Unavoidable),
+			fmt.Sprint(r.Ring), fmt.Sprint(r.Modulo), fmt.Sprintf("%.2f", r.Hops),
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return table.Render()
+}
+
+func percent(share float64, digits int) string {
+	return fmt.Sprintf("%.*f%%", digits, 100*share)
+}
