Correct the checksum when the MSS option stands at an odd offset

Cause: ClampMSS updated the TCP checksum as if the MSS were one aligned word. Behind an odd number of padding bytes it spans two words, and the target's kernel would drop the SYN.

Change: the bytes count the other way round at odd offsets, as RFC 1071 allows.

--- a/internal/flow/build.go
+++ b/internal/flow/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math/bits"
 	"net/netip"
 
 	"github.com/gopacket/gopacket"
@@ -73,7 +74,10 @@
 	if !p.TCP.SYN {
 		return false
 	}
+	offset := tcpHeaderBytes // of the option in the TCP header
 	for _, option := range p.TCP.Options {
+		start := offset
+		offset += int(option.OptionLength)
 		if option.OptionType != layers.TCPOptionKindMSS || len(option.OptionData) != 2 {
 			continue
 		}
@@ -83,8 +87,14 @@
 		}
 		// OptionData points into the packet.
 		binary.BigEndian.PutUint16(option.OptionData, mss)
-		checksum := p.Raw[int(p.IP.IHL)*4+16:]
-		binary.BigEndian.PutUint16(checksum, updateChecksum(binary.BigEndian.Uint16(checksum), old, mss))
+		checksum := p.Raw[int(p.IP.IHL)*4+tcpChecksum:]
+		from, to := old, mss
+		if start%2 != 0 {
+			// The value spans two words of the checksum, so its bytes count the other way round; see
+			// RFC 1071, section 2.
+			from, to = bits.ReverseBytes16(from), bits.ReverseBytes16(to)
+		}
+		binary.BigEndian.PutUint16(checksum, updateChecksum(binary.BigEndian.Uint16(checksum), from, to))
 		return true
 	}
 	return false
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -36,6 +36,8 @@
 	}
 }
 
+var nop = layers.TCPOption{OptionType: layers.TCPOptionKindNop, OptionLength: 1}
+
 // edit returns a change of one byte of a packet with payload.
 func edit(offset int, value byte) func() []byte {
 	return func() []byte {
@@ -124,16 +126,22 @@
 })
 
 var _ = ginkgo.Describe("built packets", func() {
-	// Guards against a SYN whose checksum the target's kernel rejects after the clamp.
-	ginkgo.It("have valid checksums, also after the MSS is clamped", func() {
-		p := expectValidChecksums(build(flow.Segment{SYN: true, Options: []layers.TCPOption{mss(1460)}}))
+	// Guards against a SYN whose checksum the target's kernel rejects after the clamp, also when
+	// padding puts the MSS at an odd offset.
+	ginkgo.DescribeTable("have valid checksums after the MSS is clamped", func(padding ...layers.TCPOption) {
+		options := append(padding, mss(1461))
+		p := expectValidChecksums(build(flow.Segment{SYN: true, Options: options}))
 		gomega.Expect(flow.ClampMSS(&p, 1328)).To(gomega.BeTrue())
 		clamped := expectValidChecksums(p.Raw)
-		gomega.Expect(clamped.TCP.Options[0].OptionData).To(gomega.Equal([]byte{0x05, 0x30}))
+		gomega.Expect(clamped.TCP.Options[len(padding)].OptionData).To(gomega.Equal([]byte{0x05, 0x30}))
 		gomega.Expect(flow.ClampMSS(&clamped, 1328)).To(gomega.BeFalse())
-		data := expectValidChecksums(build(flow.Segment{ACK: true, Options: []layers.TCPOption{mss(1460)}}))
+		data := expectValidChecksums(build(flow.Segment{ACK: true, Options: options}))
 		gomega.Expect(flow.ClampMSS(&data, 1328)).To(gomega.BeFalse())
-	})
+	},
+		ginkgo.Entry("without padding"),
+		ginkgo.Entry("behind one byte", nop),
+		ginkgo.Entry("behind two bytes", nop, nop),
+	)
 
 	// Guards against refusals and resets that a caller ignores because the numbers do not match.
 	ginkgo.It("answer the packet that they refuse or reset", func() {
--- a/internal/flow/summary.go
+++ b/internal/flow/summary.go
@@ -15,9 +15,10 @@
 	ipSource      = 12
 	ipDestination = 16
 
-	tcpSeq    = 4
-	tcpOffset = 12
-	tcpFlags  = 13
+	tcpSeq      = 4
+	tcpOffset   = 12
+	tcpFlags    = 13
+	tcpChecksum = 16
 )
 
 const (
