--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -107,6 +107,7 @@
 	b.metrics.Rebuilt.Add(float64(rebuilt))
 	b.metrics.Generation.Set(float64(table.Generation()))
 	b.metrics.Services.Set(float64(table.Len()))
+	b.metrics.Omitted.Set(float64(table.Omitted()))
 	if prev == nil {
 		b.telemetry.Logger.Info().Uint64("generation", uint64(table.Generation())).Int("services", table.Len()).
 			Msg("first view in force")
@@ -129,11 +130,13 @@
 	// is sent.
 	stop := context.AfterFunc(groupCtx, func() { _ = b.cfg.Ingress.Close() })
 	defer stop()
+	packets := newPipeline()
+	group.Go(func() error { return b.forward(groupCtx, packets) })
 	group.Go(func() error {
-		err := b.forward(groupCtx)
+		b.write(packets)
 		cancel()
 		_ = b.cfg.Egress.Close()
-		return err
+		return nil
 	})
 	group.Go(func() error { return b.readHints(groupCtx) })
 	b.telemetry.Logger.Info().Str("name", b.cfg.Name).Str("ingress", b.cfg.IngressAddress.String()).
