--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,272 @@
+package config_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/greengagelock/greengagelock/internal/config"
+	"github.com/greengagelock/greengagelock/internal/model"
+)
+
+const valid = `{
+  // from the asset register
+  "inventory": {"vms": [
+    {"name": "vm-1", "zone": "bogota-a", "customer": "andinas", "labels": {"app": "plans"}},
+    {"name": "vm-2", "zone": "bogota-b", "customer": "andinas", "labels": {"app": "plans"}},
+    {"name": "vm-3", "zone": "bogota-c", "customer": "Bænatími", "labels": {"app": "plans"}},
+  ]},
+  "services": [
+    {"name": "plan-store", "customer": "andinas", "address": "10.10.0.1:7001", "class": "request",
+     "select": {"app": "plans"}, "max_queue_wait": "400ms", "ramp": "10s", "drain_timeout": "0s",
+     "silence": {"enabled": true, "idle": "20s", "interval": "4s", "count": 2}},
+  ],
+  "leaving": ["vm-1/plan-store"],
+  "limits": {"slots_per_target": 2, "connections_per_target": 2000},
+}`
+
+// with returns the valid document with a part replaced.
+func with(old, replacement string) string {
+	Expect(strings.Count(valid, old)).To(BeNumerically(">=", 1), "part %q is not in the document", old)
+	return strings.Replace(valid, old, replacement, 1)
+}
+
+// wholeVM lets the whole VM leave, which is valid whatever the service selects.
+func wholeVM(text string) string { return strings.Replace(text, `"vm-1/plan-store"`, `"vm-1"`, 1) }
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+}
+
+func vms(n int, labels string) string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf(`{"name": "x-%d", "zone": "z", "customer": "andinas", "labels": %s}`, i, labels))
+	}
+	return strings.Join(list, ", ")
+}
+
+var _ = Describe("Parse", func() {
+	It("reads every value of a document", func() {
+		// Guards against a key that is accepted and then ignored.
+		d, err := config.Parse("doc", []byte(valid))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.VMs).To(HaveLen(3))
+		Expect(d.VMs[2]).To(Equal(config.VM{Name: "vm-3", Zone: "bogota-c", Customer: "Bænatími", Labels: map[string]string{"app": "plans"}}))
+		s := d.Services[0]
+		Expect(s.Class).To(Equal(model.ClassRequest))
+		Expect(s.Address.String()).To(Equal("10.10.0.1:7001"))
+		Expect(s.MaxQueueWait).To(Equal(400 * time.Millisecond))
+		Expect(s.Silence).To(Equal(model.Silence{Enabled: true, Idle: 20 * time.Second, Interval: 4 * time.Second, Count: 2}))
+		Expect(d.Leaving).To(ConsistOf("vm-1/plan-store"))
+		Expect(d.Limits).To(Equal(config.Limits{SlotsPerTarget: 2, ConnectionsPerTarget: 2000}))
+		index := config.NewIndex(d)
+		Expect(index.Refusal("vm-2", "plan-store")).To(BeEmpty())
+		Expect(index.Refusal("vm-3", "plan-store")).To(ContainSubstring("another customer"))
+	})
+
+	It("checks silence for streams unless the document says otherwise", func() {
+		// Guards against streams that stall forever because nobody thought of the setting.
+		for class, enabled := range map[string]bool{"stream": true, "request": false} {
+			text := with(`"class": "request"`, `"class": "`+class+`"`)
+			text = strings.Replace(text, `"silence": {"enabled": true, "idle": "20s", "interval": "4s", "count": 2}`, "", 1)
+			d, err := config.Parse("doc", []byte(text))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(d.Services[0].Silence.Enabled).To(Equal(enabled))
+		}
+	})
+
+	// Guards against a slip that is accepted, or reported without saying where and what.
+	DescribeTable("reports", func(text func() string, line int, path, value, expected string) {
+		_, err := config.Parse("doc", []byte(text()))
+		var problems config.Problems
+		Expect(err).To(BeAssignableToTypeOf(problems))
+		problems = err.(config.Problems)
+		Expect(problems).To(HaveLen(1), err.Error())
+		p := problems[0]
+		Expect(p.File).To(Equal("doc"))
+		Expect(p.Line).To(Equal(line), p.String())
+		shown := []rune(strings.Split(text(), "\n")[p.Line-1])[p.Column-1:]
+		Expect(string(shown)).To(HavePrefix(strings.TrimSuffix(strings.Fields(p.Value)[0], "...")), p.String())
+		Expect(p.Path).To(Equal(path))
+		Expect(p.Value).To(ContainSubstring(value))
+		Expect(p.Expected).To(ContainSubstring(expected))
+	},
+		Entry("another type of document", func() string { return `[]` }, 1, "", "[]", "an object"),
+		Entry("an unknown key", func() string { return with(`"ramp"`, `"rampe"`) },
+			10, "services[0].rampe", `"rampe"`, "one of the keys address, class,"),
+		Entry("a repeated key", func() string { return with(`"ramp": "10s"`, `"max_queue_wait": "1ms"`) },
+			10, "services[0].max_queue_wait", `"max_queue_wait"`, "each key only once"),
+		Entry("a missing key", func() string { return with(`"zone": "bogota-a", `, "") },
+			4, "inventory.vms[0].zone", "vm-1", `a value for the key "zone"`),
+		Entry("a duration without a unit", func() string { return with(`"10s"`, `10`) },
+			10, "services[0].ramp", "10", "a duration with a unit"),
+		Entry("a duration with a wrong unit", func() string { return with(`"10s"`, `"10sec"`) },
+			10, "services[0].ramp", `"10sec"`, "a duration with a unit"),
+		Entry("a queue wait beyond the TCP retransmission", func() string { return with(`"400ms"`, `"2s"`) },
+			10, "services[0].max_queue_wait", `"2s"`, "from 0s to 500ms"),
+		Entry("a negative duration", func() string { return with(`"drain_timeout": "0s"`, `"drain_timeout": "-1s"`) },
+			10, "services[0].drain_timeout", `"-1s"`, "from 0s to 24h"),
+		Entry("a name twice", func() string { return with(`"vm-2"`, `"vm-1"`) },
+			5, "inventory.vms[1].name", `"vm-1"`, "inventory.vms[0] has it too"),
+		Entry("a name with a slash", func() string { return with(`"vm-2"`, `"vm/2"`) },
+			5, "inventory.vms[1].name", `"vm/2"`, "a name"),
+		Entry("a name that is too long", func() string { return with(`"vm-2"`, `"`+strings.Repeat("v", 64)+`"`) },
+			5, "inventory.vms[1].name", "vvv", "up to 63"),
+		Entry("an unknown key at the top", func() string { return with(`"limits"`, `"x": 1, "limits"`) },
+			14, "x", `"x"`, "one of the keys inventory, leaving, limits, services"),
+		Entry("a service name twice", func() string {
+			return with(`"services": [`, `"services": [{"name": "plan-store", "customer": "andinas", "address": "10.10.0.2:7001",
+     "class": "stream", "select": {"app": "plans"}},`)
+		}, 10, "services[1].name", `"plan-store"`, "services[0] has it too"),
+		Entry("an address twice", func() string {
+			return with(`"services": [`, `"services": [{"name": "a", "customer": "andinas", "address": "10.10.0.1:7001",
+     "class": "stream", "select": {"app": "plans"}},`)
+		}, 10, "services[1].address", "10.10.0.1:7001", "services[0] has it too"),
+		Entry("an IPv6 address", func() string { return with(`"10.10.0.1:7001"`, `"[::1]:7001"`) },
+			9, "services[0].address", `"[::1]:7001"`, "an IPv4 address and port"),
+		Entry("an address without a port", func() string { return with(`"10.10.0.1:7001"`, `"10.10.0.1"`) },
+			9, "services[0].address", `"10.10.0.1"`, "an IPv4 address and port"),
+		Entry("an unknown class", func() string { return with(`"request"`, `"requests"`) },
+			9, "services[0].class", `"requests"`, `"stream" or "request"`),
+		Entry("an empty selector", func() string { return with(`"select": {"app": "plans"}`, `"select": {}`) },
+			10, "services[0].select", "{}", "at least one label"),
+		Entry("a selector that matches nothing", func() string { return wholeVM(with(`"select": {"app": "plans"}`, `"select": {"app": "plan"}`)) },
+			10, "services[0].select", `"plan"`, `labels of at least one VM of customer "andinas"`),
+		Entry("a selector that matches VMs of another customer only", func() string {
+			return wholeVM(with(`"name": "plan-store", "customer": "andinas"`, `"name": "plan-store", "customer": "labs"`))
+		}, 10, "services[0].select", "plans", `customer "labs"`),
+		Entry("too many VMs behind a service",
+			func() string { return with(`{"name": "vm-1"`, vms(31, `{"app": "plans"}`)+`,{"name": "vm-1"`) },
+			10, "services[0].select", "plans", "at most 32 VMs per service; this selects 33"),
+		Entry("an unknown VM that leaves", func() string { return with(`"vm-1/plan-store"`, `"vm-9"`) },
+			13, "leaving[0]", `"vm-9"`, "a VM of the inventory"),
+		Entry("an unknown service that a VM leaves", func() string { return with(`"vm-1/plan-store"`, `"vm-1/plans"`) },
+			13, "leaving[0]", `"vm-1/plans"`, "a service of the configuration"),
+		Entry("a service that does not select the leaving VM", func() string { return with(`"vm-1/plan-store"`, `"vm-3/plan-store"`) },
+			13, "leaving[0]", `"vm-3/plan-store"`, "a VM that the service selects"),
+		Entry("a leaving name twice", func() string { return with(`"vm-1/plan-store"`, `"vm-2", "vm-2"`) },
+			13, "leaving[1]", `"vm-2"`, "each name only once"),
+		Entry("a limit of zero", func() string { return with(`"slots_per_target": 2`, `"slots_per_target": 0`) },
+			14, "limits.slots_per_target", "0", "from 1 to 1024"),
+		Entry("a limit that is not whole", func() string { return with(`"slots_per_target": 2`, `"slots_per_target": 2.5`) },
+			14, "limits.slots_per_target", "2.5", "a whole number"),
+		Entry("a text where a truth value belongs", func() string { return with(`"enabled": true`, `"enabled": "yes"`) },
+			11, "services[0].silence.enabled", `"yes"`, "true or false"),
+	)
+
+	It("reports the place of a syntax error", func() {
+		// Guards against a message that only says that something is wrong somewhere.
+		_, err := config.Parse("doc", []byte("{\n \"inventory\": ]}"))
+		Expect(err).To(MatchError(HavePrefix("doc:2:15: document: got ")))
+	})
+
+	It("reports all problems at once, in the order of the document", func() {
+		// Guards against an operator who corrects one problem after the other at night.
+		text := strings.NewReplacer(`"10s"`, `10`, `"vm-1/plan-store"`, `"vm-9"`, `"bogota-a"`, `7`).Replace(valid)
+		_, err := config.Parse("doc", []byte(text))
+		problems := err.(config.Problems)
+		Expect(problems).To(HaveLen(3))
+		Expect([]int{problems[0].Line, problems[1].Line, problems[2].Line}).To(Equal([]int{4, 10, 13}))
+	})
+})
+
+var _ = Describe("SetLeaving", func() {
+	It("changes the leaving list and nothing else", func() {
+		// Guards against a drain command that rewrites the document of the operators.
+		text, err := config.SetLeaving([]byte(valid), []string{"vm-2"}, []string{"vm-1/plan-store"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring("// from the asset register"))
+		before, _ := config.Parse("doc", []byte(valid))
+		after, err := config.Parse("doc", text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after.Leaving).To(Equal([]string{"vm-2"}))
+		before.Leaving = after.Leaving
+		Expect(after).To(Equal(before))
+	})
+
+	It("adds a missing list", func() {
+		// Guards against a drain that fails for documents that never had a leaving target.
+		text, err := config.SetLeaving([]byte(with(`"leaving": ["vm-1/plan-store"],`, "")), []string{"vm-1"}, nil)
+		Expect(err).NotTo(HaveOccurred())
+		after, err := config.Parse("doc", text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after.Leaving).To(Equal([]string{"vm-1"}))
+	})
+})
+
+var _ = Describe("Plan", func() {
+	document := func(services int, vms int, leaving ...string) *config.Document {
+		d := &config.Document{Leaving: leaving}
+		for v := range vms {
+			d.VMs = append(d.VMs, config.VM{Name: model.VM(fmt.Sprintf("vm-%d", v)), Customer: "c", Labels: map[string]string{"a": "b"}})
+		}
+		for s := range services {
+			d.Services = append(d.Services, config.Service{
+				Name: fmt.Sprintf("s%d", s), Customer: "c", Address: address(s), Select: map[string]string{"a": "b"},
+			})
+		}
+		return d
+	}
+	known := func(n int) []config.KnownTarget {
+		var list []config.KnownTarget
+		for v := range n {
+			list = append(list, config.KnownTarget{VM: model.VM(fmt.Sprintf("vm-%d", v)), Service: "s0", Admitting: true, OpenFlows: 10})
+		}
+		return list
+	}
+	missing := func(before, after *config.Document, targets []config.KnownTarget, retiring ...config.Holder) []string {
+		return config.Missing(config.Plan(before, after, targets, retiring), nil)
+	}
+
+	It("lets 30% of a service leave and asks before more do", func() {
+		// Guards against both an edit that takes half of a service and a habit of acknowledging.
+		before := document(1, 10)
+		Expect(missing(before, document(1, 10, "vm-0", "vm-1", "vm-2"), known(10))).To(BeEmpty())
+		Expect(missing(before, document(1, 10, "vm-0", "vm-1", "vm-2", "vm-3"), known(10))).To(ConsistOf("removes:s0"))
+		Expect(missing(before, document(1, 7), known(10))).To(BeEmpty())
+		Expect(missing(before, document(1, 6), known(10))).To(ConsistOf("removes:s0"))
+	})
+
+	It("asks before a service is emptied", func() {
+		// Guards against a night without a single target behind an address.
+		Expect(missing(document(1, 1), document(1, 1, "vm-0"), known(1))).To(ConsistOf("empties:s0"))
+		Expect(missing(document(2, 1), &config.Document{VMs: document(1, 1).VMs, Services: document(2, 1).Services[1:]}, known(1))).
+			To(ConsistOf("empties:s0"))
+		lost := known(4)
+		lost[3].Admitting = false
+		Expect(missing(document(1, 4), document(1, 4, "vm-0", "vm-1", "vm-2"), lost)).To(ConsistOf("empties:s0"))
+	})
+
+	It("asks before an address moves or a service gets another one", func() {
+		// Guards against plan requests that reach the execution service.
+		swapped := document(2, 1)
+		swapped.Services[0].Address, swapped.Services[1].Address = address(1), address(0)
+		Expect(missing(document(2, 1), swapped, known(1))).To(ConsistOf(
+			"moves:10.0.0.1:80:s0:s1", "moves:10.0.0.2:80:s1:s0", "readdresses:s0", "readdresses:s1"))
+		Expect(missing(&config.Document{}, document(1, 1), nil, config.Holder{Service: "old", Customer: "c", Address: address(0)})).
+			To(ConsistOf("moves:10.0.0.1:80:old:s0"))
+	})
+
+	It("counts targets and open flows", func() {
+		// Guards against a plan that hides how many callers an edit concerns.
+		effects := config.Plan(document(1, 4), document(1, 4, "vm-1"), known(4), nil)
+		Expect(effects).To(HaveLen(1))
+		Expect(effects[0]).To(Equal(config.Effect{
+			Kind: config.TargetsDrained, Service: "s0", Targets: []string{"vm-1/s0"}, Count: 1, Of: 4, OpenFlows: 10,
+		}))
+	})
+
+	It("needs no acknowledgement to take targets back", func() {
+		// Guards against a repair that is held up by a guard rail.
+		targets := known(2)
+		targets[0].Leaving, targets[0].Admitting = true, false
+		effects := config.Plan(document(1, 2, "vm-0"), document(1, 2), targets, nil)
+		Expect(config.Missing(effects, nil)).To(BeEmpty())
+		Expect(effects[0].Kind).To(Equal(config.TargetsReturned))
+	})
+})
