--- a/internal/catalog/batch.go
+++ b/internal/catalog/batch.go
@@ -9,6 +9,10 @@
 // batch runs what the leader has observed. Changes that name targets which are gone are ignored,
 // because the leader may have decided on an older state.
 func (c *Catalog) batch(b *Batch, generation model.Generation) {
+	// Removals come first, so that a target is in a view as lost or draining before it is gone.
+	for _, id := range b.Removals {
+		c.remove(id)
+	}
 	for _, r := range b.Registrations {
 		c.register(r, generation)
 	}
@@ -27,9 +31,6 @@
 			c.dirty.targets[t.ID] = true
 		}
 	}
-	for _, id := range b.Removals {
-		c.remove(id)
-	}
 	if len(b.Removals)+len(b.Liveness) > 0 {
 		c.removeIdleServices()
 		c.reviewQuarantine(generation)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -214,11 +214,11 @@
 			entry.targets = append(entry.targets, targetRef{id: id, service: service})
 		}
 	}
-	for id := range c.dirty.services {
-		touched[id] = true
+	for id := range touched {
+		c.dirty.services[id] = true
 	}
-	for _, id := range slices.Sorted(maps.Keys(touched)) {
-		if c.publishService(next, id, generation) {
+	for _, id := range slices.Sorted(maps.Keys(c.dirty.services)) {
+		if c.publishService(next, id, touched[id], generation) {
 			entry.services = append(entry.services, id)
 		}
 	}
@@ -244,13 +244,16 @@
 	return t.Service, !had || value != old
 }
 
-func (c *Catalog) publishService(next *model.View, id model.ServiceID, generation model.Generation) bool {
+func (c *Catalog) publishService(next *model.View, id model.ServiceID, targetsChanged bool, generation model.Generation) bool {
 	s := c.services[id]
 	if s == nil {
 		_, had := next.Services[id]
 		delete(next.Services, id)
 		return had
 	}
+	if !targetsChanged && s.Model == next.Services[id] {
+		return false
+	}
 	s.Model.Generation = generation
 	next.Services[id] = s.Model
 	return true
