Test the RPC layer against unknown peers, silence and floods

Change: peers without a known identity are refused before their services are asked for; calls, handshakes and requests end at their deadlines; messages and concurrent calls stay within their bounds; replaced certificates are taken once they are complete.

--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,312 @@
+package rpc_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"github.com/greengagelock/greengagelock/internal/devcerts"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+	_ "github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+// patience is far above the time that anything here takes.
+const patience = time.Minute
+
+// Echo is the service of the test server.
+type Echo struct {
+	peer    *rpc.Peer
+	running *atomic.Int32
+	most    *atomic.Int32
+	release chan struct{}
+}
+
+// Say returns its argument and the identity of the caller.
+func (e *Echo) Say(text *string, reply *string) error {
+	*reply = e.peer.String() + " " + *text
+	return nil
+}
+
+// Refuse returns an error with a result code.
+func (e *Echo) Refuse(text *string, _ *string) error {
+	return result.New(result.RevisionConflict, "%s", *text)
+}
+
+// Wait returns when the test says so or the connection ends.
+func (e *Echo) Wait(_ *string, _ *string) error {
+	now := e.running.Add(1)
+	defer e.running.Add(-1)
+	for most := e.most.Load(); now > most && !e.most.CompareAndSwap(most, now); most = e.most.Load() {
+		continue
+	}
+	select {
+	case <-e.release:
+	case <-e.peer.Context.Done():
+	}
+	return nil
+}
+
+type fixture struct {
+	t             *testing.T
+	certs         *devcerts.Authority
+	address       string
+	served        atomic.Int32 // peers whose services were asked for
+	running, most atomic.Int32
+	release       chan struct{}
+}
+
+func serve(t *testing.T, change func(*rpc.ServerConfig)) *fixture {
+	t.Helper()
+	f := &fixture{t: t, release: make(chan struct{})}
+	var err error
+	f.certs, err = devcerts.New(t.TempDir())
+	check(t, err)
+	cfg := rpc.ServerConfig{
+		Credentials: f.load(f.issue(model.RoleController, "c1")),
+		Services: func(p *rpc.Peer) (map[string]any, error) {
+			f.served.Add(1)
+			if p.Role != model.RoleAgent {
+				return nil, result.New(result.PeerUnknown, "only agents")
+			}
+			return map[string]any{"Echo": &Echo{peer: p, running: &f.running, most: &f.most, release: f.release}}, nil
+		},
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	server, err := rpc.NewServer(cfg, telemetry.Discard())
+	check(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(t, err)
+	f.address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		check(t, <-done)
+		goleak.VerifyNone(t)
+	})
+	return f
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fixture) issue(role model.Role, name string) rpc.Files {
+	f.t.Helper()
+	files, err := f.certs.Issue(role, name)
+	check(f.t, err)
+	return files
+}
+
+func (f *fixture) load(files rpc.Files) *rpc.Credentials {
+	f.t.Helper()
+	c, err := rpc.LoadCredentials(files)
+	check(f.t, err)
+	return c
+}
+
+func (f *fixture) client(files rpc.Files, change func(*rpc.ClientConfig)) *rpc.Client {
+	f.t.Helper()
+	cfg := rpc.ClientConfig{Address: f.address, Role: model.RoleController, Credentials: f.load(files), CallTimeout: patience}
+	if change != nil {
+		change(&cfg)
+	}
+	c := rpc.NewClient(cfg)
+	f.t.Cleanup(c.Close)
+	return c
+}
+
+func say(c *rpc.Client, text string) (string, error) {
+	reply, err := rpc.Call[string](context.Background(), c, "Echo.Say", &text)
+	if err != nil {
+		return "", err
+	}
+	return *reply, nil
+}
+
+// Guards against a wrong name of the caller, and against result codes that get lost on the way.
+func TestCallCarriesIdentityAndResultCode(t *testing.T) {
+	f := serve(t, nil)
+	c := f.client(f.issue(model.RoleAgent, "vm-1"), nil)
+	if got, err := say(c, "hello"); err != nil || got != "greengagelock://agent/vm-1 hello" {
+		t.Fatalf("got %q and %v", got, err)
+	}
+	text := "revision 7"
+	if _, err := rpc.Call[string](t.Context(), c, "Echo.Refuse", &text); result.CodeOf(err) != result.RevisionConflict {
+		t.Fatalf("got %v, want code %d", err, result.RevisionConflict)
+	}
+}
+
+// Guards against a peer that is served although its certificate does not name a known role and
+// name, comes from another authority, or is missing.
+func TestUnknownPeersAreRefused(t *testing.T) {
+	f := serve(t, nil)
+	uri := func(text string) *url.URL {
+		u, err := url.Parse(text)
+		check(t, err)
+		return u
+	}
+	strangers, err := devcerts.New(t.TempDir())
+	check(t, err)
+	stranger, err := strangers.Issue(model.RoleAgent, "vm-1")
+	check(t, err)
+	stranger.CA = f.issue(model.RoleAgent, "vm-1").CA
+	cases := map[string]rpc.Files{"another authority": stranger, "wrong role for the service": f.issue(model.RoleBalancer, "b1")}
+	for name, uris := range map[string][]*url.URL{
+		"no identity":    nil,
+		"unknown role":   {uri("greengagelock://admin/x")},
+		"no name":        {uri("greengagelock://agent/")},
+		"another scheme": {uri("https://agent/vm-1")},
+		"two identities": {uri("greengagelock://agent/a"), uri("greengagelock://controller/b")},
+	} {
+		cases[name], err = f.certs.IssueURI(strings.ReplaceAll(name, " ", "-"), uris...)
+		check(t, err)
+	}
+	for name, files := range cases {
+		asked := f.served.Load()
+		if reply, err := say(f.client(files, nil), "hello"); err == nil {
+			t.Errorf("%s: got %q, want a refusal", name, reply)
+		}
+		if name != "wrong role for the service" && f.served.Load() != asked {
+			t.Errorf("%s: the peer got as far as the services", name)
+		}
+	}
+	conn, err := tls.Dial("tcp", f.address, &tls.Config{InsecureSkipVerify: true})
+	check(t, err)
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Error("a peer without a certificate was not refused")
+	}
+}
+
+// Guards against a client that talks to a peer which is not the controller that it wants.
+func TestClientRefusesOtherServers(t *testing.T) {
+	f := serve(t, func(c *rpc.ServerConfig) {})
+	for name, change := range map[string]func(*rpc.ClientConfig){
+		"role": func(c *rpc.ClientConfig) { c.Role = model.RoleBalancer },
+		"name": func(c *rpc.ClientConfig) { c.Name = "c2" },
+	} {
+		_, err := say(f.client(f.issue(model.RoleAgent, "vm-1"), change), "hello")
+		if !errors.Is(err, rpc.ErrUnreachable) {
+			t.Errorf("another %s: got %v, want a refusal", name, err)
+		}
+	}
+}
+
+// Guards against a call that waits for good, and against a connection that is used on after it
+// went silent.
+func TestCallEndsAtItsDeadline(t *testing.T) {
+	f := serve(t, nil)
+	c := f.client(f.issue(model.RoleAgent, "vm-1"), nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	var nothing string
+	if _, err := rpc.Call[string](ctx, c, "Echo.Wait", &nothing); result.CodeOf(err) != result.DeadlineExceeded {
+		t.Fatalf("got %v, want code %d", err, result.DeadlineExceeded)
+	}
+	if _, err := say(c, "again"); err != nil {
+		t.Fatalf("the client did not connect again: %v", err)
+	}
+}
+
+// Guards against a server that keeps goroutines for peers which connect and then say nothing, or
+// stop in the middle of a handshake.
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	f := serve(t, func(c *rpc.ServerConfig) {
+		c.HandshakeTimeout, c.IdleTimeout, c.IOTimeout = 50*time.Millisecond, 50*time.Millisecond, 50*time.Millisecond
+	})
+	raw, err := net.Dial("tcp", f.address)
+	check(t, err)
+	defer func() { _ = raw.Close() }()
+	conn, err := tls.Dial("tcp", f.address, f.load(f.issue(model.RoleAgent, "vm-1")).ClientTLS(model.RoleController, "c1"))
+	check(t, err)
+	defer func() { _ = conn.Close() }()
+	for name, c := range map[string]net.Conn{"handshake": raw, "request": conn} {
+		check(t, c.SetReadDeadline(time.Now().Add(patience)))
+		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: got %v, want a closed connection", name, err)
+		}
+	}
+}
+
+// Guards against a peer that uses up the memory or the goroutines of a controller.
+func TestBoundsOnMessagesAndCalls(t *testing.T) {
+	f := serve(t, func(c *rpc.ServerConfig) { c.MaxMessage, c.MaxPerConn, c.MaxCalls = 4096, 3, 5 })
+	files := f.issue(model.RoleAgent, "vm-1")
+	if _, err := say(f.client(files, nil), strings.Repeat("x", 8192)); err == nil {
+		t.Error("a message above the limit was taken")
+	}
+	small := f.client(files, func(c *rpc.ClientConfig) { c.MaxMessage = 4096 })
+	if _, err := say(small, strings.Repeat("x", 8192)); err == nil {
+		t.Error("a message above the limit was sent")
+	}
+	const clients, calls = 3, 6
+	done := make(chan error, clients*calls)
+	for range clients {
+		c := f.client(files, nil)
+		for range calls {
+			go func() {
+				var nothing string
+				_, err := rpc.Call[string](context.Background(), c, "Echo.Wait", &nothing)
+				done <- err
+			}()
+		}
+	}
+	for deadline := time.Now().Add(patience); f.running.Load() < 5; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d calls run, want 5", f.running.Load())
+		}
+	}
+	close(f.release)
+	for range clients * calls {
+		check(t, <-done)
+	}
+	if most := f.most.Load(); most != 5 {
+		t.Errorf("%d calls ran at the same time, want at most 5", most)
+	}
+}
+
+// Guards against certificates that stay in use after they were replaced on disk, and against a
+// controller that fails while the files are replaced one after the other.
+func TestCertificatesAreReadAgain(t *testing.T) {
+	f := serve(t, nil)
+	files := f.issue(model.RoleAgent, "vm-1")
+	credentials := f.load(files)
+	before := credentials.ClientTLS(model.RoleController, "").Certificates[0].Leaf.SerialNumber
+	other, err := f.certs.IssueURI("other", rpc.Identity{Role: model.RoleAgent, Name: "vm-1"}.URI())
+	check(t, err)
+	move(t, other.Cert, files.Cert)
+	if now := credentials.ClientTLS(model.RoleController, "").Certificates[0].Leaf.SerialNumber; now.Cmp(before) != 0 {
+		t.Fatal("a certificate without its key was taken")
+	}
+	move(t, other.Key, files.Key)
+	if now := credentials.ClientTLS(model.RoleController, "").Certificates[0].Leaf.SerialNumber; now.Cmp(before) == 0 {
+		t.Fatal("the replaced certificate is still in use")
+	}
+}
+
+// move replaces a file and gives it a time of its own, since two changes can fall into one tick
+// of the file system's clock.
+func move(t *testing.T, from, to string) {
+	t.Helper()
+	check(t, os.Chtimes(from, time.Time{}, time.Now().Add(time.Hour)))
+	check(t, os.Rename(from, to))
+}
