Replace ended connections before they cost a call

Cause: the first call after a quiet time met a connection that the server had closed, and its outcome was unknown. Change: the client notices the end of a connection and connects again; it closes unused connections before the server does.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -14,9 +14,9 @@
 // quorumLoss is several elections, so that a controller that counts wrongly would have led.
 const quorumLoss = 5 * time.Second
 
-func apply(t *testing.T, ctl *operator.Client, base model.Revision, document []byte) {
+func apply(t testing.TB, ctl *operator.Client, base model.Revision, document []byte) {
 	t.Helper()
-	reply, err := ctl.Apply(t.Context(), operator.Edit{Base: base, File: "doc", Document: document})
+	reply, err := ctl.Apply(context.Background(), operator.Edit{Base: base, File: "doc", Document: document})
 	check(t, err)
 	check(t, reply.Result.Err())
 	if reply.Result.Revision != base+1 {
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -26,14 +26,16 @@
 const patience = time.Minute
 
 type harness struct {
-	t     *testing.T
+	t     testing.TB
 	certs *devcerts.Authority
 	wg    sync.WaitGroup
 	stop  context.CancelFunc
-	ctx   context.Context
+	// wrap changes the listeners of controllers, for measurements.
+	wrap func(net.Listener) net.Listener
+	ctx  context.Context
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t testing.TB) *harness {
 	t.Helper()
 	certs, err := devcerts.New(t.TempDir())
 	check(t, err)
@@ -46,7 +48,7 @@
 	return h
 }
 
-func check(t *testing.T, err error) {
+func check(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
@@ -64,6 +66,9 @@
 	h.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(h.t, err)
+	if h.wrap != nil {
+		return h.wrap(l)
+	}
 	return l
 }
 
@@ -180,7 +185,7 @@
 	return s.views[len(s.views)-1]
 }
 
-func (h *harness) node(role model.Role, name string, s *standin, controllers ...string) (*node.Session, func()) {
+func (h *harness) node(role model.Role, name string, s node.Handler, controllers ...string) (*node.Session, func()) {
 	h.t.Helper()
 	session, err := node.New(node.Config{
 		Name: name, Role: role, Controllers: controllers, TLS: h.files(role, name),
@@ -213,7 +218,7 @@
 }
 
 // eventually waits until a condition holds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(patience); !condition(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -39,6 +39,7 @@
 
 	mu     sync.Mutex
 	client *rpc.Client
+	codec  *clientCodec // of client
 	closed bool
 }
 
@@ -46,7 +47,7 @@
 func NewClient(cfg ClientConfig) *Client {
 	cfg.DialTimeout = orDefault(cfg.DialTimeout, DefaultHandshakeTimeout)
 	cfg.CallTimeout = orDefault(cfg.CallTimeout, DefaultCallTimeout)
-	cfg.IdleTimeout = orDefault(cfg.IdleTimeout, DefaultIdleTimeout)
+	cfg.IdleTimeout = orDefault(cfg.IdleTimeout, DefaultClientIdleTimeout)
 	cfg.IOTimeout = orDefault(cfg.IOTimeout, DefaultIOTimeout)
 	cfg.MaxMessage = orDefault(cfg.MaxMessage, DefaultMaxMessage)
 	return &Client{cfg: cfg}
@@ -84,9 +85,12 @@
 	if c.closed {
 		return nil, errors.Mark(errors.New("client is closed"), ErrUnreachable)
 	}
-	if c.client != nil {
+	if c.client != nil && !c.codec.ended.Load() {
 		return c.client, nil
 	}
+	// A connection that ended since the last call, for instance for lack of use, is replaced
+	// before it costs a call whose outcome would be unknown.
+	c.client = nil
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -100,7 +104,8 @@
 		return nil, errors.Mark(errors.Wrapf(err, "TLS handshake with %s", c.cfg.Address), ErrUnreachable)
 	}
 	l := limits{idle: c.cfg.IdleTimeout, io: c.cfg.IOTimeout, maxMessage: c.cfg.MaxMessage}
-	c.client = rpc.NewClientWithCodec(&clientCodec{newWire(conn, l)})
+	c.codec = &clientCodec{wire: newWire(conn, l)}
+	c.client = rpc.NewClientWithCodec(c.codec)
 	return c.client, nil
 }
 
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -176,7 +177,10 @@
 func (c *serverCodec) Close() error { return c.close() }
 
 // clientCodec is the client's side of a connection.
-type clientCodec struct{ *wire }
+type clientCodec struct {
+	*wire
+	ended atomic.Bool // no response can come any more
+}
 
 // WriteRequest implements rpc.ClientCodec.
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
@@ -188,7 +192,15 @@
 }
 
 // ReadResponseHeader implements rpc.ClientCodec.
-func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.next(r) }
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	err := c.next(r)
+	if err != nil {
+		c.ended.Store(true)
+		// net/rpc leaves the connection open then.
+		_ = c.close()
+	}
+	return err
+}
 
 // ReadResponseBody implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseBody(body any) error { return c.body(body) }
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -310,3 +310,16 @@
 	check(t, os.Chtimes(from, time.Time{}, time.Now().Add(time.Hour)))
 	check(t, os.Rename(from, to))
 }
+
+// Guards against a first call after a quiet time that fails, or whose outcome is unknown, because
+// the connection was closed for lack of use.
+func TestCallAfterAnIdleTimeConnectsAgain(t *testing.T) {
+	f := serve(t, func(c *rpc.ServerConfig) { c.IdleTimeout = 20 * time.Millisecond })
+	c := f.client(f.issue(model.RoleAgent, "vm-1"), nil)
+	for range 3 {
+		if _, err := say(c, "hello"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -19,8 +19,11 @@
 	DefaultHandshakeTimeout = 3 * time.Second
 	// DefaultIdleTimeout is well above the pause between two polls of a node.
 	DefaultIdleTimeout = 30 * time.Second
-	DefaultIOTimeout   = 5 * time.Second
-	DefaultCallTimeout = 5 * time.Second
+	// DefaultClientIdleTimeout lets the client close first, so that it seldom sends a call into a
+	// connection that the server is closing.
+	DefaultClientIdleTimeout = 20 * time.Second
+	DefaultIOTimeout         = 5 * time.Second
+	DefaultCallTimeout       = 5 * time.Second
 	// DefaultMaxMessage holds a snapshot of the state at the target size.
 	DefaultMaxMessage = 16 << 20
 	// DefaultMaxConns lets one controller of seven take all 4,560 sessions of the target size.
