--- /dev/null
+++ b/internal/node/session_test.go
@@ -0,0 +1,284 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/greengagelock/greengagelock/internal/devcerts"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/node"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+	_ "github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+// patience is far above the time that anything here takes.
+const patience = time.Minute
+
+// Node is a scripted controller.
+type Node struct {
+	poll      func(request *node.PollRequest, reply *node.PollReply) error
+	announced chan model.Announcement
+	ended     <-chan struct{}
+}
+
+// Poll answers as the test says.
+func (n *Node) Poll(request *node.PollRequest, reply *node.PollReply) error {
+	return n.poll(request, reply)
+}
+
+// Announce passes the announcement to the test.
+func (n *Node) Announce(a *model.Announcement, _ *node.AnnounceReply) error {
+	select {
+	case n.announced <- *a:
+	case <-n.ended:
+	}
+	return nil
+}
+
+// handler is a node without a data path.
+type handler struct {
+	mu           sync.Mutex
+	announcement model.Announcement
+	views        []*model.View
+}
+
+func (h *handler) Announcement() model.Announcement {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.announcement
+}
+
+func (h *handler) ApplyView(v *model.View) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.views = append(h.views, v)
+}
+
+func (h *handler) generations() []model.Generation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []model.Generation
+	for _, v := range h.views {
+		list = append(list, v.Generation)
+	}
+	return list
+}
+
+type fixture struct {
+	t         *testing.T
+	certs     *devcerts.Authority
+	addresses []string
+	announced chan model.Announcement
+	ctx       context.Context
+	wg        sync.WaitGroup
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	certs, err := devcerts.New(t.TempDir())
+	check(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fixture{t: t, certs: certs, ctx: ctx, announced: make(chan model.Announcement)}
+	t.Cleanup(func() {
+		cancel()
+		f.wg.Wait()
+		goleak.VerifyNone(t)
+	})
+	return f
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fixture) files(role model.Role, name string) rpc.Files {
+	f.t.Helper()
+	files, err := f.certs.Issue(role, name)
+	check(f.t, err)
+	return files
+}
+
+func (f *fixture) controller(poll func(request *node.PollRequest, reply *node.PollReply) error) {
+	f.t.Helper()
+	credentials, err := rpc.LoadCredentials(f.files(model.RoleController, "c"))
+	check(f.t, err)
+	server, err := rpc.NewServer(rpc.ServerConfig{
+		Credentials: credentials,
+		Services: func(*rpc.Peer) (map[string]any, error) {
+			return map[string]any{node.ServiceName: &Node{poll: poll, announced: f.announced, ended: f.ctx.Done()}}, nil
+		},
+	}, telemetry.Discard())
+	check(f.t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(f.t, err)
+	f.addresses = append(f.addresses, listener.Addr().String())
+	f.wg.Go(func() { _ = server.Serve(f.ctx, listener) })
+}
+
+func (f *fixture) session(h *handler) *node.Session {
+	f.t.Helper()
+	s, err := node.New(node.Config{
+		Name: "b1", Role: model.RoleBalancer, Controllers: f.addresses, TLS: f.files(model.RoleBalancer, "b1"),
+	}, h, telemetry.Discard())
+	check(f.t, err)
+	f.wg.Go(func() {
+		if err := s.Run(f.ctx); err != nil {
+			f.t.Errorf("session failed: %v", err)
+		}
+	})
+	return s
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not reached", what)
+		}
+	}
+}
+
+func view(generation model.Generation) *model.View {
+	v := model.NewView()
+	v.Generation, v.Revision = generation, 1
+	v.Services[1] = model.Service{ID: 1, Generation: generation, Name: "s"}
+	return v
+}
+
+// Guards against a node that goes back to an older state of a controller that lags, and against
+// one that stays with such a controller.
+func TestOlderStatesAreRefused(t *testing.T) {
+	f := newFixture(t)
+	var mu sync.Mutex
+	script := []node.PollReply{
+		{View: view(5)},
+		{View: view(4)},
+		{Delta: &model.Delta{From: 0, To: 5, Revision: 1}},
+		{Delta: &model.Delta{From: 5, To: 9, Revision: 0}},
+		{View: view(6)},
+	}
+	// Every refusal makes the node go on to the other controller, and both follow one script.
+	var asked [2]int
+	for at := range asked {
+		f.controller(func(_ *node.PollRequest, reply *node.PollReply) error {
+			mu.Lock()
+			defer mu.Unlock()
+			asked[at]++
+			if len(script) > 0 {
+				*reply, script = script[0], script[1:]
+				return nil
+			}
+			time.Sleep(time.Millisecond)
+			return nil
+		})
+	}
+	h := &handler{}
+	s := f.session(h)
+	eventually(t, "generation 6", func() bool { return s.Generation() == 6 })
+	if got := h.generations(); len(got) != 2 || got[0] != 5 || got[1] != 6 {
+		t.Fatalf("generations %v came in force, want 5 and 6", got)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if asked[0] == 0 || asked[1] == 0 {
+		t.Fatalf("the controllers were polled %v times, want both", asked)
+	}
+}
+
+// Guards against a delta that leads to another view than the controller has, and stays in force.
+func TestWrongDeltaLeadsToAWholeView(t *testing.T) {
+	f := newFixture(t)
+	var mu sync.Mutex
+	step, snapshots := 0, 0
+	f.controller(func(request *node.PollRequest, reply *node.PollReply) error {
+		mu.Lock()
+		defer mu.Unlock()
+		step++
+		switch {
+		case step == 1:
+			reply.View = view(1)
+		case step == 2:
+			reply.Delta = &model.Delta{From: 1, To: 2, Revision: 1, Digest: 4711}
+		case request.Snapshot && request.Announcement.Applied == 1:
+			snapshots++
+			reply.View = view(2)
+		default:
+			time.Sleep(time.Millisecond)
+		}
+		return nil
+	})
+	h := &handler{}
+	s := f.session(h)
+	eventually(t, "generation 2", func() bool { return s.Generation() == 2 })
+	mu.Lock()
+	defer mu.Unlock()
+	if got := h.generations(); snapshots != 1 || len(got) != 2 {
+		t.Fatalf("%d whole views were asked for and %v came in force, want 1 and [1 2]", snapshots, got)
+	}
+}
+
+// Guards against a drain of a target that waits for the end of a poll.
+func TestChangeIsAnnouncedWhileAPollIsHeld(t *testing.T) {
+	f := newFixture(t)
+	held := make(chan struct{}, 1)
+	f.controller(func(request *node.PollRequest, _ *node.PollReply) error {
+		select {
+		case held <- struct{}{}:
+		default:
+		}
+		select {
+		case <-f.ctx.Done():
+		case <-time.After(request.Wait):
+		}
+		return nil
+	})
+	h := &handler{}
+	s := f.session(h)
+	<-held
+	h.mu.Lock()
+	h.announcement.Targets = []model.TargetAnnouncement{{Service: "s", Draining: true}}
+	h.mu.Unlock()
+	s.Notify()
+	select {
+	case a := <-f.announced:
+		if a.Node != "b1" || a.Role != model.RoleBalancer || a.Incarnation == 0 || !a.Targets[0].Draining {
+			t.Fatalf("announcement %+v, want the changed one of b1", a)
+		}
+	case <-time.After(patience):
+		t.Fatal("the change was not announced")
+	}
+}
+
+// Guards against a node that believes its view to be current while no controller is.
+func TestControlAgeGrowsWithoutAQuorum(t *testing.T) {
+	f := newFixture(t)
+	var mu sync.Mutex
+	current := true
+	f.controller(func(_ *node.PollRequest, reply *node.PollReply) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if !current {
+			return result.New(result.NoQuorum, "cut off")
+		}
+		time.Sleep(time.Millisecond)
+		reply.Age = time.Hour
+		return nil
+	})
+	s := f.session(&handler{})
+	eventually(t, "the age that the controller reports", func() bool { return s.ControlAge() >= time.Hour })
+	mu.Lock()
+	current = false
+	mu.Unlock()
+	before := s.ControlAge()
+	eventually(t, "a growing age", func() bool { return s.ControlAge() >= before+500*time.Millisecond })
+}
