Let each role of a process have its own name and certificate

A certificate is for one role, and control knows nodes by name, so a process with several roles needs a name and a certificate for each of them. Settings now check that a certificate is for its role and name, and take 3, 5 or 7 members only, as the replicated log does. The one-process example runs three settings files in one process. Targets interrupt a request when they stop.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -7,9 +7,10 @@
 	"io/fs"
 	"math/big"
 	"net/netip"
+	"net/url"
+	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -56,8 +57,11 @@
 
 	// Guards against a one-process example that lacks a role.
 	It("run every role in one process", func() {
-		s := parse(examples.Single + "/settings.json")
+		s := parse(examples.Single + "/single-1.json")
 		Expect(s.Roles).To(ConsistOf(model.RoleBalancer, model.RoleAgent, model.RoleController))
+		for _, path := range []string{"/single-2.json", "/single-3.json"} {
+			Expect(parse(examples.Single + path).Controller.Members).To(Equal(s.Controller.Members))
+		}
 	})
 })
 
@@ -69,23 +73,46 @@
 
 // parse checks settings as the daemon does, with contents for the files that exist on VMs only.
 func parse(path string) *settings.Settings {
+	GinkgoHelper()
 	data, err := examples.Files.ReadFile(path)
 	Expect(err).NotTo(HaveOccurred())
 	s, err := settings.Parse(path, data, func(file string) ([]byte, error) {
-		if strings.HasSuffix(file, "fleet.key") {
+		switch name := filepath.Base(file); name {
+		case "fleet.key":
 			return []byte(strings.Repeat("0", 32)), nil
+		case "balancer.pem", "balancer.key":
+			return pair("balancer/single-1-balancer"), nil
+		case "agent.pem", "agent.key":
+			return pair("agent/single-1-agent"), nil
+		default:
+			return pair(identityOf(path)), nil
 		}
-		return pair(), nil
 	})
 	Expect(err).NotTo(HaveOccurred(), path)
 	return s
 }
 
-// pair returns a certificate and its key in one PEM file.
-var pair = sync.OnceValue(func() []byte {
-	public, private, err := ed25519.GenerateKey(nil)
+// identityOf returns the role and name that the certificate of an example needs.
+func identityOf(path string) string {
+	name := strings.TrimSuffix(filepath.Base(path), ".json")
+	switch prefix, _, _ := strings.Cut(name, "-"); prefix {
+	case "control", "single":
+		return "controller/" + name
+	case "entry":
+		return "balancer/" + name
+	default:
+		return "agent/" + name
+	}
+}
+
+var public, private, _ = ed25519.GenerateKey(nil)
+
+// pair returns a certificate for an identity and its key in one PEM file.
+func pair(identity string) []byte {
+	GinkgoHelper()
+	uri, err := url.Parse("greengagelock://" + identity)
 	Expect(err).NotTo(HaveOccurred())
-	template := &x509.Certificate{SerialNumber: big.NewInt(1)}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), URIs: []*url.URL{uri}}
 	cert, err := x509.CreateCertificate(nil, template, template, public, private)
 	Expect(err).NotTo(HaveOccurred())
 	key, err := x509.MarshalPKCS8PrivateKey(private)
@@ -94,4 +121,4 @@
 		pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert}),
 		pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}),
 	)
-})
+}
--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -70,7 +70,7 @@
 			d.unknownKey(path, name, object, fields)
 			continue
 		}
-		d.value(Key(path, name), value, out.Field(index))
+		d.value(Key(path, name), value, out.FieldByIndex(index))
 	}
 }
 
@@ -128,7 +128,7 @@
 	}
 }
 
-func (d *Document) unknownKey(path, name string, object *hujson.Object, fields map[string]int) {
+func (d *Document) unknownKey(path, name string, object *hujson.Object, fields map[string][]int) {
 	names := make([]string, 0, len(fields))
 	for field := range fields {
 		names = append(names, field)
@@ -150,19 +150,19 @@
 	})
 }
 
-// fieldsOf maps the JSON names of the exported fields of a struct to their indexes.
-func fieldsOf(t reflect.Type) map[string]int {
-	fields := map[string]int{}
-	for i := range t.NumField() {
-		field := t.Field(i)
+// fieldsOf maps the JSON names of the exported fields of a struct, and of the structs that it
+// embeds, to their indexes.
+func fieldsOf(t reflect.Type) map[string][]int {
+	fields := map[string][]int{}
+	for _, field := range reflect.VisibleFields(t) {
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		if !field.IsExported() || name == "-" {
+		if !field.IsExported() || field.Anonymous || name == "-" {
 			continue
 		}
 		if name == "" {
 			name = field.Name
 		}
-		fields[name] = i
+		fields[name] = field.Index
 	}
 	return fields
 }
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -34,7 +34,7 @@
 //
 // Keys match the json tags of struct fields exactly. Unknown and repeated keys, null and values of
 // another type are problems; the remaining values are decoded nevertheless. Decode supports
-// structs, maps with string keys, slices, pointers, strings, booleans, numbers, and types that
+// structs with embedded ones, maps with string keys, slices, pointers, strings, booleans, numbers, and types that
 // implement encoding.TextUnmarshaler. Such a type may implement Expecter to describe its values.
 func Decode(file string, data []byte, into any) *Document {
 	d := &Document{file: file, data: data, nodes: map[string]node{}}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -13,8 +13,12 @@
 	"github.com/greengagelock/greengagelock/internal/model"
 )
 
-// maxMembers is the largest number of controllers that a replicated log is made for.
-const maxMembers = 7
+// identityScheme is the scheme of the URI in a certificate, greengagelock://ROLE/NAME.
+const identityScheme = "greengagelock"
+
+// memberCounts are the sizes of a replicated log: odd, so that no size is more likely to lose its
+// majority than the next smaller one.
+var memberCounts = []int{3, 5, 7}
 
 // checker checks what the types of the settings cannot express.
 type checker struct {
@@ -182,12 +186,12 @@
 	if !c.given("controller.members", "the controllers of the replicated log, this one included") {
 		return
 	}
-	if n := len(s.Members); n%2 == 0 || n > maxMembers {
-		c.Report("controller.members", "an odd number of members, at most %d", maxMembers)
+	if !slices.Contains(memberCounts, len(s.Members)) {
+		c.Report("controller.members", "3, 5 or 7 members")
 	}
 	c.peers("controller.members", s.Members)
-	if !slices.ContainsFunc(s.Members, func(p Peer) bool { return p.Name == c.s.Name }) {
-		c.Report("controller.members", "a member with the name of this process, %q", c.s.Name)
+	if !slices.ContainsFunc(s.Members, func(p Peer) bool { return p.Name == s.Name }) {
+		c.Report("controller.members", "a member with the name of this process, %q", s.Name)
 	}
 }
 
@@ -248,17 +252,58 @@
 }
 
 func (c *checker) files() {
-	cert := c.file("tls.cert", c.s.TLS.Cert, "the file of the certificate of this process")
-	key := c.file("tls.key", c.s.TLS.Key, "the file of the key of this process")
-	if cert != nil && key != nil {
-		if _, err := tls.X509KeyPair(cert, key); err != nil {
-			c.Report("tls.cert", "a certificate in PEM for the key in tls.key")
+	for _, role := range []model.Role{model.RoleBalancer, model.RoleAgent, model.RoleController} {
+		if identity := c.s.identities()[role]; identity != nil {
+			c.identity(role, identity)
 		}
 	}
-	ca := c.file("tls.ca", c.s.TLS.CA, "the file of the certificates that sign those of peers")
-	if ca != nil && !x509.NewCertPool().AppendCertsFromPEM(ca) {
-		c.Report("tls.ca", "certificates in PEM")
+	c.fleetKey()
+}
+
+// identity checks the name and the certificate of a role, wherever they are set.
+func (c *checker) identity(role model.Role, identity *Identity) {
+	if path := jsonc.Key(string(role), "name"); c.Has(path) {
+		c.name(path, identity.Name)
+	}
+	if role == model.RoleAgent && c.s.Balancer != nil && c.s.Balancer.Name == identity.Name && identity.Name != "" {
+		c.Report(jsonc.Key(string(role), "name"), "another name than that of the balancer, because control knows nodes by name")
 	}
+	path := jsonc.Key(string(role), "tls")
+	if !c.Has(path) {
+		path = "tls"
+	}
+	c.certificate(path, role, identity)
+	ca := jsonc.Key(path, "ca")
+	text := c.file(ca, identity.TLS.CA, "the file of the certificates that sign those of peers")
+	if text != nil && !x509.NewCertPool().AppendCertsFromPEM(text) {
+		c.Report(ca, "certificates in PEM")
+	}
+}
+
+func (c *checker) certificate(path string, role model.Role, identity *Identity) {
+	cert := c.file(jsonc.Key(path, "cert"), identity.TLS.Cert, "the file of the certificate of this process")
+	key := c.file(jsonc.Key(path, "key"), identity.TLS.Key, "the file of the key of this process")
+	if cert == nil || key == nil {
+		return
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		c.Report(jsonc.Key(path, "cert"), "a certificate in PEM for the key")
+		return
+	}
+	var found []string
+	for _, uri := range pair.Leaf.URIs {
+		if uri.Scheme == identityScheme {
+			found = append(found, uri.String())
+		}
+	}
+	want := identityScheme + "://" + string(role) + "/" + identity.Name
+	if identity.Name != "" && !slices.Equal(found, []string{want}) {
+		c.Report(jsonc.Key(path, "cert"), "a certificate with the URI %s (it has %q); each role can have its own name and tls", want, found)
+	}
+}
+
+func (c *checker) fleetKey() {
 	if !c.s.HasRole(model.RoleBalancer) && !c.s.HasRole(model.RoleAgent) && !c.Has("fleet_key_file") {
 		return
 	}
@@ -274,9 +319,10 @@
 	copy(c.s.FleetKey[:], decoded)
 }
 
-// file returns the content of a file, or nil after reporting that it cannot be read.
+// file returns the content of a file, or nil after reporting that it cannot be read. Roles may
+// share a file, whose problem is reported once.
 func (c *checker) file(path, file, expected string) []byte {
-	if !c.given(path, expected) {
+	if c.Failed(path) || !c.given(path, expected) {
 		return nil
 	}
 	data, err := c.read(file)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,8 +48,17 @@
 	FleetKey encap.Key `json:"-"`
 }
 
+// Identity is who a role is towards its peers. A process with one role needs none: the name and
+// certificate of the process are taken. With several roles each certificate is for one of them, and
+// balancer and agent need different names.
+type Identity struct {
+	Name string `json:"name"`
+	TLS  TLS    `json:"tls"`
+}
+
 // Balancer are the settings of the balancer role.
 type Balancer struct {
+	Identity
 	// Ingress receives the packets of callers.
 	Ingress PacketPort `json:"ingress"`
 	// Egress is the UDP address that sends packets to agents and receives their hints.
@@ -58,6 +67,7 @@
 
 // Agent are the settings of the agent role.
 type Agent struct {
+	Identity
 	// Data is the UDP address that receives packets of balancers and other agents. It is announced,
 	// so it names one address of this VM.
 	Data netip.AddrPort `json:"data"`
@@ -92,6 +102,7 @@
 
 // Controller are the settings of the controller role.
 type Controller struct {
+	Identity
 	Listen  netip.AddrPort `json:"listen"`
 	DataDir string         `json:"data_dir"`
 	// Members are the controllers of a new replicated log, this one included.
@@ -147,6 +158,7 @@
 	}
 	doc := jsonc.Decode(path, data, s)
 	if doc.Has("") {
+		s.Inherit()
 		s.resolve(filepath.Dir(path))
 		c := checker{Document: doc, s: s, read: read}
 		c.check()
@@ -167,14 +179,45 @@
 	return false
 }
 
-func (s *Settings) resolve(dir string) {
+// identities returns the identities of the roles with a section.
+func (s *Settings) identities() map[model.Role]*Identity {
+	all := map[model.Role]*Identity{}
+	if s.Balancer != nil {
+		all[model.RoleBalancer] = &s.Balancer.Identity
+	}
+	if s.Agent != nil {
+		all[model.RoleAgent] = &s.Agent.Identity
+	}
+	if s.Controller != nil {
+		all[model.RoleController] = &s.Controller.Identity
+	}
+	return all
+}
+
+// Inherit gives roles without an identity of their own that of the process.
+func (s *Settings) Inherit() {
+	for _, identity := range s.identities() {
+		if identity.Name == "" {
+			identity.Name = s.Name
+		}
+		if identity.TLS == (TLS{}) {
+			identity.TLS = s.TLS
+		}
+	}
+}
+
+// resolve makes relative paths start from the folder of the settings file.
+func (s *Settings) resolve(folder string) {
 	paths := []*string{&s.TLS.Cert, &s.TLS.Key, &s.TLS.CA, &s.FleetKeyFile}
+	for _, identity := range s.identities() {
+		paths = append(paths, &identity.TLS.Cert, &identity.TLS.Key, &identity.TLS.CA)
+	}
 	if s.Controller != nil {
 		paths = append(paths, &s.Controller.DataDir)
 	}
 	for _, p := range paths {
 		if *p != "" && !filepath.IsAbs(*p) {
-			*p = filepath.Join(dir, *p)
+			*p = filepath.Join(folder, *p)
 		}
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,14 +1,13 @@
 package settings_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
+	"crypto/ed25519"
 	"crypto/x509"
 	"encoding/pem"
 	"io/fs"
 	"math/big"
 	"net/netip"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -32,7 +31,7 @@
 	"roles": ["balancer", "agent", "controller"],
 	"balancer": {
 		"ingress": {"kind": "udp", "listen": "10.0.0.1:7400"},
-		"egress": "10.0.0.1:7401",
+		"egress": "10.0.0.1:7401", "name": "exec-1-b", "tls": {"cert": "b.pem", "key": "key.pem", "ca": "cert.pem"},
 	},
 	"agent": {
 		"data": "10.0.0.1:7402",
@@ -40,12 +39,12 @@
 		"gateway": {"kind": "udp", "listen": "10.0.0.1:7403", "peer": "10.0.0.254:7400"},
 		"services": ["progress", "apply"], "slots": 2, "connections": 2000,
 		"health_url": "http://127.0.0.1:8080/health",
-		"load_url": "http://127.0.0.1:8080/load",
+		"load_url": "http://127.0.0.1:8080/load", "name": "exec-1-a", "tls": {"cert": "a.pem", "key": "key.pem", "ca": "cert.pem"},
 	},
 	"controller": {
 		"listen": "10.0.0.1:7500",
 		"data_dir": "data",
-		"members": [{"name": "exec-1", "address": "10.0.0.1:7500"}],
+		"members": [{"name": "exec-1", "address": "10.0.0.1:7500"}, {"name": "b", "address": "10.0.0.2:7500"}, {"name": "c", "address": "10.0.0.3:7500"}],
 	},
 	"controllers": [{"name": "exec-1", "address": "10.0.0.1:7500"}],
 	"tls": {"cert": "cert.pem", "key": "key.pem", "ca": "cert.pem"},
@@ -68,8 +67,10 @@
 
 var _ = Describe("Parse", func() {
 	BeforeEach(func() {
-		if files["/etc/gg/cert.pem"] == nil {
-			files["/etc/gg/cert.pem"], files["/etc/gg/key.pem"] = selfSigned()
+		if files["/etc/gg/key.pem"] == nil {
+			makeCertificates(map[string]string{
+				"cert.pem": "controller/exec-1", "b.pem": "balancer/exec-1-b", "a.pem": "agent/exec-1-a",
+			})
 		}
 	})
 
@@ -103,7 +104,7 @@
 			`3:18: pool: found "pool", expected one of the keys agent, balancer, controller, controllers, fleet_key_file, `+
 				`name, roles, shutdown_timeout, telemetry, tls, vm, zone`),
 		Entry("missing name", `"name": "exec-1",`+"\n", "\n", `1:1: name: expected a name`,
-			`21:14: controller.members: found [{"name": "exec-1", "address": "10.0.0.1:7500"}], `+
+			`21:14: controller.members: found [{"name": "exec-1", "address": "10.0.0.1:7500"}, {"name": "b", "address": "10.0...., `+
 				`expected a member with the name of this process, ""`),
 		Entry("name with a space", `"vm": "exec-1"`, `"vm": "exec 1"`,
 			`3:8: vm: found "exec 1", expected a name without spaces and slashes`),
@@ -142,15 +143,22 @@
 				`expected an HTTP URL with an IP address, such as "http://127.0.0.1:8080/health"`),
 		Entry("agent without controllers", `"controllers": [{"name": "exec-1", "address": "10.0.0.1:7500"}],`, "",
 			`1:1: controllers: expected at least one controller, because balancers and agents get their state from them`),
-		Entry("two members", `"members": [`, `"members": [{"name": "b", "address": "10.0.0.2:7500"}, `,
-			`21:14: controller.members: found [{"name": "b", "address": "10.0.0.2:7500"}, `+
-				`{"name": "exec-1", "address": "10.0...., expected an odd number of members, at most 7`),
+		Entry("two members", `, {"name": "c", "address": "10.0.0.3:7500"}]`, `]`,
+			`21:14: controller.members: found [{"name": "exec-1", "address": "10.0.0.1:7500"}, {"name": "b", "address": "10.0...., `+
+				`expected 3, 5 or 7 members`),
 		Entry("member twice", `"controllers": [`, `"controllers": [{"name": "exec-1", "address": "10.0.0.1:7500"}, `,
 			`23:75: controllers[1].name: found "exec-1", expected each name once`,
 			`23:96: controllers[1].address: found "10.0.0.1:7500", expected each address once`),
-		Entry("missing file", `"key": "key.pem"`, `"key": "none.pem"`,
+		Entry("missing file", `{"cert": "cert.pem", "key": "key.pem"`, `{"cert": "cert.pem", "key": "none.pem"`,
 			`24:37: tls.key: found "none.pem", expected a file that can be read (file does not exist)`),
-		Entry("certificate that is none", `"ca": "cert.pem"`, `"ca": "fleet.key"`,
+		Entry("certificate for another role", `"cert": "a.pem"`, `"cert": "b.pem"`,
+			`16:81: agent.tls.cert: found "b.pem", expected a certificate with the URI greengagelock://agent/exec-1-a `+
+				`(it has ["greengagelock://balancer/exec-1-b"]); each role can have its own name and tls`),
+		Entry("two nodes of one name", `"name": "exec-1-a"`, `"name": "exec-1-b"`,
+			`16:53: agent.name: found "exec-1-b", expected another name than that of the balancer, because control knows nodes by name`,
+			`16:81: agent.tls.cert: found "a.pem", expected a certificate with the URI greengagelock://agent/exec-1-b `+
+				`(it has ["greengagelock://agent/exec-1-a"]); each role can have its own name and tls`),
+		Entry("certificate that is none", `"ca": "cert.pem"},`+"\n\t\"fleet", `"ca": "fleet.key"},`+"\n\t\"fleet",
 			`24:54: tls.ca: found "fleet.key", expected certificates in PEM`),
 		Entry("key of another length", `"fleet.key"`, `"short.key"`,
 			`25:20: fleet_key_file: found "short.key", expected a file with 32 hexadecimal digits`),
@@ -169,14 +177,19 @@
 	})
 })
 
-func selfSigned() (cert, key []byte) {
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	Expect(err).NotTo(HaveOccurred())
-	template := &x509.Certificate{SerialNumber: big.NewInt(1)}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+// makeCertificates writes a key, and certificates for it with the given identities.
+func makeCertificates(identities map[string]string) {
+	public, private, err := ed25519.GenerateKey(nil)
 	Expect(err).NotTo(HaveOccurred())
+	for name, identity := range identities {
+		uri, err := url.Parse("greengagelock://" + identity)
+		Expect(err).NotTo(HaveOccurred())
+		template := &x509.Certificate{SerialNumber: big.NewInt(1), URIs: []*url.URL{uri}}
+		der, err := x509.CreateCertificate(nil, template, template, public, private)
+		Expect(err).NotTo(HaveOccurred())
+		files["/etc/gg/"+name] = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	}
 	pkcs8, err := x509.MarshalPKCS8PrivateKey(private)
 	Expect(err).NotTo(HaveOccurred())
-	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
-		pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: pkcs8})
+	files["/etc/gg/key.pem"] = pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: pkcs8})
 }
--- a/internal/standin/app.go
+++ b/internal/standin/app.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -26,7 +27,7 @@
 const maxBodyBytes = 64 << 20
 
 // serve runs the application on one connection of an endpoint.
-func (t *Target) serve(e *endpoint, conn net.Conn) error {
+func (t *Target) serve(ctx context.Context, e *endpoint, conn net.Conn) error {
 	reader := bufio.NewReader(conn)
 	line, err := reader.ReadString('\n')
 	if err != nil {
@@ -45,7 +46,7 @@
 	if verb == verbStream {
 		return t.serveStream(conn, reader, id)
 	}
-	return t.serveRequest(e, conn, id, size)
+	return t.serveRequest(ctx, e, conn, id, size)
 }
 
 func (t *Target) serveStream(conn net.Conn, reader *bufio.Reader, id string) error {
@@ -89,14 +90,19 @@
 	}
 }
 
-func (t *Target) serveRequest(e *endpoint, conn net.Conn, id string, size int) error {
+func (t *Target) serveRequest(ctx context.Context, e *endpoint, conn net.Conn, id string, size int) error {
 	t.cfg.Ledger.run(e.Service, id)
 	busy := e.busy.Add(1)
 	defer e.busy.Add(-1)
 	if int(busy) > t.cfg.Slots {
 		e.overloaded.Add(1)
 	}
-	time.Sleep(t.cfg.ServiceTime)
+	work, cancel := context.WithTimeout(ctx, t.cfg.ServiceTime)
+	defer cancel()
+	<-work.Done()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	if _, err := fmt.Fprintf(conn, "%s %s %d\n", verbAnswer, id, size); err != nil {
 		return err
 	}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -170,7 +170,7 @@
 	e.accepted.Add(1)
 	e.open.Add(1)
 	defer e.open.Add(-1)
-	if err := t.serve(e, conn); err != nil {
+	if err := t.serve(ctx, e, conn); err != nil {
 		e.failed.Add(1)
 	}
 	_ = conn.Close()
