--- a/internal/wal/sim_test.go
+++ b/internal/wal/sim_test.go
@@ -56,11 +56,15 @@
 	loss      float64
 	duplicate float64
 	delay     func() time.Duration
+	diskDelay func() time.Duration // nil means none
+	// defaultSizes uses the default sizes of messages and segments, not small ones.
+	defaultSizes bool
 
 	leaders   map[uint64]consensus.MemberID
 	votes     map[[2]uint64]consensus.MemberID
 	committed map[uint64]consensus.Entry
 	top       uint64
+	termAt    map[uint64]time.Duration // when an entry of the term was first applied
 	content   map[consensus.Position]string
 }
 
@@ -93,7 +97,7 @@
 	c := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), members: map[consensus.MemberID]*member{}, blocked: map[link]bool{},
 		leaders: map[uint64]consensus.MemberID{}, votes: map[[2]uint64]consensus.MemberID{},
-		committed: map[uint64]consensus.Entry{}, content: map[consensus.Position]string{},
+		committed: map[uint64]consensus.Entry{}, content: map[consensus.Position]string{}, termAt: map[uint64]time.Duration{},
 	}
 	c.delay = func() time.Duration { return 1500 * time.Microsecond }
 	var first []consensus.MemberID
@@ -170,7 +174,7 @@
 
 // heal repairs network and members.
 func (c *cluster) heal() {
-	c.loss, c.duplicate = 0, 0
+	c.loss, c.duplicate, c.diskDelay = 0, 0, nil
 	clear(c.blocked)
 	for _, id := range c.ids {
 		m := c.members[id]
@@ -192,9 +196,13 @@
 
 func (m *member) restart() {
 	t := m.c.t
-	log, err := wal.New(wal.Config{
-		Identity: wal.Identity{Cluster: "test", Member: m.id}, SegmentSize: 2048, FS: m.fs,
-	}, telemetry.Discard())
+	storage := wal.Config{Identity: wal.Identity{Cluster: "test", Member: m.id}, SegmentSize: 2048, FS: m.fs}
+	settings := consensus.Config{ID: m.id, Members: m.first, MaxEntriesPerMessage: 4, MaxInflight: 3, SnapshotChunkSize: 64}
+	if m.c.defaultSizes {
+		storage.SegmentSize = 0
+		settings = consensus.Config{ID: m.id, Members: m.first}
+	}
+	log, err := wal.New(storage, telemetry.Discard())
 	if err != nil {
 		t.Fatalf("member %d does not start: %v", m.id, err)
 	}
@@ -207,10 +215,8 @@
 	m.start, m.log, m.durable = m.c.now, log, restored
 	m.state, m.answers, m.outcomes = nil, map[uint64]consensus.ReadState{}, map[uint64]applied{}
 	m.restore(restored.Snapshot)
-	m.node, err = consensus.New(consensus.Config{
-		ID: m.id, Members: m.first, MaxEntriesPerMessage: 4, MaxInflight: 3, SnapshotChunkSize: 64,
-		Rand: rand.New(rand.NewPCG(m.c.rng.Uint64(), 3)),
-	}, restored)
+	settings.Rand = rand.New(rand.NewPCG(m.c.rng.Uint64(), 3))
+	m.node, err = consensus.New(settings, restored)
 	if err != nil {
 		t.Fatalf("member %d does not start: %v", m.id, err)
 	}
@@ -233,39 +239,59 @@
 	})
 }
 
+// pump takes the next work of the node. The disk may take its time; messages and ticks arrive
+// meanwhile.
 func (m *member) pump() {
-	for m.node != nil {
-		r, ok := m.node.Ready()
-		if !ok {
-			return
+	if m.node == nil {
+		return
+	}
+	r, ok := m.node.Ready()
+	if !ok {
+		return
+	}
+	life := m.life
+	work := func() {
+		if m.life == life && m.work(r) {
+			m.pump()
 		}
-		if err := m.log.Persist(r); err != nil {
-			if m.fs.crashed {
-				m.crash()
-				return
-			}
-			for _, msg := range m.node.PersistFailed() {
-				m.c.send(msg)
-			}
-			m.soft = consensus.SoftState{}
-			return
+	}
+	if m.c.diskDelay == nil {
+		work()
+		return
+	}
+	m.c.after(m.c.diskDelay(), work)
+}
+
+// work handles r and reports whether the node goes on.
+func (m *member) work(r consensus.Ready) bool {
+	if err := m.log.Persist(r); err != nil {
+		if m.fs.crashed {
+			m.crash()
+			return false
 		}
-		m.note(r)
-		for _, msg := range r.Messages {
-			m.c.checkVote(msg)
+		for _, msg := range m.node.PersistFailed() {
 			m.c.send(msg)
 		}
-		if r.Snapshot != nil {
-			m.restore(*r.Snapshot)
-		}
-		for _, e := range r.Committed {
-			m.apply(e)
-		}
-		for _, read := range r.Reads {
-			m.answers[read.ID] = read
-		}
-		m.node.Advance(r)
+		m.soft = consensus.SoftState{}
+		return false
+	}
+	m.note(r)
+	for _, msg := range r.Messages {
+		m.checkSent(msg)
+		m.c.send(msg)
+	}
+	if r.Snapshot != nil {
+		m.restore(*r.Snapshot)
+	}
+	for _, e := range r.Committed {
+		m.apply(e)
+	}
+	for _, read := range r.Reads {
+		m.answers[read.ID] = read
 	}
+	m.node.Advance(r)
+	m.checkAge()
+	return true
 }
 
 func (m *member) restore(s consensus.Snapshot) {
