Add the daemon

greengagelockd runs the roles of its settings, alone or together, on fx. Stopping goes the other way than starting: the agent stops admitting, ends the requests in flight and waits until control has withdrawn its targets; then balancer and controller follow. Trial deployments may run several settings files in one process.

--- /dev/null
+++ b/internal/daemon/process_test.go
@@ -0,0 +1,221 @@
+package daemon_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/greengagelock/greengagelock/examples"
+	"github.com/greengagelock/greengagelock/internal/daemon"
+	"github.com/greengagelock/greengagelock/internal/devcerts"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/settings"
+	"github.com/greengagelock/greengagelock/internal/standin"
+)
+
+var example = standin.Endpoint{Service: "example", Address: netip.MustParseAddrPort("192.0.2.1:8000")}
+
+// single runs examples/single with a target and a caller around it.
+type single struct {
+	settings *settings.Settings
+	operator rpc.Files
+	caller   *standin.Caller
+	ledger   *standin.Ledger
+	all      []*settings.Settings
+	process  *daemon.Process
+	stop     context.CancelFunc
+	ended    chan ending
+}
+
+type ending struct {
+	outcome daemon.Outcome
+	err     error
+}
+
+var _ = Describe("a process with every role", func() {
+	// Guards against a process that cuts requests when it stops, or cannot serve any.
+	It("serves requests, and ends those in flight before it stops", func(ctx SpecContext) {
+		s := startSingle(time.Second, "10s")
+		s.applyExample(ctx)
+		outcome, err := s.caller.Request(ctx, example, "first", 5000)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome).To(Equal(standin.OutcomeAnswered))
+
+		answered := make(chan standin.Outcome, 1)
+		go func() {
+			// The slot of the first request may still be taken; a refused request did not run.
+			outcome := standin.OutcomeNotRun
+			for outcome == standin.OutcomeNotRun && ctx.Err() == nil {
+				outcome, _ = s.caller.Request(ctx, example, "in-flight", 5000)
+			}
+			answered <- outcome
+		}()
+		Eventually(func() int { return s.ledger.Runs("example", "in-flight") }).WithContext(ctx).Should(Equal(1))
+		s.stop()
+		Eventually(s.ended).WithContext(ctx).Should(Receive(Equal(ending{})))
+		Expect(answered).To(Receive(Equal(standin.OutcomeAnswered)))
+	}, SpecTimeout(time.Minute))
+
+	// Guards against an exit status that hides a cut request.
+	It("says that it cut a request that outlasts the shutdown timeout", func(ctx SpecContext) {
+		s := startSingle(time.Hour, "1s")
+		s.applyExample(ctx)
+		go func() { _, _ = s.caller.Request(ctx, example, "endless", 10) }()
+		Eventually(func() int { return s.ledger.Runs("example", "endless") }).WithContext(ctx).Should(Equal(1))
+		s.stop()
+		var got ending
+		Eventually(s.ended).WithContext(ctx).Should(Receive(&got))
+		Expect(got.outcome).To(Equal(daemon.OutcomeCut))
+	}, SpecTimeout(time.Minute))
+})
+
+var _ = Describe("a process that cannot start", func() {
+	// Guards against an error that names functions of the program instead of the address.
+	It("names the address that is in use", func() {
+		taken, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(taken.Close)
+		all, _ := loadSingle("10s")
+		all[0].Balancer.Egress = netip.MustParseAddrPort(taken.LocalAddr().String())
+		_, err = daemon.New(all[0])
+		Expect(err).To(MatchError(HavePrefix("listen udp4 " + taken.LocalAddr().String())))
+	})
+
+	// Guards against a process that goes on without one of its parts.
+	It("fails if a part cannot listen", func(ctx SpecContext) {
+		taken, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(taken.Close)
+		all, _ := loadSingle("10s")
+		all[0].Controller.Listen = netip.MustParseAddrPort(taken.Addr().String())
+		outcome, err := daemon.RunAll(ctx, processesOf(all))
+		Expect(outcome).To(Equal(daemon.OutcomeFailure))
+		Expect(err).To(MatchError(HavePrefix("controller: ")))
+	}, SpecTimeout(time.Minute))
+})
+
+// loadSingle loads the settings of the example with ports that are free.
+func loadSingle(timeout string) ([]*settings.Settings, rpc.Files) {
+	GinkgoHelper()
+	folder := GinkgoT().TempDir()
+	authority, err := devcerts.New(folder)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.WriteFile(filepath.Join(folder, "fleet.key"), []byte(strings.Repeat("5a", 16)), 0o600)).To(Succeed())
+	replace := []string{`"shutdown_timeout": "10s"`, `"shutdown_timeout": "` + timeout + `"`}
+	for _, port := range []string{"7400", "7401", "7402", "7403", "7405", "7501", "7502", "7503", "9101", "9102", "9103"} {
+		replace = append(replace, "127.0.0.1:"+port, freePort())
+	}
+	place(folder, "balancer", issue(authority, model.RoleBalancer, "single-1-balancer"))
+	place(folder, "agent", issue(authority, model.RoleAgent, "single-1-agent"))
+	var all []*settings.Settings
+	for _, name := range []string{"single-1", "single-2", "single-3"} {
+		text, err := examples.Files.ReadFile(examples.Single + "/" + name + ".json")
+		Expect(err).NotTo(HaveOccurred())
+		path := filepath.Join(folder, name+".json")
+		Expect(os.WriteFile(path, []byte(strings.NewReplacer(replace...).Replace(string(text))), 0o600)).To(Succeed())
+		place(folder, name, issue(authority, model.RoleController, name))
+		s, err := settings.Load(path)
+		Expect(err).NotTo(HaveOccurred())
+		s.Telemetry.LogLevel = "error"
+		all = append(all, s)
+	}
+	return all, issue(authority, model.RoleOperator, "test")
+}
+
+// place copies files to the names that the example gives them.
+func place(folder, name string, files rpc.Files) {
+	GinkgoHelper()
+	for to, from := range map[string]string{name + ".pem": files.Cert, name + ".key": files.Key, "ca.pem": files.CA} {
+		data, err := os.ReadFile(from)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(filepath.Join(folder, to), data, 0o600)).To(Succeed())
+	}
+}
+
+func processesOf(all []*settings.Settings) []*daemon.Process {
+	GinkgoHelper()
+	var processes []*daemon.Process
+	for _, s := range all {
+		p, err := daemon.New(s)
+		Expect(err).NotTo(HaveOccurred())
+		processes = append(processes, p)
+	}
+	return processes
+}
+
+func issue(authority *devcerts.Authority, role model.Role, name string) rpc.Files {
+	GinkgoHelper()
+	files, err := authority.Issue(role, name)
+	Expect(err).NotTo(HaveOccurred())
+	return files
+}
+
+func startSingle(serviceTime time.Duration, timeout string) *single {
+	GinkgoHelper()
+	s := &single{ledger: standin.NewLedger(), ended: make(chan ending, 1)}
+	s.all, s.operator = loadSingle(timeout)
+	s.settings = s.all[0]
+	fabric, err := standin.NewFabric(standin.FabricConfig{Seed: 3})
+	Expect(err).NotTo(HaveOccurred())
+	fabric.SetBalancers(s.settings.Balancer.Ingress.Listen)
+	target, err := standin.NewTarget(standin.TargetConfig{
+		Instance: "1", Endpoints: []standin.Endpoint{example}, Slots: 2, ServiceTime: serviceTime,
+		LineInterval: time.Second, Agent: s.settings.Agent.Target.Listen, Ledger: s.ledger,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	s.caller, err = standin.NewCaller(standin.CallerConfig{
+		Addresses: []netip.Addr{netip.MustParseAddr("198.51.100.1")}, Fabric: fabric.CallerAddr(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	s.settings.Agent.Target.Peer, s.settings.Agent.Gateway.Peer = target.Addr(), fabric.GatewayAddr()
+	s.settings.Agent.HealthURL, s.settings.Agent.LoadURL = target.URL()+"/health", target.URL()+"/load"
+	runUntilEnd(fabric.Run, target.Run, s.caller.Run)
+	processes := processesOf(s.all)
+	s.process = processes[0]
+	var ctx context.Context
+	ctx, s.stop = context.WithCancel(context.Background())
+	go func() {
+		outcome, err := daemon.RunAll(ctx, processes)
+		s.ended <- ending{outcome, err}
+		close(s.ended)
+	}()
+	DeferCleanup(func() {
+		s.stop()
+		for range s.ended {
+		}
+	})
+	return s
+}
+
+// applyExample puts the configuration in force and waits for the target.
+func (s *single) applyExample(ctx context.Context) {
+	GinkgoHelper()
+	client, err := operator.NewClient(operator.Config{Controllers: []string{s.settings.Controller.Listen.String()}, TLS: s.operator})
+	Expect(err).NotTo(HaveOccurred())
+	defer client.Close()
+	text, err := examples.Configuration(examples.Single)
+	Expect(err).NotTo(HaveOccurred())
+	reply, err := client.Apply(ctx, operator.Edit{File: "configuration.json", Document: text})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(reply.Problems).To(BeEmpty())
+	Expect(reply.Result.Code).To(Equal(result.OK), reply.Result.Message)
+	Eventually(func() int { return len(s.process.BalancerView().Targets) }).WithContext(ctx).Should(Equal(1))
+}
+
+func freePort() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
