Add the demonstration

make demo runs 3 controllers, 3 balancers and the 23 targets of both example deployments in one process on loopback, with real TCP through the daemons. It holds 120 streams and submits requests at 40% of the slots while it adds a target, drains one, stops a balancer and changes a rule. It counts at the targets what they received, and fails if a flow broke, reached a wrong service, ran twice, or ran after a refusal, or if the drained target received a new flow more than 5 s after the drain.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 # Sends the kernel's TCP through a TUN device; needs the right to create one.
 tun-check:
 	$(GO) run ./cmd/tuncheck
+
+# The whole system in one process on loopback, for under a minute.
+demo:
+	$(GO) run ./cmd/demo
--- /dev/null
+++ b/cmd/demo/document.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/greengagelock/greengagelock/examples"
+	"github.com/greengagelock/greengagelock/internal/config"
+	"github.com/greengagelock/greengagelock/internal/model"
+)
+
+// demoRamp replaces the ramp of the examples, which is longer than the demonstration can wait.
+const demoRamp = "2s"
+
+// document is a configuration document that the demonstration edits.
+type document struct {
+	Inventory struct {
+		VMs []vmEntry `json:"vms"`
+	} `json:"inventory"`
+	Services []map[string]any `json:"services"`
+	Leaving  []string         `json:"leaving"`
+	Limits   map[string]int   `json:"limits"`
+}
+
+type vmEntry struct {
+	Name     string            `json:"name"`
+	Zone     string            `json:"zone"`
+	Customer string            `json:"customer"`
+	Labels   map[string]string `json:"labels"`
+}
+
+// deployment is an example with the number of slots that its targets have.
+type deployment struct {
+	folder string
+	slots  int
+}
+
+var deployments = []deployment{{examples.MigracionesAndinas, 2}, {examples.BaenatimiLabs, 5}}
+
+// readDocuments returns one document with both deployments.
+func readDocuments() (*document, error) {
+	all := &document{Leaving: []string{}, Limits: map[string]int{}}
+	for _, d := range deployments {
+		one, err := readDocument(d.folder)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", d.folder, err)
+		}
+		all.Inventory.VMs = append(all.Inventory.VMs, one.Inventory.VMs...)
+		all.Services = append(all.Services, one.Services...)
+		for name, limit := range one.Limits {
+			all.Limits[name] = max(all.Limits[name], limit)
+		}
+	}
+	for _, s := range all.Services {
+		s["ramp"] = demoRamp
+	}
+	return all, nil
+}
+
+func readDocument(folder string) (*document, error) {
+	text, err := examples.Configuration(folder)
+	if err != nil {
+		return nil, err
+	}
+	if text, err = hujson.Standardize(text); err != nil {
+		return nil, err
+	}
+	d := &document{}
+	return d, json.Unmarshal(text, d)
+}
+
+// text returns the document as control takes it.
+func (d *document) text() ([]byte, error) { return json.MarshalIndent(d, "", "\t") }
+
+// parse returns the document as control understands it.
+func (d *document) parse() (*config.Document, error) {
+	text, err := d.text()
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse("demo.json", text)
+}
+
+// addVM adds a copy of an inventory entry under another name.
+func (d *document) addVM(like, name string) error {
+	i := slices.IndexFunc(d.Inventory.VMs, func(v vmEntry) bool { return v.Name == like })
+	if i < 0 {
+		return fmt.Errorf("no VM %s in the inventory", like)
+	}
+	added := d.Inventory.VMs[i]
+	added.Name, added.Labels = name, maps.Clone(added.Labels)
+	d.Inventory.VMs = append(d.Inventory.VMs, added)
+	return nil
+}
+
+// set changes a rule of a service.
+func (d *document) set(service, key string, value any) error {
+	for _, s := range d.Services {
+		if s["name"] == service {
+			s[key] = value
+			return nil
+		}
+	}
+	return fmt.Errorf("no service %s", service)
+}
+
+// slotsOf returns the slots of the targets of a customer.
+func slotsOf(customer model.Customer) int {
+	for _, d := range deployments {
+		if d.folder == string(customer) {
+			return d.slots
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/demo/nodes.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/config"
+	"github.com/greengagelock/greengagelock/internal/daemon"
+	"github.com/greengagelock/greengagelock/internal/fabric"
+	"github.com/greengagelock/greengagelock/internal/jsonc"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/settings"
+	"github.com/greengagelock/greengagelock/internal/standin"
+)
+
+const (
+	// serviceTime is how long a target works on a request.
+	serviceTime  = 60 * time.Millisecond
+	lineInterval = 200 * time.Millisecond
+	// connections is the limit of an endpoint in both deployments.
+	connections     = 2000
+	shutdownTimeout = 15 * time.Second
+)
+
+// balancerNode is a running balancer.
+type balancerNode struct {
+	name    string
+	ingress netip.AddrPort
+	daemon  *daemon.Process
+	process *process
+}
+
+// targetNode is a running target with its agent.
+type targetNode struct {
+	vm       config.VM
+	services []string
+	target   *standin.Target
+}
+
+// startDaemon runs a daemon as greengagelockd does.
+func (d *demo) startDaemon(phase int, s *settings.Settings) (*daemon.Process, *process, error) {
+	files, err := d.authority.Issue(s.Roles[0], s.Name)
+	if err != nil {
+		return nil, nil, err
+	}
+	s.TLS = settings.TLS{Cert: files.Cert, Key: files.Key, CA: files.CA}
+	s.Inherit()
+	s.FleetKey = d.fleetKey
+	s.Telemetry.LogLevel = d.logLevel
+	s.Telemetry.Trace.Exporter = "none"
+	s.ShutdownTimeout = jsonc.Duration(shutdownTimeout)
+	p, err := daemon.New(s)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", s.Name, err)
+	}
+	running := d.start(phase, s.Name, func(ctx context.Context) error {
+		outcome, err := p.Run(ctx)
+		if err == nil && outcome != daemon.OutcomeClean {
+			err = fmt.Errorf("exit status %d", outcome)
+		}
+		return err
+	})
+	return p, running, nil
+}
+
+func (d *demo) startControllers() error {
+	for i := range controllerCount {
+		address, err := freeTCP()
+		if err != nil {
+			return err
+		}
+		d.controllers = append(d.controllers, settings.Peer{Name: fmt.Sprintf("control-%d", i+1), Address: address})
+	}
+	for _, c := range d.controllers {
+		_, _, err := d.startDaemon(phaseControllers, &settings.Settings{
+			Name: c.Name, VM: model.VM(c.Name), Roles: []model.Role{model.RoleController},
+			Controller: &settings.Controller{
+				Listen: c.Address, DataDir: filepath.Join(d.folder, c.Name), Members: d.controllers,
+			},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *demo) startBalancer(number int) error {
+	ports, err := freeUDP(2)
+	if err != nil {
+		return err
+	}
+	b := &balancerNode{name: fmt.Sprintf("balancer-%d", number), ingress: ports[0]}
+	b.daemon, b.process, err = d.startDaemon(phaseBalancers, &settings.Settings{
+		Name: b.name, VM: model.VM(b.name), Roles: []model.Role{model.RoleBalancer}, Controllers: d.controllers,
+		Balancer: &settings.Balancer{
+			Ingress: settings.PacketPort{Kind: settings.KindUDP, Listen: ports[0]}, Egress: ports[1],
+		},
+	})
+	d.balancers = append(d.balancers, b)
+	return err
+}
+
+// startTarget starts a target for every service that selects the VM, and its agent.
+func (d *demo) startTarget(doc *config.Document, vm config.VM) error {
+	var endpoints []standin.Endpoint
+	var services []string
+	for _, s := range doc.Services {
+		if s.Selects(&vm) {
+			endpoints = append(endpoints, standin.Endpoint{Service: s.Name, Address: s.Address})
+			services = append(services, s.Name)
+		}
+	}
+	slots := slotsOf(vm.Customer)
+	t, err := standin.NewTarget(standin.TargetConfig{
+		Instance: string(vm.Name), Endpoints: endpoints, Slots: slots,
+		ServiceTime: serviceTime, LineInterval: lineInterval, Ledger: d.ledger,
+	})
+	if err != nil {
+		return err
+	}
+	ports, err := freeUDP(3)
+	if err != nil {
+		return err
+	}
+	t.SetAgent(ports[1])
+	d.start(phaseTargets, "target "+string(vm.Name), t.Run)
+	_, _, err = d.startDaemon(phaseAgents, &settings.Settings{
+		Name: string(vm.Name), VM: vm.Name, Zone: vm.Zone, Roles: []model.Role{model.RoleAgent}, Controllers: d.controllers,
+		Agent: &settings.Agent{
+			Data:     ports[0],
+			Target:   settings.PacketPort{Kind: settings.KindUDP, Listen: ports[1], Peer: t.Addr()},
+			Gateway:  settings.PacketPort{Kind: settings.KindUDP, Listen: ports[2], Peer: d.fabric.GatewayAddr()},
+			Services: services, Slots: slots, Connections: connections,
+			HealthURL: t.URL() + "/health", LoadURL: t.URL() + "/load",
+		},
+	})
+	d.targets = append(d.targets, &targetNode{vm: vm, services: services, target: t})
+	return err
+}
+
+// freeUDP returns ports that were free a moment ago. They are all open at the same time, so that
+// they differ.
+func freeUDP(count int) ([]netip.AddrPort, error) {
+	var ports []netip.AddrPort
+	for range count {
+		conn, err := fabric.ListenUDP(netip.MustParseAddrPort("127.0.0.1:0"))
+		if err != nil {
+			return nil, err
+		}
+		defer conn.Close()
+		ports = append(ports, conn.LocalAddr())
+	}
+	return ports, nil
+}
+
+func freeTCP() (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer listener.Close()
+	return netip.ParseAddrPort(listener.Addr().String())
+}
