--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -251,6 +251,8 @@
 		c.heal()
 		c.run(consensus.DefaultElectionTimeout, nil)
 		Expect(lost.status().SnapshotIndex).To(Equal(l.status().SnapshotIndex))
+		Expect(l.status().Counters.SnapshotsSent).To(BeEquivalentTo(1))
+		Expect(lost.status().Counters.SnapshotsInstalled).To(BeEquivalentTo(1))
 		Expect(lost.state).To(Equal(l.state))
 		Expect(lost.status().Members).To(Equal(l.node.Members()))
 	})
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -46,7 +46,11 @@
 	n.votes = map[MemberID]bool{n.cfg.ID: true}
 	n.resetRetryTimer()
 	term := n.term + 1
+	if role == PreCandidate {
+		n.counters.PreVotes++
+	}
 	if role == Candidate {
+		n.counters.Elections++
 		n.term = term
 		n.vote = n.cfg.ID
 	}
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -24,6 +24,7 @@
 
 func (n *Node) becomeLeader() {
 	granted := n.votes
+	n.counters.Leaderships++
 	n.role = Leader
 	n.leader = n.cfg.ID
 	n.votes = nil
@@ -73,6 +74,7 @@
 
 func (n *Node) tickLeader() {
 	if n.now >= n.lead.quorumDeadline && !n.checkQuorum() {
+		n.counters.QuorumLosses++
 		n.becomeFollower(n.term, 0)
 		return
 	}
@@ -115,16 +117,25 @@
 // Propose appends a command to the log of the leader. The command ran if an entry with the
 // returned position is committed.
 func (n *Node) Propose(data []byte) (Position, error) {
-	if err := n.checkLeading(); err != nil {
+	if err := n.checkProposal(len(data)); err != nil {
+		n.counters.ProposalsRefused++
 		return Position{}, err
 	}
-	if len(data) > MaxEntrySize {
-		return Position{}, result.New(result.Internal, "entry of %d bytes, at most %d are allowed", len(data), MaxEntrySize)
+	n.counters.ProposalsAppended++
+	return n.appendEntry(EntryCommand, data), nil
+}
+
+func (n *Node) checkProposal(size int) error {
+	if err := n.checkLeading(); err != nil {
+		return err
+	}
+	if size > MaxEntrySize {
+		return result.New(result.Internal, "entry of %d bytes, at most %d are allowed", size, MaxEntrySize)
 	}
-	if n.lead.uncommitted+len(data) > n.cfg.MaxUncommitted && n.lead.uncommitted > 0 {
-		return Position{}, result.New(result.Overloaded, "%d bytes wait for a quorum", n.lead.uncommitted)
+	if n.lead.uncommitted+size > n.cfg.MaxUncommitted && n.lead.uncommitted > 0 {
+		return result.New(result.Overloaded, "%d bytes wait for a quorum", n.lead.uncommitted)
 	}
-	return n.appendEntry(EntryCommand, data), nil
+	return nil
 }
 
 func (n *Node) checkLeading() error {
@@ -207,6 +218,7 @@
 	if stale {
 		return
 	}
+	n.counters.AppendsRejected++
 	next := r.Hint.Index
 	if next >= n.log.base.Index {
 		next = n.log.hint(r.Hint.Index, r.Hint.Term).Index
@@ -223,6 +235,7 @@
 	case p.state != replicating:
 		p.paused = false
 	case len(p.inflight) > 0:
+		n.counters.AppendsRepeated++
 		p.probe(p.match + 1)
 	}
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -34,6 +34,8 @@
 
 	lead leadership
 
+	counters Counters
+
 	messages    []Message
 	reads       []ReadState
 	saved       HardState // as of the last Ready
@@ -130,6 +132,7 @@
 		return result.New(result.PeerUnknown, "message from member %d to %d reached member %d", m.From, m.To, n.cfg.ID)
 	}
 	if m.Term < n.term {
+		n.counters.OldTerms++
 		n.answerOldTerm(m)
 		return nil
 	}
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -93,6 +93,7 @@
 // failReads fails the reads of a leader that steps down.
 func (n *Node) failReads() {
 	for _, r := range n.lead.reads {
+		n.counters.ReadsFailed++
 		n.answerRead(r, true)
 	}
 	n.lead.reads = nil
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -52,6 +52,7 @@
 }
 
 func (n *Node) startSnapshot(id MemberID, p *progress) {
+	n.counters.SnapshotsSent++
 	p.state = snapshotting
 	p.inflight = nil
 	p.paused = false
@@ -131,4 +132,5 @@
 	n.history = []membersAt{{index: s.Index, Members: s.Members}}
 	n.snapshot = s
 	n.install = &s
+	n.counters.SnapshotsInstalled++
 }
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -18,7 +18,25 @@
 	SnapshotIndex uint64
 	Members       Members
 	// Peers is set at the leader.
-	Peers []PeerStatus
+	Peers    []PeerStatus
+	Counters Counters
+}
+
+// Counters count what a member has done since it started.
+type Counters struct {
+	PreVotes           uint64 // pre-votes that this member has asked for
+	Elections          uint64 // votes that this member has asked for
+	Leaderships        uint64 // elections that it has won
+	QuorumLosses       uint64 // leaderships that it gave up without contact to a quorum
+	Transfers          uint64 // leaderships that it has offered to another member
+	ProposalsAppended  uint64
+	ProposalsRefused   uint64
+	AppendsRejected    uint64 // by members whose logs did not agree
+	AppendsRepeated    uint64 // windows of Append messages that were taken for lost
+	SnapshotsSent      uint64 // begun at the leader
+	SnapshotsInstalled uint64
+	ReadsFailed        uint64
+	OldTerms           uint64 // messages of an older term
 }
 
 // PeerStatus is what the leader knows about another member.
@@ -36,7 +54,7 @@
 	s := Status{
 		ID: n.cfg.ID, SoftState: n.softState(), Vote: n.vote, Halted: n.halted,
 		First: n.log.base.Index + 1, Last: n.log.last().Index, Commit: n.log.commit, Applied: n.log.applied,
-		SnapshotIndex: n.snapshot.Index, Members: n.Members().Clone(),
+		SnapshotIndex: n.snapshot.Index, Members: n.Members().Clone(), Counters: n.counters,
 	}
 	for _, id := range n.peerIDs() {
 		p := n.lead.peers[id]
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -43,22 +43,27 @@
 	if n.lead.transferee != from || p.match < n.log.last().Index {
 		return
 	}
-	n.send(Message{To: from, TimeoutNow: &TimeoutNow{Last: n.log.last()}})
+	n.offerLeadership(from)
+}
+
+func (n *Node) offerLeadership(to MemberID) {
+	n.counters.Transfers++
+	n.send(Message{To: to, TimeoutNow: &TimeoutNow{Last: n.log.last()}})
 }
 
 // handOver gives up the leadership and asks the best successor for an election at once.
 func (n *Node) handOver() {
 	best := n.bestSuccessor()
 	if best != 0 {
-		n.send(Message{To: best, TimeoutNow: &TimeoutNow{Last: n.log.last()}})
+		n.offerLeadership(best)
 	}
 	n.becomeFollower(n.term, 0)
 }
 
 // PersistFailed tells the node that Persist has failed for the last Ready, which is void. The
 // node gives up its leadership and takes no further part, because it cannot keep promises. The
-// returned messages promise nothing and may be sent. The shell opens the storage anew and starts
-// a new Node.
+// returned messages promise nothing and may be sent. Reads and proposals that wait get no answer.
+// The shell opens the storage anew and starts a new Node.
 func (n *Node) PersistFailed() []Message {
 	n.messages, n.reads = nil, nil
 	if n.role == Leader {
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -43,14 +43,23 @@
 	folder string
 }
 
-// NewDirFS creates the folder if needed.
+// NewDirFS creates the folder if needed, and makes its name durable.
 func NewDirFS(folder string) (*DirFS, error) {
+	var parents []string
+	for dir := filepath.Clean(folder); ; dir = filepath.Dir(dir) {
+		parent := filepath.Dir(dir)
+		parents = append(parents, parent)
+		if _, err := os.Stat(parent); err == nil || parent == dir {
+			break
+		}
+	}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, errors.Wrap(err, "create the data folder")
 	}
-	parent := &DirFS{folder: filepath.Dir(folder)}
-	if err := parent.SyncDir(); err != nil {
-		return nil, err
+	for _, parent := range parents {
+		if err := (&DirFS{folder: parent}).SyncDir(); err != nil {
+			return nil, errors.Wrap(err, "sync a parent of the data folder")
+		}
 	}
 	return &DirFS{folder: folder}, nil
 }
