Let new targets join the owners chain before they admit

Cause: a new target admitted flows through a balancer that knew it, while another balancer and the agents did not. Their generations agreed, so the last agent reset the flow. Uneven generations were ruled out as the cause: they only delay packets. The experiment follows this rule and keeps the old one as a baseline that must lose flows.

--- a/internal/catalog/batch.go
+++ b/internal/catalog/batch.go
@@ -25,6 +25,12 @@
 			c.dirty.targets[t.ID] = true
 		}
 	}
+	for _, id := range b.Activations {
+		if t := c.targets[id]; t != nil && t.Joining {
+			t.Joining = false
+			c.dirty.targets[id] = true
+		}
+	}
 	for _, e := range b.Ejections {
 		if t := c.targets[e.Target]; t != nil && t.Ejected != e.Ejected {
 			t.Ejected = e.Ejected
@@ -78,7 +84,7 @@
 	}
 	delete(c.quarantine, r.Key)
 	c.nextTarget++
-	t := &target{ID: c.nextTarget, Registration: r, Service: c.named(r.Service).Model.ID}
+	t := &target{ID: c.nextTarget, Registration: r, Service: c.named(r.Service).Model.ID, Joining: true}
 	c.targets[t.ID] = t
 	c.link(t)
 	c.dirty.nodes[r.Node] = true
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -54,6 +54,8 @@
 	Service      model.ServiceID
 	Lost         bool
 	Ejected      bool
+	// Joining targets take no flows until every node knows them.
+	Joining bool
 	// DrainingSince is the generation from which the target takes no new flows; 0 if it does.
 	DrainingSince model.Generation
 }
@@ -278,6 +280,8 @@
 		m.State = model.TargetDraining
 	case t.Ejected:
 		m.State = model.TargetEjected
+	case t.Joining:
+		m.State = model.TargetJoining
 	}
 	return m
 }
--- a/internal/catalog/command.go
+++ b/internal/catalog/command.go
@@ -81,11 +81,12 @@
 	Liveness      []LivenessChange
 	Ejections     []EjectionChange
 	Removals      []model.TargetID
+	Activations   []model.TargetID // of targets that every node knows by now
 }
 
 // Empty reports whether the batch changes nothing.
 func (b *Batch) Empty() bool {
-	return len(b.Registrations)+len(b.Withdrawals)+len(b.Liveness)+len(b.Ejections)+len(b.Removals) == 0
+	return len(b.Registrations)+len(b.Withdrawals)+len(b.Liveness)+len(b.Ejections)+len(b.Removals)+len(b.Activations) == 0
 }
 
 // Key names a registration: which node offers which endpoint.
--- a/internal/catalog/update.go
+++ b/internal/catalog/update.go
@@ -148,6 +148,7 @@
 	ServiceName   string
 	Lost          bool
 	Ejected       bool
+	Joining       bool
 	DrainingSince model.Generation
 	// Disallowed targets are not selected by the document any more.
 	Disallowed bool
@@ -160,7 +161,7 @@
 		t := c.targets[id]
 		list = append(list, TargetStatus{
 			Model: c.view.Targets[id], Registration: t.Registration, ServiceName: t.Registration.Service,
-			Lost: t.Lost, Ejected: t.Ejected, DrainingSince: t.DrainingSince, Disallowed: c.disallowed(t),
+			Lost: t.Lost, Ejected: t.Ejected, Joining: t.Joining, DrainingSince: t.DrainingSince, Disallowed: c.disallowed(t),
 		})
 	}
 	return list
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// Guards against a joining state that protects nothing: a target that admits before every node knows
+// it must lose flows in the experiment.
+func TestTargetThatAdmitsAtOnceLosesFlows(t *testing.T) {
+	result := experiment.RunFlows(experiment.NewFlowScenario(), experiment.SkipsJoining)
+	if result.Chain == 0 {
+		t.Errorf("none of %d flows is broken", result.Flows)
+	}
+}
+
 // Guards against a comparison with a baseline that does not break: plain hashing must lose flows
 // when targets come and go, or the experiment shows nothing.
 func TestBaselinesBreakFlows(t *testing.T) {
--- a/internal/experiment/flows.go
+++ b/internal/experiment/flows.go
@@ -21,16 +21,16 @@
 	TargetOut   Change = "a target VM is lost"
 	Uneven      Change = "half of the balancers have the table before a join"
 	Restart     Change = "an agent restarts"
-	// StaleAgents is Uneven with agents that have the old table as well: the last one takes the
-	// tables for equal and resets the flow.
+	// StaleAgents is Uneven with agents that have the old table as well. A new target belongs to the
+	// owners chain before it admits, so that the last agent does not take a flow of it for unknown.
 	StaleAgents Change = "half of the balancers and all agents have the table before a join"
-	// OwnsFirst is StaleAgents under a rule that new targets belong to the owners chain everywhere
-	// before they admit.
-	OwnsFirst Change = "the same, if a new target is an owner before it admits"
+	// SkipsJoining is StaleAgents with a target that admits as soon as it is known to some node. It is
+	// a baseline, and not what the system does.
+	SkipsJoining Change = "the same, if a new target admits at once"
 )
 
 // Changes lists all kinds of change in the order of the table.
-var Changes = []Change{Join, Drain, Several, BalancerOut, FalseLoss, TargetOut, Uneven, Restart, StaleAgents, OwnsFirst}
+var Changes = []Change{Join, Drain, Several, BalancerOut, FalseLoss, TargetOut, Uneven, Restart, StaleAgents}
 
 // FlowResult counts the flows that were established before a change, by what became of them.
 type FlowResult struct {
@@ -120,9 +120,9 @@
 		join(view, model.TargetID(i+1))
 	}
 	newcomer := model.TargetID(targets + 1)
-	if change == OwnsFirst {
+	if change == StaleAgents {
 		join(view, newcomer)
-		setState(view, newcomer, model.TargetEjected)
+		setState(view, newcomer, model.TargetJoining)
 	}
 	old := serviceOf(view)
 	w := &world{before: [2]*placement.Service{old, old}}
@@ -130,7 +130,7 @@
 	view.Generation = 2
 	view.Services[1] = model.Service{ID: 1, Generation: 2}
 	switch change {
-	case Join, Uneven, StaleAgents, OwnsFirst:
+	case Join, Uneven, StaleAgents, SkipsJoining:
 		join(view, newcomer)
 	case Drain:
 		setState(view, lostTarget, model.TargetDraining)
@@ -150,11 +150,11 @@
 	latest := serviceOf(view)
 	w.after = [2]*placement.Service{latest, latest}
 	w.agents, w.final = latest, latest
-	if change == Uneven || change == StaleAgents || change == OwnsFirst {
+	if change == Uneven || change == StaleAgents || change == SkipsJoining {
 		w.before[1] = latest
 		w.after[0] = old
 	}
-	if change == StaleAgents || change == OwnsFirst {
+	if change == StaleAgents || change == SkipsJoining {
 		w.agents = old
 	}
 	return w
--- a/internal/membership/decide.go
+++ b/internal/membership/decide.go
@@ -23,6 +23,7 @@
 			present = append(present, target)
 		}
 	}
+	t.activate(now, targets, b)
 	for i := range present {
 		t.targets[present[i].Model.ID].lostSince = time.Time{}
 		if present[i].Disallowed && t.drained(&present[i]) {
@@ -36,6 +37,20 @@
 	t.decideEjections(now, targets, present, b)
 }
 
+// activate lets targets take flows that have been joining for long enough.
+func (t *Table) activate(now time.Time, targets []catalog.TargetStatus, b *catalog.Batch) {
+	for i := range targets {
+		w := t.targets[targets[i].Model.ID]
+		switch {
+		case !targets[i].Joining:
+		case w.joining.IsZero():
+			w.joining = now
+		case now.Sub(w.joining) >= JoinDelay:
+			b.Activations = append(b.Activations, targets[i].Model.ID)
+		}
+	}
+}
+
 // drained reports whether the flows of a draining target ended after its agent had stopped
 // admitting.
 func (t *Table) drained(target *catalog.TargetStatus) bool {
@@ -72,7 +87,7 @@
 	left := admitting(present) + admitting(candidates)
 	for i := range candidates {
 		takes := 0
-		if !candidates[i].Ejected {
+		if !candidates[i].Ejected && !candidates[i].Joining {
 			takes = 1
 		}
 		if (marked+1)*100 > staying*MaxLostPercent || left-takes < 1 {
@@ -97,7 +112,7 @@
 func admitting(targets []catalog.TargetStatus) int {
 	count := 0
 	for i := range targets {
-		if !targets[i].Lost && !targets[i].Ejected && targets[i].DrainingSince == 0 {
+		if !targets[i].Lost && !targets[i].Ejected && !targets[i].Joining && targets[i].DrainingSince == 0 {
 			count++
 		}
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -232,10 +232,37 @@
 	}
 }
 
+// join lets enough time pass for new targets to take flows.
+func (w *world) join(t fataler) {
+	for passed := time.Duration(0); passed <= membership.JoinDelay; passed += time.Second {
+		w.tick(t, time.Second)
+	}
+}
+
+// Guards against a flow at a target that some nodes do not know yet: agents that lack the target
+// reset the flow, because no candidate owns it.
+func TestNewTargetTakesNoFlowsBeforeEveryNodeKnowsIt(t *testing.T) {
+	w := newWorld(t, 2)
+	for passed := time.Duration(0); passed < membership.JoinDelay; passed += time.Second {
+		for _, target := range w.cat.Targets() {
+			if target.Model.State != model.TargetJoining {
+				t.Fatalf("%s is %s %v after it was registered", target.Model.Name, target.Model.State, passed)
+			}
+		}
+		w.tick(t, time.Second)
+	}
+	w.tick(t, time.Second)
+	for _, target := range w.cat.Targets() {
+		if target.Model.State != model.TargetActive {
+			t.Fatalf("%s is still %s", target.Model.Name, target.Model.State)
+		}
+	}
+}
+
 // Guards against an ejection that never happens or never ends.
 func TestFailingTargetIsEjectedAndTriedAgain(t *testing.T) {
 	w := newWorld(t, 4)
-	w.tick(t, time.Second)
+	w.join(t)
 	w.evidence[node(0)] = model.Evidence{HandshakeFailures: membership.FailuresToEject, EndpointHealthy: true}
 	if b := w.tick(t, time.Second); len(b.Ejections) != 1 || !b.Ejections[0].Ejected {
 		t.Fatalf("batch %+v, want one ejection", b)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -93,6 +93,9 @@
 	// TargetLost targets have lost their lease. They stay at the end of the chain for packets of
 	// established flows.
 	TargetLost
+	// TargetJoining targets are new. They belong to the chain for packets of established flows and
+	// admit no flows yet, so that every node asks them for a flow before they own one.
+	TargetJoining
 )
 
 // String returns the name of the state.
@@ -106,6 +109,8 @@
 		return "ejected"
 	case TargetLost:
 		return "lost"
+	case TargetJoining:
+		return "joining"
 	}
 	return "unknown"
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -46,7 +46,7 @@
 	ids := rapid.SliceOfNDistinct(rapid.Uint32Range(1, 1<<15), 1, limit, rapid.ID[uint32]).Draw(t, "ids")
 	members := make([]model.Target, 0, len(ids))
 	for _, id := range ids {
-		state := model.TargetState(rapid.IntRange(0, 3).Draw(t, "state"))
+		state := model.TargetState(rapid.IntRange(0, 4).Draw(t, "state"))
 		members = append(members, target(model.TargetID(id), state))
 	}
 	return members
@@ -100,7 +100,7 @@
 				return !slices.Contains(wanted, states[id])
 			})
 		}
-		alive := filter(model.TargetActive, model.TargetDraining, model.TargetEjected)
+		alive := filter(model.TargetActive, model.TargetDraining, model.TargetEjected, model.TargetJoining)
 		admitting := filter(model.TargetActive)
 		if len(admitting) == 0 {
 			admitting = alive
@@ -203,7 +203,7 @@
 		delete(v.Targets, tid)
 		return
 	}
-	member := target(tid, model.TargetState(rapid.IntRange(0, 3).Draw(t, "state"+label)))
+	member := target(tid, model.TargetState(rapid.IntRange(0, 4).Draw(t, "state"+label)))
 	member.Service = id
 	v.Targets[tid] = member
 }
