--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -98,6 +98,8 @@
 	report target.Report
 	local  []flowtable.Endpoint
 	state  stateLog
+	// published is when the announced state was refreshed.
+	published time.Duration
 }
 
 // New returns an agent that has no view and admits nothing yet.
@@ -155,11 +157,12 @@
 	a.controlAge.Store(&age)
 }
 
-func (a *Agent) age() time.Duration {
+// age returns the control age, or false while it is not known.
+func (a *Agent) age() (time.Duration, bool) {
 	if age := a.controlAge.Load(); age != nil {
-		return (*age)()
+		return (*age)(), true
 	}
-	return 0
+	return 0, false
 }
 
 // do runs f in the goroutine that owns the flow table, and waits for it. It reports false if Run
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -26,7 +26,7 @@
 	sent, failed prometheus.Counter
 }
 
-func newMetrics(registry prometheus.Registerer, age func() time.Duration) (*metrics, error) {
+func newMetrics(registry prometheus.Registerer, age func() (time.Duration, bool)) (*metrics, error) {
 	counters := func(name, help, label string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "greengagelock_agent_" + name, Help: help}, []string{label})
 	}
@@ -38,8 +38,13 @@
 	failed := counters("send_failures_total", "Packets that could not be sent.", "port")
 	controlAge := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "greengagelock_agent_control_age_seconds",
-		Help: "Time since a controller with a quorum was heard from.",
-	}, func() float64 { return age().Seconds() })
+		Help: "Time since a controller with a quorum was heard from; -1 while unknown.",
+	}, func() float64 {
+		if d, ok := age(); ok {
+			return d.Seconds()
+		}
+		return -1
+	})
 	m := &metrics{
 		fromFabric: received.WithLabelValues("fabric"), fromTarget: received.WithLabelValues("target"),
 		drops:    counters("drops_total", "Packets dropped.", "reason"),
--- a/internal/agent/owner.go
+++ b/internal/agent/owner.go
@@ -32,14 +32,26 @@
 		case r := <-a.watcher.Reports():
 			a.handleReport(r)
 		case <-timer.C:
-			a.out.run(a.table.Tick(a.now()))
-			a.out.flush()
-			a.publish()
+			a.tick()
 		}
 		timer.Reset(a.untilTick())
 	}
 }
 
+// tick handles the timers of the flow table.
+func (a *Agent) tick() {
+	now := a.now()
+	if age, ok := a.age(); ok {
+		a.table.SetControlAge(now, age)
+	}
+	a.out.run(a.table.Tick(now))
+	a.out.flush()
+	if now-a.published >= publishInterval {
+		a.published = now
+		a.publish()
+	}
+}
+
 // untilTick returns the time until the flow table has something to do.
 func (a *Agent) untilTick() time.Duration {
 	wait, ok := a.table.Next(a.now())
--- a/internal/flowtable/action.go
+++ b/internal/flowtable/action.go
@@ -39,8 +39,11 @@
 const (
 	DropSYNData      flow.DropReason = "syn_data"
 	DropSYNQueued    flow.DropReason = "syn_already_queued"
+	DropSYNPending   flow.DropReason = "syn_pending"
 	DropMalformed    flow.DropReason = "tcp_flags"
 	DropNotServed    flow.DropReason = "not_served"
+	DropUnknownHeld  flow.DropReason = "unknown_flow_held"
+	DropControlAge   flow.DropReason = "unknown_flow_control_age"
 	DropGeneration   flow.DropReason = "unknown_flow_generation"
 	DropUnknownReset flow.DropReason = "unknown_flow_reset"
 	DropLateAnswer   flow.DropReason = "late_answer"
--- a/internal/flowtable/handshake.go
+++ b/internal/flowtable/handshake.go
@@ -47,16 +47,9 @@
 			t.drop(DropSYNQueued)
 		}
 		return same
-	case stateHalfOpen, stateSynAckSeen:
-		if same {
-			t.deliver(p.Raw)
-		}
-		return same
-	case stateEstablished, stateClosing:
-		if r.has(flagUnconfirmed) {
-			return false
-		}
-		// The target answers with a challenge ACK, and a caller that has lost the flow resets it.
+	case stateHalfOpen, stateSynAckSeen, stateProbing, stateEstablished, stateClosing:
+		// A SYN with another sequence number may be a late duplicate of an earlier flow. The target
+		// answers it with a challenge ACK, and a caller that has lost the flow resets it.
 		t.deliver(p.Raw)
 		return true
 	default:
@@ -70,7 +63,12 @@
 		return
 	}
 	old := t.endpoints[r.service]
-	if r.state != stateQueued && r.state != stateClosed {
+	switch r.state {
+	case stateQueued:
+		t.leaveQueue(old, i, r)
+		return
+	case stateClosed:
+	default:
 		t.abortTarget(r)
 	}
 	t.linger(old, i, r)
@@ -157,16 +155,26 @@
 	if p := t.parse(t.pending[i].packets[0]); p != nil {
 		t.refuse(p, ep, code)
 	}
-	t.linger(ep, i, r)
+	t.leaveQueue(ep, i, r)
+}
+
+// leaveQueue forgets a flow whose SYN has not reached the target. It does not linger: a recovering
+// agent takes a lingering flow as one that the target does not have.
+func (t *Table) leaveQueue(ep *endpoint, i uint32, r *record) {
+	ep.admission.Abandon(i)
+	t.remove(i, r)
 }
 
-// queuedPacket handles a packet of a flow whose SYN waits here: the flow belongs to another target.
+// queuedPacket handles a packet of a flow whose SYN waits here: the flow belongs to another target,
+// or in recovery to this one from before the restart.
 func (t *Table) queuedPacket(h *encap.Header, p *flow.Packet, ep *endpoint, i uint32, r *record) {
-	if p.TCP.Seq-r.callerNext < attemptWindow {
-		t.note(EventISNMismatch)
-		t.linger(ep, i, r)
+	if p.TCP.Seq-r.callerNext >= attemptWindow {
+		t.passOn(h, p.Raw, ep, result.OK)
+		return
 	}
-	t.passOn(h, p.Raw, ep, result.OK)
+	t.note(EventISNMismatch)
+	t.leaveQueue(ep, i, r)
+	t.unknown(h, p, ep, nil)
 }
 
 // handshakePacket handles a packet of the caller while the handshake is not complete.
@@ -179,6 +187,9 @@
 		t.serveQueue(ep)
 	case ours:
 		t.establish(h, p, ep, i, r)
+	case t.recovering && r.state == stateHalfOpen:
+		// The target may have the flow from before the restart. Its answer to the SYN will tell.
+		t.drop(DropSYNPending)
 	case p.TCP.ACK:
 		t.foreign(h, p, ep, i, r)
 	case p.TCP.RST:
--- a/internal/flowtable/pass.go
+++ b/internal/flowtable/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/greengagelock/greengagelock/internal/admission"
 	"github.com/greengagelock/greengagelock/internal/encap"
@@ -18,7 +19,7 @@
 		return
 	}
 	syn := p.IsSYN()
-	if !h.Final && t.nextCandidate(h, p.Key, syn) {
+	if !h.Final && t.nextCandidate(h, p.Key, ep, syn) {
 		if syn {
 			t.note(EventPassed)
 		}
@@ -52,7 +53,7 @@
 
 // nextCandidate moves the cursor to the next candidate, and extends the chain at its end. It
 // reports whether there was one.
-func (t *Table) nextCandidate(h *encap.Header, key flow.Key, syn bool) bool {
+func (t *Table) nextCandidate(h *encap.Header, key flow.Key, ep *endpoint, syn bool) bool {
 	if h.Cursor+1 < h.Count {
 		h.Cursor++
 		return true
@@ -60,6 +61,10 @@
 	if h.Count < encap.MaxCandidates || h.Extensions >= encap.MaxExtensions || t.cfg.Extend == nil {
 		return false
 	}
+	if !syn && (ep == nil || ep.Service.Generation != h.Generation) {
+		// Positions in a ranking of another generation may leave the owner out.
+		return false
+	}
 	next := t.cfg.Extend(h.Service, key.Hash(), int(h.Extensions)+1, syn)
 	if len(next) == 0 {
 		return false
@@ -117,8 +122,7 @@
 	t.sendCaller(packet)
 }
 
-// endOfChain handles a packet of a flow that no candidate owns. Only with equal generations is the
-// list of candidates known to be complete, so that the owner cannot be missing from it.
+// endOfChain handles a packet of a flow that no candidate owns.
 func (t *Table) endOfChain(h *encap.Header, p *flow.Packet, ep *endpoint) {
 	switch {
 	case ep == nil:
@@ -126,15 +130,54 @@
 	case p.TCP.RST:
 		t.drop(DropUnknownReset)
 	case h.Generation != ep.Service.Generation:
+		// The owner may be missing from the list.
 		t.drop(DropGeneration)
+	case !t.current(h):
+		// Both tables may be equally old.
+		t.drop(DropControlAge)
+	case !t.heldUnknown(p, ep):
+		t.drop(DropUnknownHeld)
 	default:
-		packet, err := flow.Reset(p)
-		if err != nil {
-			panic("flowtable: " + err.Error())
+		t.resetUnknown(p)
+	}
+}
+
+// current reports whether the views of the balancer and of this agent are fresh.
+func (t *Table) current(h *encap.Header) bool {
+	return time.Duration(h.ControlAge)*encap.ControlAgeUnit <= ControlFresh &&
+		t.hasContact && t.now-t.contact <= ControlFresh
+}
+
+// heldUnknown reports whether a flow has been unknown for UnknownHold. Until then a balancer and
+// this agent may share an old view while the flow belongs to a target that has just joined.
+func (t *Table) heldUnknown(p *flow.Packet, ep *endpoint) bool {
+	i, r := t.store.find(pack(p.Key))
+	if r == nil {
+		if t.counts[stateLingering] >= maxUnknown {
+			return false
 		}
-		t.note(EventUnknownReset)
-		t.sendCaller(packet)
+		i, r = t.adopt(p.Key, ep, stateLingering)
+	} else if r.state != stateLingering {
+		return false
 	}
+	// A caller whose acknowledgements advance is served by an owner.
+	if !r.has(flagUnknown) || r.callerAck != p.TCP.Ack {
+		r.set(flagUnknown)
+		r.callerAck = p.TCP.Ack
+		r.takenAt = t.millis
+		t.wheel.arm(i, t.millis+ms(ClosedLinger))
+		return false
+	}
+	return t.millis-r.takenAt >= ms(UnknownHold)
+}
+
+func (t *Table) resetUnknown(p *flow.Packet) {
+	packet, err := flow.Reset(p)
+	if err != nil {
+		panic("flowtable: " + err.Error())
+	}
+	t.note(EventUnknownReset)
+	t.sendCaller(packet)
 }
 
 // stamp offers the queue of this target if its wait is the shortest so far.
--- a/internal/flowtable/record.go
+++ b/internal/flowtable/record.go
@@ -25,7 +25,7 @@
 )
 
 // flag is a property of a flow.
-type flag uint8
+type flag uint16
 
 const (
 	flagTaken       flag = 1 << iota // counts against the limits of the target
@@ -36,6 +36,7 @@
 	flagUnacked                      // data of the target is unacknowledged since unackedAt
 	flagCheckTarget                  // the caller has sent a RST that may not be valid
 	flagHinted                       // a hint was sent at hintedAt
+	flagUnknown                      // no candidate owned a packet of the flow, first at takenAt
 )
 
 // packedKey is a flow.Key in 12 bytes.
@@ -70,9 +71,8 @@
 	// Wheel links, as indexes of records, and the slot of the wheel plus one.
 	next, prev uint32
 	slot       uint16
-
-	state state
-	flags flag
+	flags      flag
+	state      state
 
 	// callerAck is the next sequence number that the caller expects, targetAck the next one that
 	// the target expects. callerNext and targetNext are the ends of what each has sent.
@@ -109,6 +109,15 @@
 	return true
 }
 
+// plausibleBytes is how far a sequence number may be from the one that its receiver expects. It is
+// beyond the bytes in flight of any path in sight (10 Gbit/s and 200 ms).
+const plausibleBytes = 1 << 28
+
+// plausible reports whether a sequence number can belong to a flow whose receiver expects another.
+func plausible(seq, expected uint32) bool {
+	return seq-expected+plausibleBytes < 2*plausibleBytes
+}
+
 // Records live in chunks, so that the table grows without copying.
 const (
 	chunkBits = 10
--- a/internal/flowtable/recovery.go
+++ b/internal/flowtable/recovery.go
@@ -47,20 +47,31 @@
 
 // probeAnswer handles the answer of the target to a probe.
 func (t *Table) probeAnswer(p *flow.Packet, ep *endpoint, i uint32, r *record) {
-	if p.TCP.RST {
-		t.probeFailed(ep, i, r)
-		return
+	r.set(flagUnconfirmed)
+	if t.confirm(p, ep, i, r) {
+		delete(t.pending, i)
+		t.setState(r, stateEstablished)
+		t.fromTarget(p, ep, i, r)
 	}
-	t.probeSucceeded(ep, i, r)
-	t.fromTarget(p, ep, i, r)
 }
 
-// probeSucceeded adopts the flow.
-func (t *Table) probeSucceeded(ep *endpoint, i uint32, r *record) {
+// probeUnanswered adopts the flow. The target need not answer an ACK, so it gets a keep-alive
+// probe, which it does answer.
+func (t *Table) probeUnanswered(i uint32, r *record) {
 	delete(t.pending, i)
 	t.setState(r, stateEstablished)
 	r.set(flagUnconfirmed)
-	r.lastTarget = t.millis
+	t.probeTarget(r)
+	t.wheel.arm(i, t.millis+ms(unconfirmedWait))
+}
+
+// checkUnconfirmed probes the target again, and forgets a flow that the target is silent about.
+func (t *Table) checkUnconfirmed(i uint32, r *record) {
+	if r.probesTarget >= unconfirmedProbes {
+		t.remove(i, r)
+		return
+	}
+	t.probeTarget(r)
 	t.wheel.arm(i, t.millis+ms(unconfirmedWait))
 }
 
@@ -83,10 +94,17 @@
 // confirm handles the first packet of the target for an adopted flow. It reports false if the
 // target does not have the flow.
 func (t *Table) confirm(p *flow.Packet, ep *endpoint, i uint32, r *record) bool {
-	if p.TCP.RST {
+	if p.TCP.SYN {
+		// The target has taken a SYN for a new flow, which was not admitted.
+		r.targetAck = p.TCP.Ack
+		t.abortTarget(r)
+	}
+	if p.TCP.RST || p.TCP.SYN {
 		t.probeFailed(ep, i, r)
 		return false
 	}
+	// The packet of the caller that started the probe may have been a late one of an earlier flow.
+	r.learn(p)
 	r.clear(flagUnconfirmed)
 	t.take(ep, r)
 	t.note(EventAdopted)
@@ -95,6 +113,24 @@
 	return true
 }
 
+// learn takes the sequence numbers of a flow from a packet of its target.
+func (r *record) learn(p *flow.Packet) {
+	r.callerAck, r.targetNext = p.TCP.Seq, p.TCP.Seq
+	r.callerNext, r.targetAck = p.TCP.Ack, p.TCP.Ack
+}
+
+// adoptHalfOpen adopts a flow whose SYN the target has answered with something else than SYN-ACK or
+// RST: the target has the flow from before the restart, and the SYN was a late duplicate.
+func (t *Table) adoptHalfOpen(p *flow.Packet, ep *endpoint, i uint32, r *record) {
+	delete(t.pending, i)
+	t.setState(r, stateEstablished)
+	r.learn(p)
+	t.note(EventAdopted)
+	t.wheel.disarm(i)
+	t.watch(ep, i, r)
+	t.fromTarget(p, ep, i, r)
+}
+
 // unknownAnswer handles a packet of the target for an unknown flow: a late answer, or in recovery a
 // flow from before the start of the agent.
 func (t *Table) unknownAnswer(p *flow.Packet) {
@@ -113,7 +149,5 @@
 	}
 	i, r := t.adopt(p.Key.Reverse(), ep, stateEstablished)
 	r.set(flagUnconfirmed)
-	r.callerAck, r.targetNext = p.TCP.Seq, p.TCP.Seq
-	r.callerNext, r.targetAck = p.TCP.Ack, p.TCP.Ack
 	t.fromTarget(p, ep, i, r)
 }
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -28,15 +28,27 @@
 	// and 40 bytes of IPv4 and TCP headers.
 	ClampMSS = 1328
 
+	// ControlFresh is the largest control age with which a view counts as current: changes are in
+	// force everywhere within 4 s.
+	ControlFresh = 4 * time.Second
+	// UnknownHold is the time between the first packet of a flow that no candidate owns and the RST
+	// for it. It is above ControlFresh, so that a target that joined before the first packet is in
+	// every current view by the time of the RST.
+	UnknownHold = 5 * time.Second
+
 	hintInterval = time.Second
+	// maxUnknown bounds the ended flows beyond which a flow without an owner gets no record.
+	maxUnknown = 1 << 16
 	// closedWait keeps a closed flow for retransmissions of its last FIN.
 	closedWait = 2 * time.Second
 	// closingIdle is the time between checks of a flow whose target has closed and whose caller
 	// sends nothing. The target's kernel gives up such a connection silently.
 	closingIdle   = 60 * time.Second
 	closingProbes = 3
-	// unconfirmedWait ends a flow that was adopted but never used by the target.
-	unconfirmedWait = 60 * time.Second
+	// unconfirmedWait is the time between probes of a target that has not sent a packet of an
+	// adopted flow, and unconfirmedProbes the number of probes before the flow is forgotten.
+	unconfirmedWait   = 5 * time.Second
+	unconfirmedProbes = 3
 	// checkWait is the time between a RST that may not be valid and the check of the target.
 	checkWait = time.Second
 	// orphanIdle ends an idle flow of a target that has left the membership.
@@ -92,6 +104,10 @@
 	recovering bool
 	stopping   bool
 	leaving    bool // the target itself is leaving
+	hasView    bool
+	// contact is when control was last heard from, if hasContact.
+	contact    time.Duration
+	hasContact bool
 	counts     [stateLingering + 1]int
 
 	now     time.Duration
@@ -124,6 +140,10 @@
 func (t *Table) FromFabric(now time.Duration, h *encap.Header, p *flow.Packet) []Action {
 	t.begin(now)
 	flow.ClampMSS(p, ClampMSS)
+	if !t.hasView {
+		// The flow may belong to the target. Without a generation no later agent resets it.
+		h.Generation = 0
+	}
 	ep := t.endpoints[h.Service]
 	if ep == nil || !ep.present || ep.Service.Address != p.Key.Service {
 		t.passOn(h, p.Raw, nil, result.NoTarget)
@@ -165,9 +185,14 @@
 
 // fromCaller handles a packet from the caller of an established flow.
 func (t *Table) fromCaller(h *encap.Header, p *flow.Packet, ep *endpoint, i uint32, r *record) {
+	if !plausible(p.TCP.Seq, r.targetAck) {
+		// A new flow with the same ports at another target, while this one was never closed.
+		t.passOn(h, p.Raw, ep, result.OK)
+		return
+	}
 	r.lastCaller = t.millis
 	r.probesCaller = 0
-	if p.TCP.ACK && advance(&r.callerAck, p.TCP.Ack) {
+	if p.TCP.ACK && !after(p.TCP.Ack, r.targetNext) && advance(&r.callerAck, p.TCP.Ack) {
 		t.acknowledged(r)
 	}
 	if p.TCP.Window == 0 {
@@ -182,9 +207,12 @@
 	}
 	r.clear(flagCheckTarget)
 	end := p.TCP.Seq + p.SegmentLength()
-	advance(&r.callerNext, end)
-	if p.TCP.FIN && end == r.callerNext {
+	if p.TCP.FIN && !after(r.targetAck, end) {
+		// A late duplicate of an earlier flow may have moved callerNext too far.
+		r.callerNext = end
 		t.fin(ep, i, r, flagCallerFIN)
+	} else if !r.has(flagCallerFIN) {
+		advance(&r.callerNext, end)
 	}
 	if h.Hops > 0 {
 		t.hint(h, p, r)
@@ -229,7 +257,7 @@
 	if !r.has(flagCallerFIN) || !r.has(flagTargetFIN) {
 		return
 	}
-	if after(r.callerNext, r.targetAck) || after(r.targetNext, r.callerAck) {
+	if r.callerNext != r.targetAck || r.targetNext != r.callerAck {
 		return
 	}
 	t.setState(r, stateClosed)
@@ -287,9 +315,6 @@
 // linger remembers a flow that the target no longer has, so that late answers are dropped.
 func (t *Table) linger(ep *endpoint, i uint32, r *record) {
 	t.release(ep, r, false)
-	if r.state == stateQueued {
-		ep.admission.Abandon(i)
-	}
 	delete(t.pending, i)
 	t.setState(r, stateLingering)
 	r.flags = 0
--- a/internal/flowtable/target.go
+++ b/internal/flowtable/target.go
@@ -25,7 +25,7 @@
 	case stateProbing:
 		t.probeAnswer(p, ep, i, r)
 	case stateClosed:
-		t.sendCaller(p.Raw)
+		t.closedAnswer(p)
 	default:
 		t.drop(DropLateAnswer)
 	}
@@ -40,7 +40,8 @@
 		return
 	}
 	if p.TCP.ACK {
-		advance(&r.targetAck, p.TCP.Ack)
+		// The target's packets arrive in order.
+		r.targetAck = p.TCP.Ack
 	}
 	end := p.TCP.Seq + p.SegmentLength()
 	if advance(&r.targetNext, end) && !r.has(flagUnacked) {
@@ -58,6 +59,16 @@
 	t.closeIfDone(ep, i, r)
 }
 
+// closedAnswer handles a packet of the target for a closed flow. A RST answers a late duplicate, and
+// would end the TIME-WAIT state of the caller (RFC 1337).
+func (t *Table) closedAnswer(p *flow.Packet) {
+	if p.TCP.RST {
+		t.drop(DropLateAnswer)
+		return
+	}
+	t.sendCaller(p.Raw)
+}
+
 // halfOpenAnswer handles the answer of the target to a SYN.
 func (t *Table) halfOpenAnswer(p *flow.Packet, ep *endpoint, i uint32, r *record) {
 	switch {
@@ -66,6 +77,8 @@
 	case p.TCP.RST && p.TCP.ACK && p.TCP.Ack == r.callerNext:
 		// The caller must not see this RST: the SYN may still succeed elsewhere.
 		t.handshakeFailed(ep, i, r)
+	case t.recovering && p.TCP.ACK && !p.TCP.RST && !p.TCP.SYN:
+		t.adoptHalfOpen(p, ep, i, r)
 	case p.TCP.ACK && !p.TCP.RST && !p.TCP.FIN && len(p.Payload) == 0:
 		// A challenge ACK of an older connection with the same ports lets the caller reset it.
 		t.sendCaller(p.Raw)
--- a/internal/flowtable/timers.go
+++ b/internal/flowtable/timers.go
@@ -80,7 +80,7 @@
 	case stateSynAckSeen:
 		t.halfOpenTimeout(ep, i, r)
 	case stateProbing:
-		t.probeSucceeded(ep, i, r)
+		t.probeUnanswered(i, r)
 	case stateEstablished, stateClosing:
 		t.check(ep, i, r)
 	case stateClosed:
@@ -97,6 +97,13 @@
 		t.wheel.arm(i, t.millis+left)
 		return
 	}
+	t.remove(i, r)
+}
+
+// remove frees the record of a flow.
+func (t *Table) remove(i uint32, r *record) {
+	t.wheel.disarm(i)
+	delete(t.pending, i)
 	t.counts[r.state]--
 	t.store.remove(i)
 }
@@ -105,7 +112,7 @@
 func (t *Table) check(ep *endpoint, i uint32, r *record) {
 	switch {
 	case r.has(flagUnconfirmed):
-		t.linger(ep, i, r)
+		t.checkUnconfirmed(i, r)
 		return
 	case r.has(flagTargetFIN) && r.probesTarget >= closingProbes:
 		t.end(ep, i, r)
--- a/internal/flowtable/view.go
+++ b/internal/flowtable/view.go
@@ -11,6 +11,7 @@
 // SetEndpoints puts the endpoints of a new view in force.
 func (t *Table) SetEndpoints(now time.Duration, endpoints []Endpoint) []Action {
 	t.begin(now)
+	t.hasView = true
 	present := map[model.ServiceID]bool{}
 	for _, e := range endpoints {
 		present[e.Service.ID] = true
@@ -111,6 +112,12 @@
 	return t.actions
 }
 
+// SetControlAge records the time since a controller with a quorum was heard from.
+func (t *Table) SetControlAge(now, age time.Duration) {
+	t.contact = now - age
+	t.hasContact = true
+}
+
 // Report records the load report of the target.
 func (t *Table) Report(slots, conns int) {
 	for _, ep := range t.endpoints {
