--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/greengagelock/greengagelock/examples"
+	"github.com/greengagelock/greengagelock/internal/config"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/settings"
 	"github.com/greengagelock/greengagelock/internal/testseed"
@@ -55,6 +56,40 @@
 		Entry(nil, examples.BaenatimiLabs, map[string]int{"notice-stream": 7, "timetable-edit": 7, "calendar": 4}, 5),
 	)
 
+	// Guards against configurations that control refuses, or that select other VMs than those whose
+	// agents offer the service.
+	DescribeTable("match the configuration",
+		func(deployment string) {
+			text, err := examples.Configuration(deployment)
+			Expect(err).NotTo(HaveOccurred())
+			document, err := config.Parse(deployment, text)
+			Expect(err).NotTo(HaveOccurred())
+			selected, offered := map[string][]string{}, map[string][]string{}
+			for i := range document.Services {
+				for j := range document.VMs {
+					if document.Services[i].Selects(&document.VMs[j]) {
+						name := document.Services[i].Name
+						selected[name] = append(selected[name], string(document.VMs[j].Name))
+					}
+				}
+			}
+			for _, path := range settingsOf(deployment) {
+				if s := parse(path); s.Agent != nil {
+					for _, service := range s.Agent.Services {
+						offered[service] = append(offered[service], string(s.VM))
+					}
+				}
+			}
+			Expect(offered).To(HaveLen(len(selected)))
+			for service, vms := range selected {
+				Expect(offered[service]).To(ConsistOf(vms), service)
+			}
+		},
+		Entry(nil, examples.MigracionesAndinas),
+		Entry(nil, examples.BaenatimiLabs),
+		Entry(nil, examples.Single),
+	)
+
 	// Guards against a one-process example that lacks a role.
 	It("run every role in one process", func() {
 		s := parse(examples.Single + "/single-1.json")
@@ -68,6 +103,10 @@
 func settingsOf(deployment string) []string {
 	paths, err := fs.Glob(examples.Files, deployment+"/settings/*.json")
 	Expect(err).NotTo(HaveOccurred())
+	if deployment == examples.Single {
+		paths, err = fs.Glob(examples.Files, deployment+"/single-*.json")
+		Expect(err).NotTo(HaveOccurred())
+	}
 	return paths
 }
 
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -30,6 +31,7 @@
 	progress = standin.Endpoint{Service: "progress", Address: netip.MustParseAddrPort("192.0.2.10:7001")}
 	apply    = standin.Endpoint{Service: "apply", Address: netip.MustParseAddrPort("192.0.2.10:7002")}
 	pathKey  = encap.Key{7}
+	anyPort  = netip.MustParseAddrPort("127.0.0.1:0")
 )
 
 // path is a data path without control: its view is set by the test.
@@ -38,7 +40,9 @@
 	caller  *standin.Caller
 	ledger  *standin.Ledger
 	targets []*standin.Target
-	agents  []netip.AddrPort
+	agents  []netip.AddrPort // data addresses
+	inner   []netip.AddrPort // where agents receive packets of their targets
+	stop    []func()         // of the agents
 	nodes   []node.Handler
 	view    *model.View
 	ingress []netip.AddrPort
@@ -56,12 +60,7 @@
 	// Guards against established streams that break when targets and balancers change at once.
 	It("keeps streams through a drain, a new target and uneven balancers", func(ctx SpecContext) {
 		p := newPath()
-		var streams []*standin.Stream
-		for i := range 24 {
-			s, err := p.caller.OpenStream(ctx, progress, fmt.Sprintf("held-%d", i))
-			Expect(err).NotTo(HaveOccurred())
-			streams = append(streams, s)
-		}
+		streams := p.openStreams(ctx, 24)
 		receiveAll(streams)
 		p.setState(1, model.TargetDraining)
 		// One agent and one balancer are ahead of the others.
@@ -78,6 +77,25 @@
 	}, SpecTimeout(time.Minute))
 })
 
+var _ = Describe("an agent that is restarted", func() {
+	// Guards against a planned restart of an agent that breaks the streams of its target, of which
+	// the new agent knows nothing, or those of others, whose packets pass through it.
+	It("recovers the streams of its target", func(ctx SpecContext) {
+		p := newPath()
+		streams := p.openStreams(ctx, 24)
+		receiveAll(streams)
+		for i := range pathTargets {
+			p.restartAgent(i)
+			receiveAll(streams)
+		}
+		Expect(p.exchange(ctx, "c")).To(Succeed())
+		p.expectSound("c")
+		for _, t := range p.targets {
+			Expect(t.Stats("progress").Failed).To(BeZero())
+		}
+	}, SpecTimeout(time.Minute))
+})
+
 func receiveAll(streams []*standin.Stream) {
 	GinkgoHelper()
 	for _, s := range streams {
@@ -112,31 +130,68 @@
 	return p
 }
 
+func (p *path) openStreams(ctx context.Context, count int) []*standin.Stream {
+	GinkgoHelper()
+	var streams []*standin.Stream
+	for i := range count {
+		s, err := p.caller.OpenStream(ctx, progress, fmt.Sprintf("held-%d", i))
+		Expect(err).NotTo(HaveOccurred())
+		streams = append(streams, s)
+	}
+	return streams
+}
+
 func (p *path) addTarget(i int) []func(context.Context) error {
 	t, err := standin.NewTarget(standin.TargetConfig{
 		Instance: "1", Endpoints: []standin.Endpoint{progress, apply}, Slots: 2,
 		ServiceTime: 10 * time.Millisecond, LineInterval: 10 * time.Millisecond, Ledger: p.ledger,
 	})
 	Expect(err).NotTo(HaveOccurred())
-	data, inner, out := listen(), listen(), listen()
+	inner := listen(anyPort)
 	t.SetAgent(inner.LocalAddr())
+	p.inner = append(p.inner, inner.LocalAddr())
+	p.targets, p.stop = append(p.targets, t), append(p.stop, nil)
+	p.nodes, p.agents = append(p.nodes, nil), append(p.agents, netip.AddrPort{})
+	p.startAgent(i, listen(anyPort), inner)
+	return []func(context.Context) error{t.Run}
+}
+
+// startAgent starts the agent of a target on sockets of its own.
+func (p *path) startAgent(i int, data, inner fabric.Conn) {
+	t := p.targets[i]
 	a, err := agent.New(agent.Config{
 		Name: fmt.Sprintf("agent-%d", i), VM: vmOf(i), FleetKey: pathKey,
-		Data: data, Target: inner, TargetAddr: t.Addr(), Outbound: out, Gateway: p.fabric.GatewayAddr(),
+		Data: data, Target: inner, TargetAddr: t.Addr(), Outbound: listen(anyPort), Gateway: p.fabric.GatewayAddr(),
 		Services: []string{progress.Service, apply.Service}, Slots: 2, MaxConns: 100,
 		HealthURL: t.URL() + "/health", LoadURL: t.URL() + "/load", Extend: daemon.Extend,
 	}, telemetry.Discard())
 	Expect(err).NotTo(HaveOccurred())
 	a.SetControlAge(func() time.Duration { return 0 })
-	p.targets, p.agents, p.nodes = append(p.targets, t), append(p.agents, data.LocalAddr()), append(p.nodes, a)
-	return []func(context.Context) error{t.Run, a.Run}
+	p.agents[i], p.nodes[i] = data.LocalAddr(), a
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx) }()
+	p.stop[i] = sync.OnceFunc(func() {
+		cancel()
+		Expect(<-done).To(Succeed())
+	})
+	DeferCleanup(p.stop[i])
+}
+
+// restartAgent replaces an agent by one that knows nothing, on the same addresses.
+func (p *path) restartAgent(i int) {
+	GinkgoHelper()
+	data, inner := p.agents[i], p.inner[i]
+	p.stop[i]()
+	p.startAgent(i, listen(data), listen(inner))
+	p.push(p.nodes[i])
 }
 
 func (p *path) addBalancer(i int) func(context.Context) error {
-	ingress := listen()
+	ingress := listen(anyPort)
 	p.ingress = append(p.ingress, ingress.LocalAddr())
 	b, err := balancer.New(balancer.Config{
-		Name: fmt.Sprintf("balancer-%d", i), FleetKey: pathKey, Ingress: ingress, Egress: listen(),
+		Name: fmt.Sprintf("balancer-%d", i), FleetKey: pathKey, Ingress: ingress, Egress: listen(anyPort),
 	}, telemetry.Discard())
 	Expect(err).NotTo(HaveOccurred())
 	b.SetControlAge(func() time.Duration { return 0 })
@@ -213,8 +268,9 @@
 
 func vmOf(i int) model.VM { return model.VM(fmt.Sprintf("vm-%d", i)) }
 
-func listen() fabric.Conn {
-	conn, err := fabric.ListenUDP(netip.MustParseAddrPort("127.0.0.1:0"))
+func listen(addr netip.AddrPort) fabric.Conn {
+	GinkgoHelper()
+	conn, err := fabric.ListenUDP(addr)
 	Expect(err).NotTo(HaveOccurred())
 	return conn
 }
