Put the order of the shell's work into the log core

Cause: every shell must persist, send, apply and advance in the same order. Change: Node.Handle does it over the small interfaces Storage and Host; the simulation uses it. The specs share tables.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -63,30 +63,44 @@
 }
 
 var _ = Describe("elections", func() {
-	// Guards against a cut-off member that raises its term and unseats the leader on its return.
-	It("keep the leader and the term when an isolated member returns", func() {
+	// Guards against a member that was cut off, or does not hear the leader, and unseats it by
+	// raising its term or with the votes of others.
+	DescribeTable("keep the leader and the term", func(disturb func(c *cluster, l *member, lost consensus.MemberID)) {
 		c := newGroup(3)
 		l := c.elect()
 		term, lost := l.soft.Term, c.other(l)
-		c.isolate(lost.id)
+		disturb(c, l, lost.id)
 		c.run(10*time.Second, nil)
 		Expect(lost.soft.Term).To(Equal(term))
 		c.heal()
 		c.run(3*time.Second, nil)
 		Expect(c.leader()).To(BeIdenticalTo(l))
 		Expect(l.soft.Term).To(Equal(term))
-	})
+	},
+		Entry("when an isolated member returns", func(c *cluster, _ *member, lost consensus.MemberID) { c.isolate(lost) }),
+		Entry("that a quorum hears", func(c *cluster, l *member, lost consensus.MemberID) { c.blocked[link{l.id, lost}] = true }))
 
-	// Guards against a member that does not hear the leader and unseats it with the votes of others.
-	It("keep a leader that a quorum hears", func() {
-		c := newGroup(3)
+	// Guards against a log without a leader for a timeout after a planned stop or removal, or while
+	// the leader cannot write.
+	DescribeTable("take place at once", func(cause func(l *member, to consensus.MemberID) error, halted bool) {
+		c := newGroup(5)
 		l := c.elect()
-		term := l.soft.Term
-		c.blocked[link{l.id, c.other(l).id}] = true
-		c.run(5*time.Second, nil)
-		Expect(c.leader()).To(BeIdenticalTo(l))
-		Expect(l.soft.Term).To(Equal(term))
-	})
+		Expect(cause(l, c.other(l).id)).To(Succeed())
+		l.pump()
+		c.run(roundTrips, nil)
+		Expect(c.leader()).To(And(Not(BeNil()), Not(BeIdenticalTo(l))))
+		_, known := l.node.QuorumAge(l.clock())
+		Expect(known).NotTo(Equal(halted))
+	},
+		Entry("for a planned stop", func(l *member, to consensus.MemberID) error { return l.node.TransferLeadership(to) }, false),
+		Entry("when the leader is removed", func(l *member, _ consensus.MemberID) error {
+			return l.change(consensus.MemberChange{Remove: l.id})
+		}, false),
+		Entry("when the storage of the leader fails", func(l *member, _ consensus.MemberID) error {
+			l.fs.FailAfter(1, fmt.Errorf("disk error"))
+			_, err := l.propose("lost")
+			return err
+		}, true))
 
 	// Guards against a cut-off leader that goes on, and against members that call old state current.
 	It("unseat a leader without contact to a quorum, and tell the age of the contact", func() {
@@ -127,32 +141,6 @@
 		Expect(late.soft.Leader).To(Equal(c.leader().id))
 	})
 
-	// Guards against a planned stop that leaves the log without a leader until a timeout.
-	It("pass the leadership on at once", func() {
-		c := newGroup(5)
-		l := c.elect()
-		to := c.other(l)
-		Expect(l.node.TransferLeadership(to.id)).To(Succeed())
-		l.pump()
-		c.run(roundTrips, nil)
-		Expect(c.leader()).To(BeIdenticalTo(to))
-	})
-
-	// Guards against a leader that cannot write and holds up all edits until someone notices.
-	It("replace a leader whose storage fails at once", func() {
-		c := newGroup(3)
-		l := c.elect()
-		l.fs.FailAfter(1, fmt.Errorf("disk error"))
-		_, err := l.propose("lost")
-		Expect(err).NotTo(HaveOccurred())
-		c.run(roundTrips, nil)
-		Expect(c.leader()).To(And(Not(BeNil()), Not(BeIdenticalTo(l))))
-		_, err = l.node.Propose(nil)
-		Expect(err).To(haveCode(result.StorageFailed))
-		_, known := l.node.QuorumAge(l.clock())
-		Expect(known).To(BeFalse())
-	})
-
 	// Guards against a term or vote that is used before it is synced.
 	It("ask for a sync of term and vote before they are used", func() {
 		n := alone(consensus.Restored{})
@@ -374,13 +362,4 @@
 		Expect(l.soft.Term).To(Equal(term))
 		Expect(removed.status().Members.Contains(removed.id)).To(Equal(!knows))
 	}, Entry("that knows", true), Entry("that was cut off", false))
-
-	// Guards against a leader that goes on after its own removal.
-	It("get a new leader at once when the leader is removed", func() {
-		c := newGroup(3)
-		l := c.elect()
-		Expect(l.change(consensus.MemberChange{Remove: l.id})).To(Succeed())
-		c.run(roundTrips, nil)
-		Expect(c.leader()).To(And(Not(BeNil()), Not(BeIdenticalTo(l))))
-	})
 })
--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -22,24 +22,10 @@
 //			if !ok {
 //				break
 //			}
-//			// 1. Persist. One sync covers everything in ready.
-//			if err := log.Persist(ready); err != nil {
-//				send(node.PersistFailed()) // the node takes no further part
-//				return err
+//			// Persist, send, apply, answer reads, advance, in this order.
+//			if err := node.Handle(ready, log, host); err != nil {
+//				return err // storage has failed; open it anew and start a new Node
 //			}
-//			// 2. Send. Messages may promise what was persisted in step 1, never earlier.
-//			send(ready.Messages)
-//			// 3. Apply, first the snapshot, then the entries in order.
-//			if ready.Snapshot != nil {
-//				machine.Restore(ready.Snapshot.Data)
-//			}
-//			for _, e := range ready.Committed {
-//				machine.Apply(e) // a waiting proposal ran if position and term agree
-//			}
-//			// 4. Answer reads whose index has been applied; a failed read is retried.
-//			answer(ready.Reads)
-//			// 5. Report that ready was handled.
-//			node.Advance(ready)
 //		}
 //		if appliedSinceSnapshot > limit {
 //			snapshot, err := node.NewSnapshot(machine.Encode())
@@ -48,6 +34,14 @@
 //		}
 //	}
 //
+// A shell that does not use Handle does the same steps itself:
+//
+//  1. Persist ready with one sync. If that fails, send node.PersistFailed() and stop.
+//  2. Send ready.Messages. They promise what was persisted in step 1.
+//  3. Restore ready.Snapshot if it is set, then apply ready.Committed.
+//  4. Answer ready.Reads once their index is applied.
+//  5. Call node.Advance(ready).
+//
 // Messages may be lost, duplicated, delayed and reordered. A proposal whose position is later
 // filled by an entry of another term did not run under that position; a proposal whose fate is
 // unknown when the leader steps down has an unknown outcome.
--- a/internal/consensus/linear_test.go
+++ b/internal/consensus/linear_test.go
@@ -86,33 +86,34 @@
 	})
 }
 
-// poll calls done every millisecond until it returns true, and gives up after 2 s or when the
-// member has restarted.
-func (h *history) poll(m *member, done func() bool, lost func()) {
+// poll calls done every millisecond until it returns true, and lost after 2 s or when the member
+// has restarted; then the client goes on.
+func (h *history) poll(m *member, done func() bool, lost func(), client int) {
 	life, end := m.life, h.now+2*time.Second
 	var check func()
 	check = func() {
-		switch {
-		case m.life != life || h.now > end:
+		if m.life != life || h.now > end {
 			lost()
-		case !done():
+		} else if !done() {
 			h.after(ms, check)
+			return
 		}
+		h.client(client)
 	}
 	check()
 }
 
+// read records the value at a read barrier.
 func (h *history) read(client int, m *member) {
 	h.next++
 	id, start := uint64(h.next), h.now
-	answers := m.answers
 	if m.node.ReadIndex(id) != nil {
 		h.client(client)
 		return
 	}
 	m.pump()
 	h.poll(m, func() bool {
-		r, ok := answers[id]
+		r, ok := m.answers[id]
 		if !ok || !r.Failed && m.applied < r.Index {
 			return false
 		}
@@ -120,9 +121,8 @@
 			current, _ := value(m.state)
 			h.record(client, start, operation{}, outcome{value: current})
 		}
-		h.client(client)
 		return true
-	}, func() { h.client(client) })
+	}, func() {}, client)
 }
 
 func (h *history) compareAndSet(client int, m *member) {
@@ -135,19 +135,12 @@
 	}
 	h.poll(m, func() bool {
 		e, ok := m.outcomes[p.Index]
-		if !ok {
-			return false
-		}
-		if e.term == p.Term { // otherwise it did not run and never will
+		if ok && e.term == p.Term { // otherwise it did not run and never will
 			current, ran := value(m.state[:e.commands])
 			h.record(client, start, in, outcome{value: current, done: ran})
 		}
-		h.client(client)
-		return true
-	}, func() {
-		h.record(client, start, in, outcome{unknown: true})
-		h.client(client)
-	})
+		return ok
+	}, func() { h.record(client, start, in, outcome{unknown: true}) }, client)
 }
 
 // faults disturbs the cluster until stop.
--- a/internal/consensus/sim_property_test.go
+++ b/internal/consensus/sim_property_test.go
@@ -43,10 +43,8 @@
 			}
 		},
 		"block one direction": func(t *rapid.T) { m.blocked[link{m.any(t).id, m.any(t).id}] = true },
-		"isolate": func(t *rapid.T) {
-			m.isolate(m.any(t).id)
-		},
-		"unblock": func(*rapid.T) { clear(m.blocked) },
+		"isolate":             func(t *rapid.T) { m.isolate(m.any(t).id) },
+		"unblock":             func(*rapid.T) { clear(m.blocked) },
 		"bad network": func(t *rapid.T) {
 			m.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
 			m.duplicate = rapid.Float64Range(0, 0.3).Draw(t, "duplicate")
@@ -57,23 +55,14 @@
 			spread := rapid.Int64Range(1, 50).Draw(t, "spread")
 			m.diskDelay = func() time.Duration { return time.Duration(m.rng.Int64N(spread)) * ms }
 		},
-		"crash": func(t *rapid.T) {
-			if v := m.any(t); v.node != nil {
-				v.crash()
-			}
-		},
-		"crash at operation": func(t *rapid.T) {
-			m.any(t).fs.FailAfter(rapid.IntRange(1, 12).Draw(t, "operation"), nil)
-		},
-		"disk fails": func(t *rapid.T) {
-			m.any(t).fs.FailAfter(rapid.IntRange(1, 12).Draw(t, "operation"), syscall.EIO)
+		"crash": func(t *rapid.T) { m.any(t).crash() },
+		"fail or crash at operation": func(t *rapid.T) {
+			err := rapid.SampledFrom([]error{nil, syscall.EIO, syscall.ENOSPC}).Draw(t, "error")
+			m.any(t).fs.FailAfter(rapid.IntRange(1, 12).Draw(t, "operation"), err)
 		},
 		"restart": func(t *rapid.T) {
 			v := m.any(t)
-			if v.node != nil {
-				v.crash()
-			}
-			v.fs.FailAfter(0, nil)
+			v.crash()
 			v.restart()
 		},
 		"lose leader twice": func(*rapid.T) {
@@ -190,9 +179,7 @@
 				}
 			}
 		}
-		for _, name := range []string{"propose again", "propose more"} {
-			actions[name] = actions["propose"]
-		}
+		actions["propose again"], actions["propose more"] = actions["propose"], actions["propose"]
 		t.Repeat(actions)
 		m.checkRecovery()
 	})
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -153,9 +153,7 @@
 				return
 			}
 			c.arrived++
-			if err := m.node.Step(msg, m.clock()); err != nil {
-				c.t.Fatalf("member %d refuses a message: %v", m.id, err)
-			}
+			m.must(m.node.Step(msg, m.clock()))
 			m.pump()
 		})
 	}
@@ -214,38 +212,35 @@
 	m.fs.Crash()
 }
 
+func (m *member) must(err error) {
+	if err != nil {
+		m.c.t.Fatalf("member %d: %v", m.id, err)
+	}
+}
+
 func (m *member) restart() {
-	t := m.c.t
 	storage := wal.Config{Identity: wal.Identity{Cluster: "test", Member: m.id}, SegmentSize: m.c.segment, FS: m.fs}
 	log, err := wal.New(storage, telemetry.Discard())
-	if err != nil {
-		t.Fatalf("member %d does not start: %v", m.id, err)
-	}
+	m.must(err)
 	restored, err := log.Restored()
-	if err != nil {
-		t.Fatalf("member %d is not restored: %v", m.id, err)
-	}
+	m.must(err)
 	m.checkRestored(restored)
 	m.life++
 	m.start, m.log, m.durable = m.c.now, log, restored
 	m.state, m.answers, m.outcomes = nil, map[uint64]consensus.ReadState{}, map[uint64]applied{}
-	m.restore(restored.Snapshot)
+	m.Restore(restored.Snapshot)
 	settings := m.c.settings
 	settings.ID, settings.Members = m.id, m.first
 	settings.Rand = rand.New(rand.NewPCG(m.c.rng.Uint64(), 3))
 	m.node, err = consensus.New(settings, restored)
-	if err != nil {
-		t.Fatalf("member %d does not start: %v", m.id, err)
-	}
+	m.must(err)
 	m.schedule()
 }
 
 // store restarts a member after r was persisted behind its back.
 func (m *member) store(r consensus.Ready) {
 	r.MustSync = true
-	if err := m.log.Persist(r); err != nil {
-		m.c.t.Fatalf("persist: %v", err)
-	}
+	m.must(m.log.Persist(r))
 	m.crash()
 	m.restart()
 }
@@ -292,44 +287,50 @@
 
 // work handles r and reports whether the node goes on.
 func (m *member) work(r consensus.Ready) bool {
-	if err := m.log.Persist(r); err != nil {
-		if m.fs.Crashed() {
-			m.crash()
-			return false
-		}
-		for _, msg := range m.node.PersistFailed() {
-			m.c.send(msg)
-		}
+	err := m.node.Handle(r, m, m)
+	switch {
+	case m.fs.Crashed():
+		m.crash()
+	case err != nil:
 		m.soft = consensus.SoftState{}
-		return false
-	}
-	m.note(r)
-	for _, msg := range r.Messages {
-		m.checkSent(msg)
-		m.c.send(msg)
+	default:
+		m.checkAge()
 	}
-	if r.Snapshot != nil {
-		m.restore(*r.Snapshot)
-	}
-	for _, e := range r.Committed {
-		m.apply(e)
+	return err == nil
+}
+
+// Persist implements consensus.Storage.
+func (m *member) Persist(r consensus.Ready) error {
+	err := m.log.Persist(r)
+	if err == nil {
+		m.note(r)
 	}
-	for _, read := range r.Reads {
-		m.answers[read.ID] = read
+	return err
+}
+
+// Send implements consensus.Host.
+func (m *member) Send(messages []consensus.Message) {
+	for _, msg := range messages {
+		m.checkSent(msg)
+		if !m.fs.Crashed() {
+			m.c.send(msg)
+		}
 	}
-	m.node.Advance(r)
-	m.checkAge()
-	return true
 }
 
-func (m *member) restore(s consensus.Snapshot) {
+// Answer implements consensus.Host.
+func (m *member) Answer(r consensus.ReadState) { m.answers[r.ID] = r }
+
+// Restore implements consensus.Host.
+func (m *member) Restore(s consensus.Snapshot) {
 	m.applied = s.Index
 	if s.Index > 0 {
 		m.state = strings.Fields(string(s.Data))
 	}
 }
 
-func (m *member) apply(e consensus.Entry) {
+// Apply implements consensus.Host.
+func (m *member) Apply(e consensus.Entry) {
 	m.c.checkCommitted(m, e)
 	m.applied = e.Index
 	if e.Kind == consensus.EntryCommand {
@@ -345,9 +346,7 @@
 		return
 	}
 	s, err := m.node.NewSnapshot([]byte(strings.Join(m.state, "\n")))
-	if err != nil {
-		m.c.t.Fatalf("snapshot: %v", err)
-	}
+	m.must(err)
 	keep := s.Index - min(trailing, s.Index)
 	if err := m.log.SaveSnapshot(s, keep); err != nil {
 		if m.fs.Crashed() {
@@ -355,9 +354,7 @@
 		}
 		return
 	}
-	if err := m.node.Compact(keep, s); err != nil {
-		m.c.t.Fatalf("compact: %v", err)
-	}
+	m.must(m.node.Compact(keep, s))
 	m.durable.Snapshot = s
 }
 
--- a/internal/wal/crash_test.go
+++ b/internal/wal/crash_test.go
@@ -44,6 +44,12 @@
 	return err
 }
 
+func (w *writer) must(err error) {
+	if err != nil {
+		w.t.Fatalf("%v", err)
+	}
+}
+
 func find(entries []consensus.Entry, index uint64) (consensus.Entry, bool) {
 	i := slices.IndexFunc(entries, func(e consensus.Entry) bool { return e.Index == index })
 	if i < 0 {
@@ -56,9 +62,7 @@
 // not acknowledged may be there or not.
 func (w *writer) check() {
 	r, err := w.log.Restored()
-	if err != nil {
-		w.t.Fatalf("restore: %v", err)
-	}
+	w.must(err)
 	if r.HardState.Term < w.hard.Term || r.HardState.Term == w.hard.Term && r.HardState.Vote != w.hard.Vote {
 		w.t.Fatalf("hard state %+v is lost, there is %+v", w.hard, r.HardState)
 	}
@@ -75,9 +79,8 @@
 		}
 		break // a frame that was written and not acknowledged replaces the rest
 	}
-	if _, err := consensus.New(consensus.Config{ID: 1, Rand: rand.New(rand.NewPCG(1, 1))}, r); err != nil {
-		w.t.Fatalf("the restored state is not valid: %v", err)
-	}
+	_, err = consensus.New(consensus.Config{ID: 1, Rand: rand.New(rand.NewPCG(1, 1))}, r)
+	w.must(err)
 	w.hard, w.snapshot, w.entries = r.HardState, r.Snapshot, r.Entries
 }
 
@@ -170,9 +173,7 @@
 	for code, cause := range map[result.Code]error{result.StorageFull: syscall.ENOSPC, result.StorageFailed: syscall.EIO} {
 		for failAt := 1; failAt < 120; failAt++ {
 			w := newWriter(t, uint64(failAt))
-			if err := w.open(); err != nil {
-				t.Fatal(err)
-			}
+			w.must(w.open())
 			w.fs.FailAfter(failAt, cause)
 			var err error
 			for i := uint64(0); i < scriptLength && err == nil; i++ {
@@ -185,9 +186,7 @@
 				t.Fatalf("operation %d: the log goes on after %v", failAt, failed)
 			}
 			w.check() // still readable
-			if err := w.log.Close(); err != nil {
-				t.Fatal(err)
-			}
+			w.must(w.log.Close())
 			for range 2 { // the first start follows a failed sync, the second one a loss of power
 				if err := w.open(); err != nil {
 					t.Fatalf("operation %d: %v", failAt, err)
@@ -220,13 +219,9 @@
 func TestDamage(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWriter(t, 1)
-		if err := w.open(); err != nil {
-			t.Fatal(err)
-		}
+		w.must(w.open())
 		for i := range rapid.Uint64Range(3, 20).Draw(t, "steps") {
-			if err := w.step(i); err != nil {
-				t.Fatal(err)
-			}
+			w.must(w.step(i))
 		}
 		names, _ := w.fs.List()
 		name := rapid.SampledFrom(names).Draw(t, "file")
@@ -236,9 +231,7 @@
 		segments := slices.DeleteFunc(names, func(n string) bool { return !strings.HasSuffix(n, ".log") })
 		incomplete := name == segments[len(segments)-1] && d.lastFrame
 		content[offset] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
-		if err := w.log.Close(); err != nil {
-			t.Fatal(err)
-		}
+		w.must(w.log.Close())
 		err := w.open()
 		switch {
 		case err == nil && !d.padding && !incomplete:
