--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -27,6 +27,7 @@
 // Guards against edits that get lost when the leader stops or is stopped in the middle, and
 // against a command that runs again when it is resent to another leader.
 func TestEditsSurviveChangesOfLeader(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	c := h.cluster(3)
 	ctl := h.operator(c.addresses()...)
@@ -74,6 +75,7 @@
 // Guards against two leaders in a term: a controller whose data folder was lost has forgotten its
 // votes, so it must not count towards a quorum under its old name.
 func TestControllerWithAnEmptiedFolderIsRefused(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	c := h.cluster(3)
 	ctl := h.operator(c.addresses()...)
@@ -117,6 +119,7 @@
 // Guards against a repair that does not bring back the redundancy: after a lost controller was
 // replaced under a new name, another one may fail.
 func TestLostControllerIsReplaced(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	c := h.cluster(3)
 	ctl := h.operator(c.addresses()...)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -11,6 +11,7 @@
 // Guards against a break anywhere on the way of an edit: from the operator through the log to the
 // views of balancers and agents, and back as applied revisions.
 func TestEditComesInForceOnAllNodes(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	addresses := h.cluster(3).addresses()
 	ctl := h.operator(addresses...)
@@ -48,6 +49,7 @@
 // Guards against a target that stays admitting after its agent is gone, and against the loss of
 // its number when the agent is back.
 func TestLostTargetComesBackUnderItsNumber(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	addresses := h.cluster(3).addresses()
 	ctl := h.operator(addresses...)
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/greengagelock/greengagelock/internal/devcerts"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/node"
@@ -25,6 +27,9 @@
 // that it takes, so that a busy machine does not change the verdict.
 const patience = time.Minute
 
+// Guards against goroutines that outlive the components which started them.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 type harness struct {
 	t     testing.TB
 	certs *devcerts.Authority
@@ -203,8 +208,15 @@
 
 // document returns a configuration with services "s0", "s1", ... and the given VMs for each.
 func document(services, vms int, extra string) []byte {
+	return text(0, services, vms, extra)
+}
+
+// documentOf leaves out the services before the first one.
+func documentOf(first, services, vms int) []byte { return text(first, services, vms, "") }
+
+func text(first, services, vms int, extra string) []byte {
 	var inventory, rules []string
-	for s := range services {
+	for s := first; s < services; s++ {
 		for v := range vms {
 			inventory = append(inventory, fmt.Sprintf(
 				`{"name": "vm-%d-%d", "zone": "a", "customer": "andinas", "labels": {"for": "s%d"}}`, s, v, s))
