Test a silent partition of the leader

Change: connections between controllers can be made by a function from outside, which the test uses to let everything disappear that a controller sends or gets.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,6 +43,8 @@
 	TLS      rpc.Files
 	// MaxSessions bounds the nodes that may poll this controller.
 	MaxSessions int
+	// Dial makes connections to other controllers; nil means TCP.
+	Dial rpc.Dial
 }
 
 // Controller is one member of the control plane.
@@ -88,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.transport = newTransport(r.bootstrap.Folder, credentials, c.directory, c.metrics.Dropped)
+	c.transport = newTransport(r.bootstrap.Folder, credentials, cfg.Dial, c.directory, c.metrics.Dropped)
 	r.send = c.transport.send
 	c.use(r, r.bootstrap.Folder)
 	return c, nil
@@ -101,7 +103,7 @@
 	}
 	c := &Controller{
 		cfg: cfg, tel: t, state: newState(), sessions: newSessions(cfg.MaxSessions),
-		peers: newPeers(credentials), directory: newDirectory(cfg.Members),
+		peers: newPeers(credentials, cfg.Dial), directory: newDirectory(cfg.Members),
 		edits: make(chan struct{}, maxEdits), kick: make(chan struct{}, 1),
 	}
 	c.barrier = newBarrier(c.readBarrier)
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -110,6 +110,7 @@
 	folders map[string]string
 	stops   map[string]func()
 	running map[string]*Controller
+	gates   map[string]*gate
 }
 
 // cluster starts controllers c1, c2, ...
@@ -117,11 +118,12 @@
 	h.t.Helper()
 	c := &cluster{
 		h: h, members: map[string]string{}, folders: map[string]string{}, stops: map[string]func(){}, running: map[string]*Controller{},
+		gates: map[string]*gate{},
 	}
 	listeners := map[string]net.Listener{}
 	for i := range n {
 		name := fmt.Sprintf("c%d", i+1)
-		listeners[name] = h.listen()
+		listeners[name] = c.gate(name).listener(h.listen())
 		c.members[name] = listeners[name].Addr().String()
 	}
 	for name, listener := range listeners {
@@ -138,7 +140,7 @@
 	}
 	made, err := New(Config{
 		Name: name, Members: members, Listen: c.members[name], Listener: listener, DataDir: c.folders[name],
-		TLS: c.h.files(model.RoleController, name),
+		TLS: c.h.files(model.RoleController, name), Dial: c.gate(name).dial,
 	}, telemetry.Discard())
 	check(c.h.t, err)
 	c.running[name] = made
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -22,6 +22,7 @@
 // peers holds the clients of the other controllers.
 type peers struct {
 	credentials *rpc.Credentials
+	dial        rpc.Dial
 
 	mu      sync.Mutex
 	clients map[peerAddress]*rpc.Client
@@ -30,8 +31,8 @@
 
 type peerAddress struct{ name, address string }
 
-func newPeers(credentials *rpc.Credentials) *peers {
-	return &peers{credentials: credentials, clients: map[peerAddress]*rpc.Client{}}
+func newPeers(credentials *rpc.Credentials, dial rpc.Dial) *peers {
+	return &peers{credentials: credentials, dial: dial, clients: map[peerAddress]*rpc.Client{}}
 }
 
 func (p *peers) client(name, address string) *rpc.Client {
@@ -41,7 +42,7 @@
 	client := p.clients[key]
 	if client == nil {
 		client = rpc.NewClient(rpc.ClientConfig{
-			Address: address, Role: model.RoleController, Name: name, Credentials: p.credentials, CallTimeout: forwardTimeout,
+			Address: address, Role: model.RoleController, Name: name, Credentials: p.credentials, CallTimeout: forwardTimeout, Dial: p.dial,
 		})
 		p.clients[key] = client
 		if p.closed {
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -42,6 +42,7 @@
 type transport struct {
 	folder      string
 	credentials *rpc.Credentials
+	dialer      rpc.Dial
 	directory   *directory
 	dropped     prometheus.Counter
 
@@ -51,9 +52,9 @@
 	senders map[consensus.MemberID]chan consensus.Message
 }
 
-func newTransport(folder string, credentials *rpc.Credentials, d *directory, dropped prometheus.Counter) *transport {
+func newTransport(folder string, credentials *rpc.Credentials, dialer rpc.Dial, d *directory, dropped prometheus.Counter) *transport {
 	return &transport{
-		folder: folder, credentials: credentials, directory: d, dropped: dropped,
+		folder: folder, credentials: credentials, dialer: dialer, directory: d, dropped: dropped,
 		senders: map[consensus.MemberID]chan consensus.Message{},
 	}
 }
@@ -137,7 +138,7 @@
 func (t *transport) dial(name, address string) *rpc.Client {
 	return rpc.NewClient(rpc.ClientConfig{
 		Address: address, Role: model.RoleController, Name: name, Credentials: t.credentials,
-		DialTimeout: stepTimeout, CallTimeout: stepTimeout,
+		DialTimeout: stepTimeout, CallTimeout: stepTimeout, Dial: t.dialer,
 	})
 }
 
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -31,6 +31,16 @@
 	IdleTimeout time.Duration
 	IOTimeout   time.Duration
 	MaxMessage  int
+	// Dial makes connections; nil means TCP.
+	Dial Dial
+}
+
+// Dial connects to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Client calls one server and connects again when the connection has failed.
@@ -50,6 +60,9 @@
 	cfg.IdleTimeout = orDefault(cfg.IdleTimeout, DefaultClientIdleTimeout)
 	cfg.IOTimeout = orDefault(cfg.IOTimeout, DefaultIOTimeout)
 	cfg.MaxMessage = orDefault(cfg.MaxMessage, DefaultMaxMessage)
+	if cfg.Dial == nil {
+		cfg.Dial = dialTCP
+	}
 	return &Client{cfg: cfg}
 }
 
@@ -93,8 +106,7 @@
 	c.client = nil
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", c.cfg.Address)
+	raw, err := c.cfg.Dial(ctx, c.cfg.Address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", c.cfg.Address), ErrUnreachable)
 	}
