--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/greengagelock/greengagelock/internal/devcerts"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/node"
@@ -25,6 +27,9 @@
 // that it takes, so that a busy machine does not change the verdict.
 const patience = time.Minute
 
+// Guards against goroutines that outlive the components which started them.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 type harness struct {
 	t     testing.TB
 	certs *devcerts.Authority
@@ -105,6 +110,7 @@
 	folders map[string]string
 	stops   map[string]func()
 	running map[string]*Controller
+	gates   map[string]*gate
 }
 
 // cluster starts controllers c1, c2, ...
@@ -112,11 +118,12 @@
 	h.t.Helper()
 	c := &cluster{
 		h: h, members: map[string]string{}, folders: map[string]string{}, stops: map[string]func(){}, running: map[string]*Controller{},
+		gates: map[string]*gate{},
 	}
 	listeners := map[string]net.Listener{}
 	for i := range n {
 		name := fmt.Sprintf("c%d", i+1)
-		listeners[name] = h.listen()
+		listeners[name] = c.gate(name).listener(h.listen())
 		c.members[name] = listeners[name].Addr().String()
 	}
 	for name, listener := range listeners {
@@ -133,7 +140,7 @@
 	}
 	made, err := New(Config{
 		Name: name, Members: members, Listen: c.members[name], Listener: listener, DataDir: c.folders[name],
-		TLS: c.h.files(model.RoleController, name),
+		TLS: c.h.files(model.RoleController, name), Dial: c.gate(name).dial,
 	}, telemetry.Discard())
 	check(c.h.t, err)
 	c.running[name] = made
@@ -203,8 +210,15 @@
 
 // document returns a configuration with services "s0", "s1", ... and the given VMs for each.
 func document(services, vms int, extra string) []byte {
+	return text(0, services, vms, extra)
+}
+
+// documentOf leaves out the services before the first one.
+func documentOf(first, services, vms int) []byte { return text(first, services, vms, "") }
+
+func text(first, services, vms int, extra string) []byte {
 	var inventory, rules []string
-	for s := range services {
+	for s := first; s < services; s++ {
 		for v := range vms {
 			inventory = append(inventory, fmt.Sprintf(
 				`{"name": "vm-%d-%d", "zone": "a", "customer": "andinas", "labels": {"for": "s%d"}}`, s, v, s))
