--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -25,6 +25,9 @@
 
 var example = standin.Endpoint{Service: "example", Address: netip.MustParseAddrPort("192.0.2.1:8000")}
 
+// retryPause keeps a refused caller from taking up a core.
+const retryPause = 20 * time.Millisecond
+
 // single runs examples/single with a target and a caller around it.
 type single struct {
 	settings *settings.Settings
@@ -53,9 +56,11 @@
 
 		answered := make(chan standin.Outcome, 1)
 		go func() {
-			// The slot of the first request may still be taken; a refused request did not run.
+			// During the ramp the last load report of the target counts, which still shows the first
+			// request. A refused request did not run.
 			outcome := standin.OutcomeNotRun
 			for outcome == standin.OutcomeNotRun && ctx.Err() == nil {
+				time.Sleep(retryPause)
 				outcome, _ = s.caller.Request(ctx, example, "in-flight", 5000)
 			}
 			answered <- outcome
