--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,211 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/greengagelock/greengagelock/internal/admission"
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+func TestAdmission(t *testing.T) {
+	testseed.RunSpecs(t, "admission")
+}
+
+func stateOf(t *admission.Target, now time.Duration) admission.State {
+	state, _ := t.State(now)
+	return state
+}
+
+var _ = ginkgo.Describe("admission at one target", func() {
+	limits := admission.Limits{Class: model.ClassRequest, Slots: 2, MaxConns: 10, MaxQueueWait: 500 * time.Millisecond}
+
+	// Guards against requests beyond the slots of a target.
+	ginkgo.It("is busy while every slot is taken", func() {
+		t := admission.New(0, limits)
+		t.Take()
+		gomega.Expect(stateOf(t, 0)).To(gomega.Equal(admission.Free))
+		t.Take()
+		gomega.Expect(stateOf(t, 0)).To(gomega.Equal(admission.Busy))
+		t.Release(time.Second, true)
+		gomega.Expect(stateOf(t, 0)).To(gomega.Equal(admission.Free))
+	})
+
+	// Guards against streams that are bounded by slots.
+	ginkgo.It("bounds streams by connections alone", func() {
+		t := admission.New(0, admission.Limits{Class: model.ClassStream, Slots: 1, MaxConns: 3})
+		for range 3 {
+			gomega.Expect(stateOf(t, 0)).To(gomega.Equal(admission.Free))
+			t.Take()
+		}
+		gomega.Expect(stateOf(t, 0)).To(gomega.Equal(admission.Busy))
+	})
+
+	// Guards against a cold target that gets its full load at once, and one that gets none.
+	ginkgo.It("ramps up from one flow, rounding up", func() {
+		t := admission.New(0, admission.Limits{Class: model.ClassRequest, Slots: 5, MaxConns: 100, Ramp: 10 * time.Second})
+		for _, step := range []struct {
+			at    time.Duration
+			slots int
+		}{{0, 1}, {2 * time.Second, 1}, {2*time.Second + time.Millisecond, 2}, {9 * time.Second, 5}, {10 * time.Second, 5}} {
+			taken := 0
+			for stateOf(t, step.at) == admission.Free {
+				t.Take()
+				taken++
+			}
+			gomega.Expect(taken).To(gomega.Equal(step.slots))
+			for range taken {
+				t.Release(0, false)
+			}
+		}
+	})
+
+	// Guards against a restarted agent that admits while its target is full of flows it does not know.
+	ginkgo.It("counts the load report only until the ramp has ended", func() {
+		ramping := limits
+		ramping.Ramp = time.Second
+		t := admission.New(0, ramping)
+		t.Report(2, 2)
+		gomega.Expect(stateOf(t, 999*time.Millisecond)).To(gomega.Equal(admission.Busy))
+		gomega.Expect(stateOf(t, time.Second)).To(gomega.Equal(admission.Free))
+	})
+
+	// Guards against a queue that holds SYNs longer than its bound, or refuses those that would pass.
+	ginkgo.It("refuses at once when the estimate exceeds the bound", func() {
+		t := admission.New(0, limits)
+		t.Take()
+		t.Release(400*time.Millisecond, true)
+		t.Take()
+		t.Take()
+		// Two slots free up every 200 ms on average.
+		gomega.Expect(t.Wait(0)).To(gomega.Equal(200 * time.Millisecond))
+		t.Enqueue(1)
+		gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.OK))
+		t.Enqueue(2)
+		gomega.Expect(t.Wait(0)).To(gomega.Equal(600 * time.Millisecond))
+		gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.NoFreeSlot))
+		gomega.Expect(t.RetryAfter(0)).To(gomega.Equal(600 * time.Millisecond))
+		t.Release(400*time.Millisecond, true)
+		id, ok := t.Dequeue(0)
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(id).To(gomega.Equal(uint32(1)))
+	})
+
+	// Guards against a queue without bound when service times are short.
+	ginkgo.It("bounds the number of waiting SYNs", func() {
+		t := admission.New(0, limits)
+		t.Take()
+		t.Release(time.Microsecond, true)
+		for i := range uint32(admission.MaxQueue) {
+			gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.OK))
+			t.Enqueue(i)
+		}
+		gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.QueueFull))
+	})
+
+	// Guards against a broken target that takes flows because its health endpoint says so.
+	ginkgo.It("suspends after three failed handshakes, from 1 s up to 30 s", func() {
+		t := admission.New(0, limits)
+		gomega.Expect(t.HandshakeFailed(0)).To(gomega.BeFalse())
+		gomega.Expect(t.HandshakeFailed(0)).To(gomega.BeFalse())
+		now := time.Duration(0)
+		for _, backoff := range []time.Duration{1, 2, 4, 8, 16, 30, 30} {
+			gomega.Expect(t.HandshakeFailed(now)).To(gomega.BeTrue())
+			gomega.Expect(t.HandshakeFailed(now)).To(gomega.BeFalse(), "handshakes that were open already do not count")
+			now += backoff * time.Second
+			gomega.Expect(stateOf(t, now-1)).To(gomega.Equal(admission.Closed))
+			gomega.Expect(stateOf(t, now)).To(gomega.Equal(admission.Free))
+		}
+		t.HandshakeOK()
+		gomega.Expect(t.HandshakeFailed(now)).To(gomega.BeFalse())
+	})
+
+	// Guards against retries that multiply the load when targets fail.
+	ginkgo.It("allows ten retries and then one in ten admitted flows", func() {
+		t := admission.New(0, limits)
+		spend := func() (n int) {
+			for t.SpendRetry() {
+				n++
+			}
+			return n
+		}
+		gomega.Expect(spend()).To(gomega.Equal(10))
+		for range 29 {
+			t.Admitted()
+		}
+		gomega.Expect(spend()).To(gomega.Equal(2))
+		for range 1000 {
+			t.Admitted()
+		}
+		gomega.Expect(spend()).To(gomega.Equal(10))
+	})
+
+	// Guards against an agent that admits although it has missed its own drain.
+	ginkgo.It("stops admitting when control does not deliver a generation for 2 s", func() {
+		t := admission.New(0, limits)
+		t.SetGeneration(0, 5)
+		t.SawGeneration(0, 6)
+		t.SawGeneration(time.Second, 6)
+		gomega.Expect(stateOf(t, 2*time.Second-1)).To(gomega.Equal(admission.Free))
+		gomega.Expect(stateOf(t, 2*time.Second)).To(gomega.Equal(admission.Closed))
+		t.SetGeneration(3*time.Second, 6)
+		gomega.Expect(stateOf(t, 3*time.Second)).To(gomega.Equal(admission.Free))
+		t.SawGeneration(10*time.Second, 7)
+		gomega.Expect(stateOf(t, 11*time.Second)).To(gomega.Equal(admission.Free))
+		t.SetGeneration(11*time.Second, 6)
+		gomega.Expect(stateOf(t, 12*time.Second)).To(gomega.Equal(admission.Closed), "the same generation again is no progress")
+	})
+})
+
+// Guards against any order of events that lets a target hold more flows than its limits, admit while
+// it is closed, or serve its queue out of order.
+func TestLimitsHoldInEveryOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := admission.Limits{
+			Class: model.ClassRequest, Slots: rapid.IntRange(1, 5).Draw(t, "slots"), MaxConns: 8,
+			Ramp: time.Duration(rapid.IntRange(0, 20).Draw(t, "ramp s")) * time.Second, MaxQueueWait: time.Second,
+		}
+		target := admission.New(0, limits)
+		now, open, next, last, closed := time.Duration(0), 0, uint32(1), uint32(0), false
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				state, _ := target.State(now)
+				if state == admission.Free {
+					target.Take()
+					open++
+				} else if state == admission.Busy && target.QueueState(now) == result.OK {
+					target.Enqueue(next)
+					next++
+				}
+			case 1:
+				if open > 0 {
+					target.Release(time.Second, true)
+					open--
+				}
+			case 2:
+				if id, ok := target.Dequeue(now); ok {
+					if id <= last || closed {
+						t.Fatalf("flow %d left the queue after %d, closed: %t", id, last, closed)
+					}
+					last = id
+					target.Take()
+					open++
+				}
+			case 3:
+				closed = !closed
+				target.Close(admission.ClosedByControl, closed)
+			}
+			if state, _ := target.State(now); open > limits.Slots || closed && state != admission.Closed {
+				t.Fatalf("%d flows of %d slots, closed: %t, state %d", open, limits.Slots, closed, state)
+			}
+		}
+	})
+}
--- a/internal/flowtable/handshake.go
+++ b/internal/flowtable/handshake.go
@@ -152,10 +152,11 @@
 
 // giveUp refuses a SYN that is held.
 func (t *Table) giveUp(ep *endpoint, i uint32, r *record, code result.Code) {
-	if p := t.parse(t.pending[i].packets[0]); p != nil {
+	p := t.parse(t.pending[i].packets[0])
+	t.leaveQueue(ep, i, r)
+	if p != nil {
 		t.refuse(p, ep, code)
 	}
-	t.leaveQueue(ep, i, r)
 }
 
 // leaveQueue forgets a flow whose SYN has not reached the target. It does not linger: a recovering
--- a/internal/flowtable/view.go
+++ b/internal/flowtable/view.go
@@ -38,6 +38,10 @@
 		ep = &endpoint{admission: admission.New(t.now, limitsOf(e))}
 		t.endpoints[e.Service.ID] = ep
 	}
+	if ep.Service.Address != e.Service.Address {
+		// SYNs for the old address must not reach the target any more.
+		t.refuseQueue(ep, result.NoTarget)
+	}
 	rewatch := ep.Service.Silence != e.Service.Silence || !ep.present
 	ep.Endpoint = e
 	ep.present = true
