Free slots at once during the ramp, refuse while joining, allow no queue

Cause: three faults of admission. A joining target that was asked because the service had no other refused with the reason for draining ones. A bound of 0 s for the queue was taken for the default of 500 ms. Conclusion: slots follow the flows that the agent knows.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -16,9 +16,6 @@
 	// GenerationPatience is how long packets may show a newer generation of the service before
 	// the target stops admitting: it may have missed its own drain.
 	GenerationPatience = 2 * time.Second
-	// defaultQueueWait is below the initial retransmission timeout of TCP (1 s), so that a queued
-	// SYN and its retransmission do not race.
-	defaultQueueWait = 500 * time.Millisecond
 	// serviceTimeWeight is the weight of one observation in the mean service time.
 	serviceTimeWeight = 1.0 / 8
 )
@@ -49,9 +46,9 @@
 	generation generationWatch
 }
 
-// report is the last load report of the target.
+// report is what the last load report of the target says beyond the flows that were known then:
+// flows from before a restart of the agent.
 type report struct {
-	valid        bool
 	slots, conns int
 }
 
@@ -64,6 +61,8 @@
 	ClosedByControl Closure = 1 << iota
 	// ClosedByTarget is set while the target itself says that it is leaving.
 	ClosedByTarget
+	// ClosedByJoin is set while control lists the target as joining.
+	ClosedByJoin
 	// ClosedByStop is set once the agent is stopping.
 	ClosedByStop
 )
@@ -97,7 +96,7 @@
 // Report records a load report of the target. It counts only until the ramp has ended, since
 // reports lag behind the flows that the agent knows.
 func (t *Target) Report(slots, conns int) {
-	t.reported = report{valid: true, slots: slots, conns: conns}
+	t.reported = report{slots: max(0, slots-t.slots), conns: max(0, conns-t.conns)}
 }
 
 // State is the answer to a request for admission.
@@ -115,6 +114,9 @@
 
 // State returns whether the target takes a flow now, and the reason if it does not.
 func (t *Target) State(now time.Duration) (State, result.Code) {
+	if t.closed == ClosedByJoin {
+		return Closed, result.TargetJoining
+	}
 	if t.closed != 0 {
 		return Closed, result.TargetDraining
 	}
@@ -142,8 +144,8 @@
 // inUse returns slots and connections in use. Until the ramp has ended, the target may hold flows
 // that a restarted agent does not know yet.
 func (t *Target) inUse(now time.Duration) (slots, conns int) {
-	if t.reported.valid && t.ramping(now) {
-		return max(t.slots, t.reported.slots), max(t.conns, t.reported.conns)
+	if t.ramping(now) {
+		return t.slots + t.reported.slots, t.conns + t.reported.conns
 	}
 	return t.slots, t.conns
 }
@@ -195,10 +197,7 @@
 	return t.slots, t.conns
 }
 
-// MaxQueueWait returns the bound of the time in the queue.
+// MaxQueueWait returns the bound of the time in the queue; zero means that no SYN waits.
 func (t *Target) MaxQueueWait() time.Duration {
-	if t.limits.MaxQueueWait <= 0 {
-		return defaultQueueWait
-	}
 	return t.limits.MaxQueueWait
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -76,6 +76,36 @@
 		gomega.Expect(stateOf(t, time.Second)).To(gomega.Equal(admission.Free))
 	})
 
+	// Guards against slots that stay taken after their flow has ended, until the target reports again.
+	ginkgo.It("counts a reported flow only once", func() {
+		ramping := limits
+		ramping.Ramp = time.Hour
+		t := admission.New(0, ramping)
+		t.Take()
+		t.Report(1, 1)
+		t.Release(time.Second, true)
+		gomega.Expect(stateOf(t, 0)).To(gomega.Equal(admission.Free))
+	})
+
+	// Guards against a target that takes flows before every node knows it, and a refusal for the
+	// wrong reason.
+	ginkgo.It("takes nothing while it is joining", func() {
+		t := admission.New(0, limits)
+		t.Close(admission.ClosedByJoin, true)
+		state, code := t.State(0)
+		gomega.Expect(state).To(gomega.Equal(admission.Closed))
+		gomega.Expect(code).To(gomega.Equal(result.TargetJoining))
+		t.Close(admission.ClosedByJoin, false)
+		gomega.Expect(stateOf(t, 0)).To(gomega.Equal(admission.Free))
+	})
+
+	// Guards against a queue at a service whose configuration allows no wait.
+	ginkgo.It("refuses at once when no wait is allowed", func() {
+		t := admission.New(0, admission.Limits{Class: model.ClassRequest, Slots: 1, MaxConns: 10})
+		t.Take()
+		gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.NoFreeSlot))
+	})
+
 	// Guards against a queue that holds SYNs longer than its bound, or refuses those that would pass.
 	ginkgo.It("refuses at once when the estimate exceeds the bound", func() {
 		t := admission.New(0, limits)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -33,7 +33,7 @@
 
 // QueueState returns OK if a SYN may wait, or why it is refused at once.
 func (t *Target) QueueState(now time.Duration) result.Code {
-	if t.Wait(now) > t.MaxQueueWait() {
+	if wait := t.MaxQueueWait(); wait <= 0 || t.Wait(now) > wait {
 		return result.NoFreeSlot
 	}
 	if len(t.queue) >= MaxQueue {
--- a/internal/flowtable/view.go
+++ b/internal/flowtable/view.go
@@ -70,6 +70,7 @@
 	state := ep.Target.State
 	left := !ep.present || state == model.TargetDraining || state == model.TargetEjected
 	ep.admission.Close(admission.ClosedByControl, left)
+	ep.admission.Close(admission.ClosedByJoin, state == model.TargetJoining)
 	ep.admission.Close(admission.ClosedByTarget, t.leaving)
 	ep.admission.Close(admission.ClosedByStop, t.stopping)
 	if left || t.leaving || t.stopping {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -17,10 +17,9 @@
 	// Lease is how long a session lasts after the node was last heard. Nodes poll every second
 	// and session holders report every 500 ms, so one lost poll does not end it.
 	Lease = 3 * time.Second
-	// JoinDelay is the time between the registration of a target and its first flow. Agents reset
-	// packets of unknown flows only if their view was current at most 2 s ago
-	// (flowtable.MaxResetAge); the other 2 s cover the time that an answer of a controller may be
-	// under way. So no agent that lacks the target can reset one of its flows.
+	// JoinDelay is the time between the registration of a target and its first flow: the 4 s in
+	// which a change is in force everywhere. Every node then asks the target for packets of its
+	// flows, which would otherwise be dropped until the tables agree.
 	JoinDelay = 4 * time.Second
 	// RemoveAfter is how long a lost target keeps its place for established flows.
 	RemoveAfter = 10 * time.Minute
