--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -62,6 +62,18 @@
 	return n
 }
 
+// Guards against a member that starts with settings or stored state that cannot be right.
+var _ = DescribeTable("a member does not start", func(code result.Code, members int, r consensus.Restored) {
+	_, err := consensus.New(consensus.Config{ID: 1, Members: voters(members), Rand: rand.New(rand.NewPCG(1, 1))}, r)
+	Expect(err).To(haveCode(code))
+},
+	Entry("with 4 members", result.SettingsInvalid, 4, consensus.Restored{}),
+	Entry("with a gap after the snapshot", result.StorageCorrupt, 3, consensus.Restored{Entries: []consensus.Entry{{Index: 2, Term: 1}}}),
+	Entry("with a gap in the log", result.StorageCorrupt, 3, consensus.Restored{
+		HardState: consensus.HardState{Term: 1}, Entries: []consensus.Entry{{Index: 1, Term: 1}, {Index: 3, Term: 1}},
+	}),
+	Entry("with a log of a later term", result.StorageCorrupt, 3, consensus.Restored{Entries: []consensus.Entry{{Index: 1, Term: 1}}}))
+
 var _ = Describe("elections", func() {
 	// Guards against a member that was cut off, or does not hear the leader, and unseats it by
 	// raising its term or with the votes of others.
@@ -226,17 +238,24 @@
 		Expect(c.arrived).To(BeNumerically("<", 80))
 	})
 
-	// Guards against a member that is too far behind and never gets the state or the members.
+	// Guards against a member that is too far behind and never gets the state or the members, and
+	// against messages without bound to a member that does not answer.
 	It("sends a snapshot in chunks to a member that is too far behind", func() {
 		c := newCluster(GinkgoT(), 1, 3, smallSizes)
 		l := c.elect()
-		lost := c.other(l)
-		c.isolate(lost.id)
+		lost, windows := c.other(l), 0
+		c.drop = func(m consensus.Message) bool {
+			if m.To == lost.id && m.Append != nil && len(m.Append.Entries) > 0 {
+				windows++
+			}
+			return m.To == lost.id
+		}
 		c.commands(50)
+		Expect(windows).To(Equal(smallSizes.MaxInflight))
 		Expect(l.change(consensus.MemberChange{AddLearner: 9})).To(Succeed())
 		c.run(roundTrips, nil)
 		l.compact(0)
-		c.heal()
+		c.drop = nil
 		c.run(consensus.DefaultElectionTimeout, nil)
 		Expect(lost.status().SnapshotIndex).To(Equal(l.status().SnapshotIndex))
 		Expect(l.status().Counters.SnapshotsSent).To(BeEquivalentTo(1))
