Ignore answers to reads of an earlier life

Cause: read IDs start again after a restart, so a delayed reply to the life before could answer a new read with an index that is too low. Change: a reply repeats the stamp of its request, and one of another life is ignored. Conclusion: the new spec fails without the check.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -322,6 +322,19 @@
 		Expect(l.answers).To(HaveKeyWithValue(uint64(3), consensus.ReadState{ID: 3, Index: commit, Failed: true}))
 	})
 
+	// Guards against an answer to a read of an earlier life of the process, which used the same ID
+	// and is answered by an index that is too low now.
+	It("are not answered by a reply to an earlier life", func() {
+		n := alone(consensus.Restored{})
+		Expect(n.Step(consensus.Message{From: 2, To: 1, Term: 1, Heartbeat: &consensus.Heartbeat{}}, 0)).To(Succeed())
+		Expect(n.ReadIndex(1)).To(Succeed())
+		late := consensus.Message{From: 2, To: 1, Term: 1, ReadReply: &consensus.ReadReply{ID: 1}}
+		late.Contact.Echo.Boot = 42
+		Expect(n.Step(late, 0)).To(Succeed())
+		r, _ := n.Ready()
+		Expect(r.Reads).To(BeEmpty())
+	})
+
 	// Guards against a read that misses entries which the old leader has committed, and against a
 	// change of members on top of one that the new leader does not know to be committed.
 	It("and member changes wait until a new leader has committed an entry", func() {
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -115,7 +115,7 @@
 }
 
 // Propose appends a command to the log of the leader. The command ran if an entry with the
-// returned position is committed.
+// returned position is committed. data must not be changed afterwards.
 func (n *Node) Propose(data []byte) (Position, error) {
 	if err := n.checkProposal(len(data)); err != nil {
 		n.counters.ProposalsRefused++
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -9,13 +9,15 @@
 type pendingRead struct {
 	id    uint64
 	from  MemberID // zero for the leader's own reads
+	asked Stamp    // of the message of from
 	index uint64
 	round uint64 // must be answered by a quorum
 }
 
 // ReadIndex asks for a read barrier. Ready.Reads later holds an index with the same ID; once it
 // is applied, the state machine holds everything that was committed when ReadIndex was called. A
-// follower asks its leader; the answer can get lost, so the caller sets a deadline.
+// follower asks its leader; the answer can get lost, so the caller sets a deadline. IDs are unique
+// since the process started.
 func (n *Node) ReadIndex(id uint64) error {
 	if n.halted {
 		return result.New(result.StorageFailed, "member %d cannot write its storage", n.cfg.ID)
@@ -44,13 +46,16 @@
 }
 
 func (n *Node) handleReadRequest(m Message) {
-	if n.role == Leader && n.addRead(pendingRead{id: m.ReadRequest.ID, from: m.From}) == nil {
-		return
+	r := pendingRead{id: m.ReadRequest.ID, from: m.From, asked: m.Contact.Sent}
+	if n.role != Leader || n.addRead(r) != nil {
+		n.answerRead(r, true)
 	}
-	n.send(Message{To: m.From, ReadReply: &ReadReply{ID: m.ReadRequest.ID, Failed: true}})
 }
 
 func (n *Node) handleReadReply(m Message) {
+	if m.Contact.Echo.Boot != n.boot {
+		return // it answers a read of an earlier life of this process, which used the same ID
+	}
 	r := m.ReadReply
 	n.reads = append(n.reads, ReadState{ID: r.ID, Index: r.Index, Failed: r.Failed})
 }
@@ -87,7 +92,10 @@
 		n.reads = append(n.reads, ReadState{ID: r.id, Index: r.index, Failed: failed})
 		return
 	}
-	n.send(Message{To: r.from, ReadReply: &ReadReply{ID: r.id, Index: r.index, Failed: failed}})
+	n.send(Message{
+		To: r.from, Contact: Contact{Echo: r.asked},
+		ReadReply: &ReadReply{ID: r.id, Index: r.index, Failed: failed},
+	})
 }
 
 // failReads fails the reads of a leader that steps down.
