Let the queues of a service's targets work like one queue

Change: agents tell each other of waiting SYNs and offer free slots to the one that has waited longest; the header carries the number of waiting SYNs and the time waited. The experiment follows this policy. The property tests with signals showed an older fault: an agent whose target still retransmitted its last FIN took the packets of a new connection with the same ports, and both ends answered each other for ever. A packet now counts as a flow's own only if its numbers fit. The world of the tests fails on a packet storm.

--- a/cmd/demo/scenario.go
+++ b/cmd/demo/scenario.go
@@ -261,14 +261,14 @@
 	}
 	err := d.await(ctx, func() bool {
 		for _, b := range d.balancers {
-			if len(b.daemon.BalancerView().Targets) < want {
+			if b.daemon.BalancerView().Admitting() < want {
 				return false
 			}
 		}
 		return true
 	})
 	if err == nil {
-		d.say("%d targets are known to every balancer", want)
+		d.say("%d targets take flows at every balancer", want)
 	}
 	return err
 }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -35,6 +35,7 @@
 	rampStart time.Duration
 	slots     int // taken by known flows
 	conns     int
+	reserved  int // offered to SYNs that wait at other targets
 	reported  report
 	closed    Closure
 
@@ -133,14 +134,29 @@
 }
 
 // hasRoom reports whether the limits allow one more flow.
-func (t *Target) hasRoom(now time.Duration) bool {
+func (t *Target) hasRoom(now time.Duration) bool { return t.room(now) > 0 }
+
+// room returns how many more flows the limits allow.
+func (t *Target) room(now time.Duration) int {
 	slots, conns := t.inUse(now)
-	if conns >= t.allowed(now, t.limits.MaxConns) {
-		return false
+	room := t.allowed(now, t.limits.MaxConns) - conns
+	if t.limits.Class == model.ClassRequest {
+		room = min(room, t.allowed(now, t.limits.Slots)-slots)
 	}
-	return t.limits.Class != model.ClassRequest || slots < t.allowed(now, t.limits.Slots)
+	return max(0, room-t.reserved)
+}
+
+// CanTake reports whether the target takes one more flow now, whatever waits in its queue.
+func (t *Target) CanTake(now time.Duration) bool {
+	return t.closed == 0 && !t.generation.expired(now) && !t.handshakes.suspended(now) && t.hasRoom(now)
 }
 
+// Reserve keeps a slot for a flow that has been offered it.
+func (t *Target) Reserve() { t.reserved++ }
+
+// Unreserve frees a slot that was kept.
+func (t *Target) Unreserve() { t.reserved = max(0, t.reserved-1) }
+
 // inUse returns slots and connections in use. Until the ramp has ended, the target may hold flows
 // that a restarted agent does not know yet.
 func (t *Target) inUse(now time.Duration) (slots, conns int) {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -103,7 +103,7 @@
 	ginkgo.It("refuses at once when no wait is allowed", func() {
 		t := admission.New(0, admission.Limits{Class: model.ClassRequest, Slots: 1, MaxConns: 10})
 		t.Take()
-		gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.NoFreeSlot))
+		gomega.Expect(t.QueueState(t.Wait(0))).To(gomega.Equal(result.NoFreeSlot))
 	})
 
 	// Guards against a queue that holds SYNs longer than its bound, or refuses those that would pass.
@@ -116,10 +116,10 @@
 		// Two slots free up every 200 ms on average.
 		gomega.Expect(t.Wait(0)).To(gomega.Equal(200 * time.Millisecond))
 		t.Enqueue(1)
-		gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.OK))
+		gomega.Expect(t.QueueState(t.Wait(0))).To(gomega.Equal(result.OK))
 		t.Enqueue(2)
 		gomega.Expect(t.Wait(0)).To(gomega.Equal(600 * time.Millisecond))
-		gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.NoFreeSlot))
+		gomega.Expect(t.QueueState(t.Wait(0))).To(gomega.Equal(result.NoFreeSlot))
 		gomega.Expect(t.RetryAfter(0)).To(gomega.Equal(600 * time.Millisecond))
 		t.Release(400*time.Millisecond, true)
 		id, ok := t.Dequeue(0)
@@ -133,10 +133,10 @@
 		t.Take()
 		t.Release(time.Microsecond, true)
 		for i := range uint32(admission.MaxQueue) {
-			gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.OK))
+			gomega.Expect(t.QueueState(t.Wait(0))).To(gomega.Equal(result.OK))
 			t.Enqueue(i)
 		}
-		gomega.Expect(t.QueueState(0)).To(gomega.Equal(result.QueueFull))
+		gomega.Expect(t.QueueState(t.Wait(0))).To(gomega.Equal(result.QueueFull))
 	})
 
 	// Guards against a broken target that takes flows because its health endpoint says so.
@@ -211,7 +211,7 @@
 				if state == admission.Free {
 					target.Take()
 					open++
-				} else if state == admission.Busy && target.QueueState(now) == result.OK {
+				} else if state == admission.Busy && target.QueueState(target.Wait(now)) == result.OK {
 					target.Enqueue(next)
 					next++
 				}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -18,22 +18,32 @@
 // Wait estimates how long one more SYN would wait. Flows end one after another, on average one
 // every mean service time divided by the capacity.
 func (t *Target) Wait(now time.Duration) time.Duration {
-	service := t.meanService
-	if service == 0 {
-		// Without an observation half of the bound keeps the queue in use until the first flow ends.
-		service = t.MaxQueueWait() / 2
-	}
 	capacity := t.limits.MaxConns
 	if t.limits.Class == model.ClassRequest {
 		capacity = t.limits.Slots
 	}
 	capacity = max(1, t.allowed(now, capacity))
-	return service * time.Duration(len(t.queue)+1) / time.Duration(capacity)
+	return t.service() * time.Duration(len(t.queue)+1) / time.Duration(capacity)
+}
+
+// service returns the mean service time. Without an observation half of the bound keeps the queue
+// in use until the first flow ends.
+func (t *Target) service() time.Duration {
+	if t.meanService == 0 {
+		return t.MaxQueueWait() / 2
+	}
+	return t.meanService
+}
+
+// PooledWait estimates how long one more SYN would wait behind others if all slots of the service
+// served one queue. The capacity is that of all targets.
+func (t *Target) PooledWait(waiting, capacity int) time.Duration {
+	return t.service() * time.Duration(waiting+1) / time.Duration(max(1, capacity))
 }
 
-// QueueState returns OK if a SYN may wait, or why it is refused at once.
-func (t *Target) QueueState(now time.Duration) result.Code {
-	if wait := t.MaxQueueWait(); wait <= 0 || t.Wait(now) > wait {
+// QueueState returns OK if a SYN with this estimated wait may wait, or why it is refused at once.
+func (t *Target) QueueState(wait time.Duration) result.Code {
+	if limit := t.MaxQueueWait(); limit <= 0 || wait > limit {
 		return result.NoFreeSlot
 	}
 	if len(t.queue) >= MaxQueue {
@@ -49,7 +59,7 @@
 
 // Dequeue returns the first waiting flow if the target takes a flow now.
 func (t *Target) Dequeue(now time.Duration) (id uint32, ok bool) {
-	if len(t.queue) == 0 || t.closed != 0 || t.generation.expired(now) || t.handshakes.suspended(now) || !t.hasRoom(now) {
+	if len(t.queue) == 0 || !t.CanTake(now) {
 		return 0, false
 	}
 	id = t.queue[0]
--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -40,6 +40,9 @@
 	case flowtable.SendHint:
 		data := action.Hint.Append(o.buffer(), &a.cfg.FleetKey)
 		o.encoded(fabric.Datagram{Data: data, Addr: action.Header.Ingress})
+	case flowtable.SendSignal:
+		data := action.Signal.Append(o.buffer(), &a.cfg.FleetKey)
+		o.encoded(fabric.Datagram{Data: data, Addr: action.To})
 	case flowtable.Drop:
 		a.metrics.drop(action.Reason)
 	case flowtable.Note:
--- a/internal/agent/owner.go
+++ b/internal/agent/owner.go
@@ -75,6 +75,10 @@
 	var h encap.Header
 	var p flow.Packet
 	for i := range b.n {
+		if encap.IsSignal(b.datagrams[i].Data) {
+			a.handleSignal(now, b.datagrams[i].Data)
+			continue
+		}
 		raw, reason := h.Decode(b.datagrams[i].Data, &a.cfg.FleetKey)
 		if reason == flow.DropNone {
 			reason = p.Parse(raw)
@@ -92,6 +96,16 @@
 	a.out.flush()
 }
 
+// handleSignal handles what another agent of a service says about its slots.
+func (a *Agent) handleSignal(now time.Duration, datagram []byte) {
+	var s encap.Signal
+	if reason := s.Decode(datagram, &a.cfg.FleetKey); reason != flow.DropNone {
+		a.metrics.drop(reason)
+		return
+	}
+	a.out.run(a.table.Signal(now, &s))
+}
+
 // handleTarget handles a batch of packets that the target has sent.
 func (a *Agent) handleTarget(b *batch) {
 	now := a.now()
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -50,7 +50,7 @@
 		}
 		// Of two registrations of one target the later one counts.
 		if known, ok := byService[s.ID]; !ok || known.Target.ID < t.ID {
-			byService[s.ID] = flowtable.Endpoint{Service: s, Target: t}
+			byService[s.ID] = flowtable.NewEndpoint(v, t)
 		}
 	}
 	local := make([]flowtable.Endpoint, 0, len(byService))
--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -27,9 +27,11 @@
 	NoWait          = 0xffff // BestWait while no agent has offered its queue
 	MaxControlAge   = 255    // ControlAge of a sender with an older or unknown contact
 	ControlAgeUnit  = 100 * time.Millisecond
+	WaitedUnit      = 10 * time.Millisecond
 	tagOffset       = 32
 	typePacket      = 1
 	typeHint        = 2
+	typeSignal      = 3
 	flagFinal       = 1 << 0
 	flagReserved    = ^byte(flagFinal)
 	maxDatagramSize = MaxHeaderBytes + flow.MaxPacketBytes
@@ -98,6 +100,10 @@
 	// wait in milliseconds.
 	BestIndex uint8
 	BestWait  uint16
+	// Waiting counts the SYNs in the queues of the agents that have passed the packet on.
+	Waiting uint16
+	// Waited is the time that the packet has spent in queues before, in WaitedUnit.
+	Waited uint8
 	// ControlAge is the time since the balancer heard from a controller with a quorum, in
 	// ControlAgeUnit.
 	ControlAge uint8
@@ -165,9 +171,9 @@
 	datagram[19] = h.ControlAge
 	binary.BigEndian.PutUint16(datagram[20:], h.BestWait)
 	datagram[22] = h.Extensions
-	datagram[23] = 0
+	datagram[23] = h.Waited
 	putAddrPort(datagram[24:30], h.Ingress)
-	datagram[30], datagram[31] = 0, 0
+	binary.BigEndian.PutUint16(datagram[30:], h.Waiting)
 	clear(datagram[tagOffset:HeaderBytes])
 	for i := range candidates {
 		copy(datagram[HeaderBytes+i*CandidateBytes:], candidates[i][:])
@@ -218,6 +224,8 @@
 	h.ControlAge = datagram[19]
 	h.BestWait = binary.BigEndian.Uint16(datagram[20:])
 	h.Extensions = datagram[22]
+	h.Waited = datagram[23]
+	h.Waiting = binary.BigEndian.Uint16(datagram[30:])
 	h.Ingress = addrPort(datagram[24:30])
 	for i := range count {
 		c := datagram[HeaderBytes+i*CandidateBytes:]
--- a/internal/encap/encap_test.go
+++ b/internal/encap/encap_test.go
@@ -32,6 +32,8 @@
 func header(t *rapid.T) encap.Header {
 	h := encap.Header{
 		Final:      rapid.Bool().Draw(t, "final"),
+		Waiting:    rapid.Uint16().Draw(t, "waiting"),
+		Waited:     rapid.Uint8().Draw(t, "waited"),
 		Extensions: rapid.Uint8Max(encap.MaxExtensions).Draw(t, "extensions"),
 		Hops:       rapid.Uint8Max(encap.MaxHops-1).Draw(t, "hops"),
 		Service:    model.ServiceID(rapid.Uint32().Draw(t, "service")),
@@ -88,6 +90,26 @@
 	})
 }
 
+// Guards against an offer of a slot that names another target or is taken for a hint.
+func TestSignalSurvivesEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := encap.Signal{
+			Kind:    encap.SignalKind(rapid.IntRange(1, 3).Draw(t, "kind")),
+			Service: model.ServiceID(rapid.Uint32().Draw(t, "service")),
+			From:    candidate(t, "from"),
+		}
+		var got encap.Signal
+		var hint encap.Hint
+		datagram := want.Append(nil, &key)
+		if drop := got.Decode(datagram, &key); drop != flow.DropNone || got != want || !encap.IsSignal(datagram) {
+			t.Fatalf("decoded %+v, %q", got, drop)
+		}
+		if hint.Decode(datagram, &key) != encap.DropType {
+			t.Fatal("a signal was taken for a hint")
+		}
+	})
+}
+
 // Guards against a spoofed bit that changes the way of a packet: every bit of the header, of the
 // hint and of the inner IPv4 and TCP headers is covered by a check.
 func TestEverySpoofedBitIsRejected(t *testing.T) {
--- a/internal/encap/fuzz_test.go
+++ b/internal/encap/fuzz_test.go
@@ -43,6 +43,12 @@
 				t.Fatalf("%+v became %+v, %q", h, again, drop)
 			}
 		}
+		var signal, sent encap.Signal
+		if drop := signal.Decode(d, &key); drop == flow.DropNone {
+			if drop := sent.Decode(signal.Append(nil, &key), &key); drop != flow.DropNone || sent != signal {
+				t.Fatalf("%+v became %+v, %q", signal, sent, drop)
+			}
+		}
 		var n, again encap.Hint
 		if drop := n.Decode(d, &key); drop == flow.DropNone {
 			if drop := again.Decode(n.Append(nil, &key), &key); drop != flow.DropNone || again != n {
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -20,7 +20,8 @@
 // Policies.
 const (
 	// Chain offers a request to the candidates in order; the first with a free slot takes it, else
-	// the one with the shortest estimated wait queues it.
+	// the one with the shortest estimated wait queues it. A free slot goes to the request that has
+	// waited longest at any target.
 	Chain Policy = "chain"
 	// PlainHash sends a request to the first candidate of the ranking, whatever its load.
 	PlainHash Policy = "plain hash"
@@ -129,6 +130,7 @@
 	bucket placement.Bucket
 	origin int // balancer
 	done   bool
+	since  time.Duration // in a queue
 }
 
 // target models admission at one target.
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -69,8 +69,9 @@
 	switch {
 	case s.targets[i].busy < s.Slots:
 		s.admit(r, i)
-	case s.MaxWait > 0 && s.estimate(i) <= s.MaxWait:
+	case s.MaxWait > 0 && s.expected(i) <= s.MaxWait:
 		s.result.Queued++
+		r.since = s.now
 		s.targets[i].queue = append(s.targets[i].queue, r)
 		s.schedule(event{kind: expiry, request: r}, s.MaxWait)
 	default:
@@ -78,6 +79,19 @@
 	}
 }
 
+// expected returns the wait that a target expects for a request that it would queue. In a chain the
+// slots of all targets serve all queues.
+func (s *simulation) expected(i int) time.Duration {
+	if s.Policy != Chain {
+		return s.estimate(i)
+	}
+	waiting := 0
+	for j := range s.targets {
+		waiting += s.waiting(j)
+	}
+	return s.Mean * time.Duration(waiting+1) / time.Duration(s.Slots*len(s.targets))
+}
+
 // waiting returns the number of requests in the queue of a target that have not expired.
 func (s *simulation) waiting(i int) int {
 	n := 0
@@ -103,10 +117,15 @@
 	s.schedule(event{kind: departure, target: i}, r.hold)
 }
 
-// depart frees a slot and gives it to the next request in the queue.
+// depart frees a slot and gives it to the next request in the queue. In a chain that is the request
+// that has waited longest at any target.
 func (s *simulation) depart(i int) {
+	s.targets[i].busy--
+	if s.Policy == Chain {
+		s.pull(i)
+		return
+	}
 	t := &s.targets[i]
-	t.busy--
 	for len(t.queue) > 0 {
 		next := t.queue[0]
 		t.queue = t.queue[1:]
@@ -116,3 +135,23 @@
 		}
 	}
 }
+
+// pull gives a free slot to the request that has waited longest.
+func (s *simulation) pull(i int) {
+	var oldest *request
+	from := i
+	for j := range s.targets {
+		for _, r := range s.targets[j].queue {
+			if !r.done && (oldest == nil || r.since < oldest.since) {
+				oldest, from = r, j
+			}
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	if from != i {
+		s.visit(1)
+	}
+	s.admit(oldest, i)
+}
--- a/internal/flowtable/action.go
+++ b/internal/flowtable/action.go
@@ -1,6 +1,8 @@
 package flowtable
 
 import (
+	"net/netip"
+
 	"github.com/greengagelock/greengagelock/internal/encap"
 	"github.com/greengagelock/greengagelock/internal/flow"
 )
@@ -18,6 +20,8 @@
 	SendCaller
 	// SendHint sends Hint to Header.Ingress.
 	SendHint
+	// SendSignal sends Signal to the agent To.
+	SendSignal
 	// Drop ends the work on a packet, for Reason.
 	Drop
 	// Note counts Event.
@@ -31,6 +35,8 @@
 	Packet []byte
 	Header *encap.Header
 	Hint   *encap.Hint
+	Signal encap.Signal
+	To     netip.AddrPort
 	Reason flow.DropReason
 	Event  Event
 }
@@ -75,6 +81,10 @@
 	EventSilenceProbe    Event = "silence_probe"
 	EventSuspended       Event = "suspended"
 	EventChainExtended   Event = "chain_extended"
+	// EventForeign is a packet of another connection with the ports of a known flow.
+	EventForeign     Event = "foreign_connection"
+	EventSlotOffered Event = "slot_offered"
+	EventSYNMoved    Event = "syn_moved"
 )
 
 func (t *Table) deliver(packet []byte) {
--- a/internal/flowtable/handshake.go
+++ b/internal/flowtable/handshake.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/greengagelock/greengagelock/internal/admission"
 	"github.com/greengagelock/greengagelock/internal/encap"
@@ -21,6 +22,10 @@
 		}
 		t.abandon(i, r)
 	}
+	if t.takesOffer(h, ep) {
+		t.open(h, p, ep)
+		return
+	}
 	if h.Final {
 		t.finalSYN(h, p, ep)
 		return
@@ -98,14 +103,20 @@
 
 // enqueue lets a SYN wait for a slot, or refuses it at once.
 func (t *Table) enqueue(h *encap.Header, p *flow.Packet, ep *endpoint) {
-	if code := ep.admission.QueueState(t.now); code != result.OK {
+	left := ep.admission.MaxQueueWait() - time.Duration(h.Waited)*encap.WaitedUnit
+	if code := ep.admission.QueueState(t.expectedWait(h, ep)); code != result.OK {
 		t.refuse(p, ep, code)
 		return
 	}
+	if left <= 0 {
+		t.refuse(p, ep, result.QueueTimeout)
+		return
+	}
 	i, _ := t.hold(h, p, ep, stateQueued)
 	ep.admission.Enqueue(i)
 	t.note(EventQueued)
-	t.wheel.arm(i, t.millis+ms(ep.admission.MaxQueueWait()))
+	t.wheel.arm(i, t.millis+ms(left))
+	t.signalPeers(ep, encap.SignalWaiting)
 }
 
 // hold keeps a copy of a SYN with its header.
@@ -126,9 +137,12 @@
 	return i, r
 }
 
-// serveQueue admits waiting SYNs while there is room.
+// serveQueue gives free slots to the SYNs that have waited longest, here or at other agents.
 func (t *Table) serveQueue(ep *endpoint) {
 	for {
+		if t.offerSlot(ep) {
+			continue
+		}
 		i, ok := ep.admission.Dequeue(t.now)
 		if !ok {
 			return
--- a/internal/flowtable/pass.go
+++ b/internal/flowtable/pass.go
@@ -182,6 +182,7 @@
 
 // stamp offers the queue of this target if its wait is the shortest so far.
 func (t *Table) stamp(h *encap.Header, ep *endpoint) {
+	h.Waiting += uint16(min(ep.admission.Queued(), encap.NoWait-int(h.Waiting)))
 	wait := min(ep.admission.Wait(t.now).Milliseconds(), encap.NoWait-1)
 	if uint16(wait) < h.BestWait {
 		h.BestWait = uint16(wait)
--- a/internal/flowtable/record.go
+++ b/internal/flowtable/record.go
@@ -118,6 +118,23 @@
 	return seq-expected+plausibleBytes < 2*plausibleBytes
 }
 
+// sequenceRange is how far the numbers of a packet may lie from those of its connection: twice the
+// largest receive buffer of common hosts.
+const sequenceRange = 1 << 24
+
+// near reports whether two sequence numbers are at most sequenceRange apart.
+func near(a, b uint32) bool { return a-b+sequenceRange <= 2*sequenceRange }
+
+// sameConnection reports whether the numbers of a packet of the caller fit the connection. A caller
+// may use its port again for a connection to another target while this target still retransmits
+// its last FIN.
+func (r *record) sameConnection(p *flow.Packet) bool {
+	if !near(p.TCP.Seq, r.callerNext) {
+		return false
+	}
+	return !p.TCP.ACK || near(p.TCP.Ack, r.targetNext)
+}
+
 // Records live in chunks, so that the table grows without copying.
 const (
 	chunkBits = 10
--- a/internal/flowtable/simagent_test.go
+++ b/internal/flowtable/simagent_test.go
@@ -61,7 +61,7 @@
 func (a *simAgent) applyView() {
 	var endpoints []flowtable.Endpoint
 	if t, ok := a.view.Targets[a.target]; ok {
-		endpoints = append(endpoints, flowtable.Endpoint{Service: a.view.Services[t.Service], Target: t})
+		endpoints = append(endpoints, flowtable.NewEndpoint(a.view, t))
 	}
 	a.act(a.table.SetEndpoints(a.w.now, endpoints), 0)
 }
@@ -122,6 +122,8 @@
 					b.hints[action.Hint.Flow] = action.Hint.Owner
 				}
 			}
+		case flowtable.SendSignal:
+			w.signal(action.Signal, action.To)
 		case flowtable.Drop:
 			w.drops[action.Reason]++
 		case flowtable.Note:
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -75,6 +75,29 @@
 type Endpoint struct {
 	Service model.Service
 	Target  model.Target
+	// Peers are the other targets of the service that take flows, and Capacity what all of them and
+	// this one hold: slots for requests, connections for streams.
+	Peers    []encap.Candidate
+	Capacity int
+}
+
+// NewEndpoint returns the endpoint of a target in a view.
+func NewEndpoint(v *model.View, t model.Target) Endpoint {
+	e := Endpoint{Service: v.Services[t.Service], Target: t}
+	for _, other := range v.TargetsOf(t.Service) {
+		if other.ID != t.ID && other.State != model.TargetActive {
+			continue
+		}
+		if e.Service.Class == model.ClassRequest {
+			e.Capacity += other.Slots
+		} else {
+			e.Capacity += other.MaxConns
+		}
+		if other.ID != t.ID {
+			e.Peers = append(e.Peers, encap.CandidateOf(&other))
+		}
+	}
+	return e
 }
 
 // endpoint is an Endpoint with its state. It stays after it left the view, because its flows do.
@@ -86,6 +109,7 @@
 	drainedAt time.Duration // start of the drain
 	drained   bool          // the flows were reset at the drain deadline
 	refused   uint64
+	pool      pool
 }
 
 // pending is a SYN that may still be passed on, or the packets of a recovery probe.
@@ -169,6 +193,11 @@
 func (t *Table) known(h *encap.Header, p *flow.Packet, ep *endpoint, i uint32, r *record) {
 	switch r.state {
 	case stateEstablished, stateClosing:
+		if !r.sameConnection(p) {
+			t.note(EventForeign)
+			t.passOn(h, p.Raw, ep, result.OK)
+			return
+		}
 		t.fromCaller(h, p, ep, i, r)
 	case stateQueued:
 		t.queuedPacket(h, p, ep, i, r)
--- a/internal/flowtable/timers.go
+++ b/internal/flowtable/timers.go
@@ -8,8 +8,8 @@
 	"github.com/greengagelock/greengagelock/internal/result"
 )
 
-// queueCheck is how often waiting SYNs are looked at while nothing else happens: the ramp or the
-// end of a suspension may make room.
+// queueCheck is how often SYNs that wait here or elsewhere are looked at while nothing else happens:
+// the ramp or the end of a suspension may make room, and an offer of a slot may be lost.
 const queueCheck = 20 * time.Millisecond
 
 // Tick handles what is due at now.
@@ -29,14 +29,15 @@
 
 // checkQueue admits waiting SYNs, or refuses them if the target admits nothing any more.
 func (t *Table) checkQueue(ep *endpoint) {
-	if ep.admission.Queued() == 0 {
-		return
+	if ep.admission.Queued() > 0 {
+		if state, code := ep.admission.State(t.now); state == admission.Closed {
+			t.refuseQueue(ep, code)
+			return
+		}
 	}
-	if state, code := ep.admission.State(t.now); state == admission.Closed {
-		t.refuseQueue(ep, code)
-		return
+	if ep.admission.Queued()+len(ep.pool.waiters)+len(ep.pool.offers) > 0 {
+		t.serveQueue(ep)
 	}
-	t.serveQueue(ep)
 }
 
 // drainLeft returns the time until the flows of a draining target are reset.
@@ -57,7 +58,7 @@
 		wait = time.Duration(int32(ms(due)-millis(now/time.Millisecond))) * time.Millisecond
 	}
 	for _, ep := range t.endpoints {
-		if left := t.ticked + queueCheck - now; ep.admission.Queued() > 0 && (!ok || wait > left) {
+		if left := t.ticked + queueCheck - now; ep.admission.Queued()+len(ep.pool.waiters) > 0 && (!ok || wait > left) {
 			wait, ok = left, true
 		}
 		if left, draining := t.drainLeft(ep); draining && (!ok || wait > left) {
--- a/internal/flowtable/world_test.go
+++ b/internal/flowtable/world_test.go
@@ -40,6 +40,10 @@
 	return last
 }
 
+// maxEvents is far above what the packets of a scenario need, and is exceeded at once when two ends
+// answer each other for ever.
+const maxEvents = 1_000_000
+
 // faults are the faults of the network between balancers, agents and callers.
 type faults struct {
 	loss, duplicate, late float64
@@ -52,6 +56,7 @@
 	now       time.Duration
 	events    eventQueue
 	order     int
+	handled   int // events
 	faults    faults
 	truth     *model.View
 	agents    map[netip.AddrPort]*simAgent
@@ -84,6 +89,9 @@
 // runUntil runs the world up to a time.
 func (w *world) runUntil(end time.Duration) {
 	for len(w.events) > 0 && w.events[0].at <= end {
+		if w.handled++; w.handled > maxEvents {
+			w.fail("a packet storm: %d events until %v", w.handled, w.now)
+		}
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
 		e.do()
@@ -245,6 +253,15 @@
 	})
 }
 
+// signal carries a signal to an agent.
+func (w *world) signal(s encap.Signal, to netip.AddrPort) {
+	w.transfer(nil, func([]byte) {
+		if a := w.agents[to]; a != nil && !a.down {
+			a.act(a.table.Signal(w.now, &s), 0)
+		}
+	})
+}
+
 // newService adds a service with policy s.
 func (w *world) newService(s model.Service) {
 	w.change(s.ID, func(v *model.View) { v.Services[s.ID] = s })
--- a/internal/model/view.go
+++ b/internal/model/view.go
@@ -60,6 +60,17 @@
 	return targets
 }
 
+// Admitting returns the number of targets that take new flows.
+func (v *View) Admitting() int {
+	n := 0
+	for _, t := range v.Targets {
+		if t.State == TargetActive {
+			n++
+		}
+	}
+	return n
+}
+
 // Digest returns a hash of the services and targets, the same for equal contents.
 func (v *View) Digest() uint64 {
 	h := xxhash.New()
