--- a/internal/flowtable/record.go
+++ b/internal/flowtable/record.go
@@ -36,6 +36,7 @@
 	flagUnacked                      // data of the target is unacknowledged since unackedAt
 	flagCheckTarget                  // the caller has sent a RST that may not be valid
 	flagHinted                       // a hint was sent at hintedAt
+	flagAdopted                      // from before the start of the agent, which may have missed a FIN
 	flagUnknown                      // no candidate owned a packet of the flow, first at takenAt
 )
 
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -41,10 +41,11 @@
 	maxUnknown = 1 << 16
 	// closedWait keeps a closed flow for retransmissions of its last FIN.
 	closedWait = 2 * time.Second
-	// closingIdle is the time between checks of a flow whose target has closed and whose caller
-	// sends nothing. The target's kernel gives up such a connection silently.
-	closingIdle   = 60 * time.Second
-	closingProbes = 3
+	// targetIdle is the time between checks of a silent target whose connection may have ended
+	// without a packet: after its FIN the kernel gives up silently, and before the start of the
+	// agent a FIN may have passed unseen.
+	targetIdle   = 60 * time.Second
+	targetProbes = 3
 	// unconfirmedWait is the time between probes of a target that has not sent a packet of an
 	// adopted flow, and unconfirmedProbes the number of probes before the flow is forgotten.
 	unconfirmedWait   = 5 * time.Second
--- a/internal/flowtable/table_test.go
+++ b/internal/flowtable/table_test.go
@@ -337,4 +337,25 @@
 		gomega.Expect(kinds(f.target(flow.Segment{ACK: true, Seq: 800, Ack: 501}))).To(gomega.Equal([]flowtable.Kind{sendCaller}))
 		gomega.Expect(f.OpenRequests()).To(gomega.Equal(1))
 	})
+
+	// Guards against a path that is lost in one direction, and against resets of a caller that reads
+	// nothing for a while.
+	ginkgo.It("resets a flow whose data is unacknowledged for 45 s, unless the window is closed", func() {
+		for _, window := range []uint16{1000, 0} {
+			f := newFixture(flowtable.Config{}, func(e *flowtable.Endpoint) { e.Service.Silence = silencePolicy })
+			f.establish()
+			var sent []flowtable.Action
+			for range 9 {
+				f.target(flow.Segment{ACK: true, Seq: 901, Ack: 101, Payload: []byte("push")})
+				f.caller(header(1), flow.Segment{ACK: true, Seq: 101, Ack: 901, Window: window})
+				sent = append(sent, f.wait(5*time.Second)...)
+			}
+			if window == 0 {
+				gomega.Expect(sent).To(gomega.BeEmpty())
+				continue
+			}
+			gomega.Expect(kinds(sent)).To(gomega.Equal([]flowtable.Kind{deliver, sendCaller}))
+			gomega.Expect(decode(sent[1]).TCP.RST).To(gomega.BeTrue())
+		}
+	})
 })
--- a/internal/flowtable/tcp_test.go
+++ b/internal/flowtable/tcp_test.go
@@ -37,6 +37,7 @@
 	timer         int // counts armed timers, so that old ones do nothing
 	finSent, eof  bool
 	window        uint16
+	nextAnswer    time.Duration // to an old segment without data
 
 	onOpen   func()
 	onData   func(data string)
@@ -51,6 +52,8 @@
 	maxRTO     = 4 * time.Second
 	maxSYNs    = 5
 	maxTries   = 12
+
+	answerInterval = 500 * time.Millisecond
 )
 
 func (e *tcpEnd) emit(s flow.Segment) {
@@ -229,11 +232,16 @@
 
 // receive takes the data and the FIN of a segment that is next in order.
 func (e *tcpEnd) receive(p *flow.Packet) {
+	empty := p.SegmentLength() == 0
 	if p.TCP.Seq != e.rcv {
-		e.ack()
+		// Two ends that answer each other's old ACKs would never stop. Kernels limit these answers.
+		if !empty || e.w.now >= e.nextAnswer {
+			e.nextAnswer = e.w.now + answerInterval
+			e.ack()
+		}
 		return
 	}
-	if p.SegmentLength() == 0 {
+	if empty {
 		return
 	}
 	e.rcv += p.SegmentLength()
--- a/internal/flowtable/timers.go
+++ b/internal/flowtable/timers.go
@@ -114,14 +114,14 @@
 	case r.has(flagUnconfirmed):
 		t.checkUnconfirmed(i, r)
 		return
-	case r.has(flagTargetFIN) && r.probesTarget >= closingProbes:
+	case r.has(flagTargetFIN|flagAdopted) && r.probesTarget >= targetProbes:
 		t.end(ep, i, r)
 		return
 	case !ep.present && t.quiet(r) >= ms(orphanIdle):
 		t.end(ep, i, r)
 		return
 	}
-	if r.has(flagCheckTarget) || t.closingLeft(r) <= 0 && r.has(flagTargetFIN) {
+	if r.has(flagCheckTarget) || t.targetLeft(r) <= 0 && r.has(flagTargetFIN|flagAdopted) {
 		r.clear(flagCheckTarget)
 		t.probeTarget(r)
 	}
@@ -136,9 +136,9 @@
 	return min(t.millis-r.lastCaller, t.millis-r.lastTarget)
 }
 
-// closingLeft returns the time until the target of a closing flow is checked.
-func (t *Table) closingLeft(r *record) int32 {
-	return int32(ms(closingIdle) - min(t.millis-r.lastCaller, t.millis-r.probedTarget))
+// targetLeft returns the time until a target whose connection may have ended is checked.
+func (t *Table) targetLeft(r *record) int32 {
+	return int32(ms(targetIdle) - min(t.millis-r.lastTarget, t.millis-r.probedTarget))
 }
 
 // watch arms the timer of an established flow for whatever comes first.
@@ -153,8 +153,8 @@
 	if r.has(flagCheckTarget) {
 		consider(int32(ms(checkWait)))
 	}
-	if r.has(flagTargetFIN) {
-		consider(t.closingLeft(r))
+	if r.has(flagTargetFIN | flagAdopted) {
+		consider(t.targetLeft(r))
 	}
 	if !ep.present {
 		consider(int32(ms(orphanIdle) - t.quiet(r)))
