Extend chains across generations

An agent at the end of a full chain did not extend it while its generation was not that of the packet, so that one agent cut from control held up the flows of all later positions (rapid).

--- a/internal/flowtable/pass.go
+++ b/internal/flowtable/pass.go
@@ -61,9 +61,10 @@
 	if h.Count < encap.MaxCandidates || h.Extensions >= encap.MaxExtensions || t.cfg.Extend == nil {
 		return false
 	}
-	if !syn && (ep == nil || ep.Service.Generation != h.Generation) {
-		// Positions in a ranking of another generation may leave the owner out.
-		return false
+	if ep == nil || ep.Service.Generation != h.Generation {
+		// Positions in a ranking of another generation may leave the owner out. Without a generation
+		// no later agent resets the flow.
+		h.Generation = 0
 	}
 	next := t.cfg.Extend(h.Service, key.Hash(), int(h.Extensions)+1, syn)
 	if len(next) == 0 {
