Limit challenge ACKs in the TCP model of the tests

Two ends with different sequence numbers answered each other without limit, and duplicated packets made a storm that did not end: 300 histories with faults did not return.

--- a/internal/flowtable/tcp_test.go
+++ b/internal/flowtable/tcp_test.go
@@ -217,7 +217,7 @@
 		return
 	}
 	if p.TCP.SYN || int32(p.TCP.Ack-e.nxt) > 0 {
-		e.ack()
+		e.challenge()
 		return
 	}
 	if int32(p.TCP.Ack-e.una) > 0 && p.TCP.Ack == e.nxt {
@@ -234,9 +234,9 @@
 func (e *tcpEnd) receive(p *flow.Packet) {
 	empty := p.SegmentLength() == 0
 	if p.TCP.Seq != e.rcv {
-		// Two ends that answer each other's old ACKs would never stop. Kernels limit these answers.
-		if !empty || e.w.now >= e.nextAnswer {
-			e.nextAnswer = e.w.now + answerInterval
+		if empty {
+			e.challenge()
+		} else {
 			e.ack()
 		}
 		return
@@ -257,6 +257,15 @@
 	}
 }
 
+// challenge answers a segment that does not fit. Two ends that answer each other's old ACKs would
+// never stop, so kernels limit these answers.
+func (e *tcpEnd) challenge() {
+	if e.w.now >= e.nextAnswer {
+		e.nextAnswer = e.w.now + answerInterval
+		e.ack()
+	}
+}
+
 // done reports whether both directions are closed and acknowledged.
 func (e *tcpEnd) done() bool {
 	return e.state == tcpOpen && e.finSent && e.una == e.nxt && len(e.queue) == 0 && e.eof
