--- a/internal/flowtable/tcp_test.go
+++ b/internal/flowtable/tcp_test.go
@@ -37,6 +37,7 @@
 	timer         int // counts armed timers, so that old ones do nothing
 	finSent, eof  bool
 	window        uint16
+	nextAnswer    time.Duration // to an old segment without data
 
 	onOpen   func()
 	onData   func(data string)
@@ -51,6 +52,8 @@
 	maxRTO     = 4 * time.Second
 	maxSYNs    = 5
 	maxTries   = 12
+
+	answerInterval = 500 * time.Millisecond
 )
 
 func (e *tcpEnd) emit(s flow.Segment) {
@@ -214,7 +217,7 @@
 		return
 	}
 	if p.TCP.SYN || int32(p.TCP.Ack-e.nxt) > 0 {
-		e.ack()
+		e.challenge()
 		return
 	}
 	if int32(p.TCP.Ack-e.una) > 0 && p.TCP.Ack == e.nxt {
@@ -229,11 +232,16 @@
 
 // receive takes the data and the FIN of a segment that is next in order.
 func (e *tcpEnd) receive(p *flow.Packet) {
+	empty := p.SegmentLength() == 0
 	if p.TCP.Seq != e.rcv {
-		e.ack()
+		if empty {
+			e.challenge()
+		} else {
+			e.ack()
+		}
 		return
 	}
-	if p.SegmentLength() == 0 {
+	if empty {
 		return
 	}
 	e.rcv += p.SegmentLength()
@@ -249,6 +257,15 @@
 	}
 }
 
+// challenge answers a segment that does not fit. Two ends that answer each other's old ACKs would
+// never stop, so kernels limit these answers.
+func (e *tcpEnd) challenge() {
+	if e.w.now >= e.nextAnswer {
+		e.nextAnswer = e.w.now + answerInterval
+		e.ack()
+	}
+}
+
 // done reports whether both directions are closed and acknowledged.
 func (e *tcpEnd) done() bool {
 	return e.state == tcpOpen && e.finSent && e.una == e.nxt && len(e.queue) == 0 && e.eof
