Keep the lease when a controller goes silent

Cause: a node whose controller went silent waited 2.5 s for its poll. Together with the poll that was held before it, the next controller heard of it after 3.6 s, and the lease of 3 s was over. Change: only polls that ask for a whole view wait that long; a test compares the longest gap with the lease. Two checks of bounds that a mutation survived are closed: the size of a request by itself and the calls of one connection; a cut-off controller is polled at its own generation as well.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -3,7 +3,9 @@
 import (
 	"testing"
 
+	"github.com/greengagelock/greengagelock/internal/membership"
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/node"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
@@ -81,3 +83,12 @@
 		t.Fatalf("target has number %d after the restart, want %d", after, before)
 	}
 }
+
+// Guards against targets that are marked lost because the controller of their agents went silent:
+// the agents must reach another one within the lease.
+func TestFailoverStaysWithinTheLease(t *testing.T) {
+	t.Parallel()
+	if longest := node.FailoverTime + reportPause; longest >= membership.Lease {
+		t.Fatalf("a node can take %v to be heard through another controller, the lease is %v", longest, membership.Lease)
+	}
+}
--- a/internal/controller/service_test.go
+++ b/internal/controller/service_test.go
@@ -76,10 +76,12 @@
 	if status.Controller != "c1" || status.Revision != 1 || session.Revision() != 1 {
 		t.Fatalf("status %+v and revision %d at the node, want revision 1 from c1", status, session.Revision())
 	}
-	_, err := rpc.Call[node.PollReply](t.Context(), h.client(model.RoleAgent, "vm-1", c.members["c1"]), "Node.Poll",
-		&node.PollRequest{Announcement: model.Announcement{Node: "vm-1", Role: model.RoleAgent}})
-	if result.CodeOf(err) != result.NoQuorum {
-		t.Fatalf("the first poll of a node got %v, want code %d", err, result.NoQuorum)
+	for _, applied := range []model.Generation{0, session.Generation()} {
+		_, err := rpc.Call[node.PollReply](t.Context(), h.client(model.RoleAgent, "vm-1", c.members["c1"]), "Node.Poll",
+			&node.PollRequest{Announcement: model.Announcement{Node: "vm-1", Role: model.RoleAgent, Applied: applied}})
+		if result.CodeOf(err) != result.NoQuorum {
+			t.Fatalf("a poll at generation %d got %v, want code %d", applied, err, result.NoQuorum)
+		}
 	}
 }
 
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -21,14 +21,20 @@
 const (
 	// DefaultPollWait is a third of the lease of a session.
 	DefaultPollWait = MaxWait
-	// callSlack is what a call may take on top of the wait: the network and a read barrier.
-	callSlack = 1500 * time.Millisecond
-	// minBackoff and maxBackoff bound the pause after a failed poll. Two failures and the pauses
-	// between them stay within the lease of 3 s.
+	// callSlack is what a poll may take on top of the wait.
+	callSlack = 500 * time.Millisecond
+	// viewSlack is what a poll that asks for a whole view may take on top of the wait: a read
+	// barrier and the transfer.
+	viewSlack = 1500 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed poll.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 	// announcePause bounds how often changes of the announcement are sent.
 	announcePause = 50 * time.Millisecond
+	// FailoverTime is the longest time between two polls that reach a controller when the one in
+	// use goes silent: a poll that was held, one that got lost, and the pause. It is below the
+	// lease, so that the failure of a controller costs no target its lease.
+	FailoverTime = 2*MaxWait + callSlack + minBackoff
 )
 
 // Config configures a session.
@@ -85,7 +91,7 @@
 	for _, address := range cfg.Controllers {
 		s.clients = append(s.clients, rpc.NewClient(rpc.ClientConfig{
 			Address: address, Role: model.RoleController, Credentials: credentials,
-			DialTimeout: callSlack, CallTimeout: cfg.PollWait + callSlack,
+			DialTimeout: callSlack, CallTimeout: cfg.PollWait + viewSlack,
 		}))
 	}
 	if s.metrics, err = newMetrics(prometheus.WrapRegistererWith(prometheus.Labels{"node": cfg.Name}, t.Metrics), s); err != nil {
@@ -210,6 +216,12 @@
 	snapshot := s.resync
 	s.mu.Unlock()
 	request := &PollRequest{Announcement: s.announcement(), Wait: s.cfg.PollWait, Snapshot: snapshot}
+	limit := s.cfg.PollWait + callSlack
+	if snapshot || request.Announcement.Applied == 0 {
+		limit = s.cfg.PollWait + viewSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	reply, err := rpc.Call[PollReply](ctx, s.client(), ServiceName+".Poll", request)
 	if err != nil {
 		return err
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -28,11 +28,14 @@
 // Echo is the service of the test server.
 type Echo struct {
 	peer    *rpc.Peer
-	running *atomic.Int32
-	most    *atomic.Int32
+	own     atomic.Int32 // calls of this connection that wait
+	f       *fixture
 	release chan struct{}
 }
 
+// Take takes a text and returns nothing.
+func (e *Echo) Take(_ *string, _ *string) error { return nil }
+
 // Say returns its argument and the identity of the caller.
 func (e *Echo) Say(text *string, reply *string) error {
 	*reply = e.peer.String() + " " + *text
@@ -46,11 +49,10 @@
 
 // Wait returns when the test says so or the connection ends.
 func (e *Echo) Wait(_ *string, _ *string) error {
-	now := e.running.Add(1)
-	defer e.running.Add(-1)
-	for most := e.most.Load(); now > most && !e.most.CompareAndSwap(most, now); most = e.most.Load() {
-		continue
-	}
+	raise(&e.f.most, e.f.running.Add(1))
+	raise(&e.f.mostOfOne, e.own.Add(1))
+	defer e.f.running.Add(-1)
+	defer e.own.Add(-1)
 	select {
 	case <-e.release:
 	case <-e.peer.Context.Done():
@@ -58,12 +60,19 @@
 	return nil
 }
 
+func raise(most *atomic.Int32, now int32) {
+	for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+		continue
+	}
+}
+
 type fixture struct {
 	t             *testing.T
 	certs         *devcerts.Authority
 	address       string
 	served        atomic.Int32 // peers whose services were asked for
 	running, most atomic.Int32
+	mostOfOne     atomic.Int32 // connection
 	release       chan struct{}
 }
 
@@ -80,7 +89,7 @@
 			if p.Role != model.RoleAgent {
 				return nil, result.New(result.PeerUnknown, "only agents")
 			}
-			return map[string]any{"Echo": &Echo{peer: p, running: &f.running, most: &f.most, release: f.release}}, nil
+			return map[string]any{"Echo": &Echo{peer: p, f: f, release: f.release}}, nil
 		},
 	}
 	if change != nil {
@@ -251,7 +260,8 @@
 func TestBoundsOnMessagesAndCalls(t *testing.T) {
 	f := serve(t, func(c *rpc.ServerConfig) { c.MaxMessage, c.MaxPerConn, c.MaxCalls = 4096, 3, 5 })
 	files := f.issue(model.RoleAgent, "vm-1")
-	if _, err := say(f.client(files, nil), strings.Repeat("x", 8192)); err == nil {
+	large := strings.Repeat("x", 8192)
+	if _, err := rpc.Call[string](t.Context(), f.client(files, nil), "Echo.Take", &large); err == nil {
 		t.Error("a message above the limit was taken")
 	}
 	small := f.client(files, func(c *rpc.ClientConfig) { c.MaxMessage = 4096 })
@@ -280,7 +290,10 @@
 		check(t, <-done)
 	}
 	if most := f.most.Load(); most != 5 {
-		t.Errorf("%d calls ran at the same time, want at most 5", most)
+		t.Errorf("%d calls ran at the same time, want 5", most)
+	}
+	if most := f.mostOfOne.Load(); most > 3 {
+		t.Errorf("%d calls of one connection ran at the same time, want at most 3", most)
 	}
 }
 
