Test a leader whose disk is full

Change: the files of the log can be replaced from outside. A leader that cannot write hands over, the edit is accepted once by its successor, and the controller takes part again when there is space.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/wal"
 )
 
 const (
@@ -45,6 +46,8 @@
 	MaxSessions int
 	// Dial makes connections to other controllers; nil means TCP.
 	Dial rpc.Dial
+	// FS holds the files of the replicated log; nil means a folder in DataDir.
+	FS wal.FS
 }
 
 // Controller is one member of the control plane.
@@ -91,7 +94,7 @@
 		return nil, err
 	}
 	c.transport = newTransport(r.bootstrap.Folder, credentials, cfg.Dial, c.directory, c.metrics.Dropped)
-	r.send = c.transport.send
+	r.send, r.fs = c.transport.send, cfg.FS
 	c.use(r, r.bootstrap.Folder)
 	return c, nil
 }
--- /dev/null
+++ b/internal/controller/disk_test.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/wal"
+)
+
+// disk is a folder that can run out of space.
+type disk struct {
+	wal.FS
+	full *atomic.Bool
+}
+
+func (c *cluster) disk(name string) wal.FS {
+	c.h.t.Helper()
+	if c.full[name] == nil {
+		c.full[name] = &atomic.Bool{}
+	}
+	folder, err := wal.NewDirFS(filepath.Join(c.folders[name], "log"))
+	check(c.h.t, err)
+	return &disk{FS: folder, full: c.full[name]}
+}
+
+func (d *disk) Create(name string) (wal.File, error) {
+	f, err := d.FS.Create(name)
+	return &diskFile{File: f, full: d.full}, err
+}
+
+func (d *disk) Open(name string) (wal.File, error) {
+	f, err := d.FS.Open(name)
+	return &diskFile{File: f, full: d.full}, err
+}
+
+type diskFile struct {
+	wal.File
+	full *atomic.Bool
+}
+
+func (f *diskFile) WriteAt(p []byte, offset int64) (int, error) {
+	if f.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.WriteAt(p, offset)
+}
+
+// Guards against a leader without disk space that keeps its leadership, and against a controller
+// that does not take part again when there is space.
+func TestLeaderWithoutDiskSpaceHandsOver(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	c := h.cluster(3)
+	ctl := h.operator(c.addresses()...)
+	apply(t, ctl, 0, document(1, 1, ""))
+	balancer := &standin{}
+	session, _ := h.node(model.RoleBalancer, "b1", balancer, c.addresses()...)
+	eventually(t, "revision 1", func() bool { return session.Revision() == 1 })
+	leader := c.leader()
+	c.full[leader].Store(true)
+	apply(t, ctl, 1, document(2, 1, ""))
+	eventually(t, "revision 2", func() bool { return session.Revision() == 2 })
+	if c.running[leader].log.Status().IsLeader {
+		t.Fatal("a controller without disk space leads")
+	}
+	c.full[leader].Store(false)
+	eventually(t, "revision 2 at the controller that has space again", func() bool {
+		_, err := c.running[leader].current()
+		return err == nil && c.running[leader].revision() == 2
+	})
+	check(t, inOrder(balancer))
+}
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,6 +112,7 @@
 	stops   map[string]func()
 	running map[string]*Controller
 	gates   map[string]*gate
+	full    map[string]*atomic.Bool // disks without space
 }
 
 // cluster starts controllers c1, c2, ...
@@ -118,7 +120,7 @@
 	h.t.Helper()
 	c := &cluster{
 		h: h, members: map[string]string{}, folders: map[string]string{}, stops: map[string]func(){}, running: map[string]*Controller{},
-		gates: map[string]*gate{},
+		gates: map[string]*gate{}, full: map[string]*atomic.Bool{},
 	}
 	listeners := map[string]net.Listener{}
 	for i := range n {
@@ -140,7 +142,7 @@
 	}
 	made, err := New(Config{
 		Name: name, Members: members, Listen: c.members[name], Listener: listener, DataDir: c.folders[name],
-		TLS: c.h.files(model.RoleController, name), Dial: c.gate(name).dial,
+		TLS: c.h.files(model.RoleController, name), Dial: c.gate(name).dial, FS: c.disk(name),
 	}, telemetry.Discard())
 	check(c.h.t, err)
 	c.running[name] = made
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -41,6 +41,7 @@
 type replica struct {
 	name      string
 	folder    string
+	fs        wal.FS
 	bootstrap bootstrap
 	tel       telemetry.Handle
 	directory *directory
@@ -115,7 +116,7 @@
 
 func (r *replica) open() error {
 	files, err := wal.New(wal.Config{
-		Folder:   filepath.Join(r.folder, "log"),
+		Folder: filepath.Join(r.folder, "log"), FS: r.fs,
 		Identity: wal.Identity{Cluster: clusterName, Member: memberID(r.name)},
 	}, r.tel)
 	if err != nil {
