Add a trial system, joining controllers and clearer outcomes of the command-line tool

Cause: newcomers had no running system to type commands into. A fourth controller could not be started from a settings file, because every controller had to be one of 3, 5 or 7 members of a new log. greengagelockctl reported a misspelled command of a group as a success, offered flags of config plan that did nothing, and took the status and the base revision from a controller that was removed or cut off.

Change: 'make trial' runs 3 controllers, 3 balancers and the targets of both examples until it is interrupted. The tool exits with status 2 for wrong usage and names the help to read, asks every controller if the first one is behind, shows the effects that need an acknowledgement, and says when a planned document starts from an old revision.

A spec walks through the trial system by commands, up to the replacement of a controller, with no broken flow.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: build test format lint unit race demo fuzz-corpus tun-check capacity bench
+.PHONY: build test format lint unit race demo trial fuzz-corpus tun-check capacity bench
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -37,3 +37,7 @@
 # The whole system in one process on loopback, for under a minute.
 demo:
 	$(GO) run ./cmd/demo
+
+# A trial system that runs until interrupted, for use with greengagelockctl; DIR is an empty or new folder.
+trial: build
+	$(BIN)/demo --serve $(if $(DIR),--dir $(DIR))
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -37,7 +38,11 @@
 	began    time.Time
 	seed     uint64
 	logLevel string
-	folder   string // temporary
+	folder   string // of certificates and data
+	traffic  traffic
+	// urls are the addresses of the telemetry endpoints by process, filled by the trial system only.
+	urls  map[string]string
+	ready chan struct{} // closed when the files of the trial system are there
 
 	authority   *devcerts.Authority
 	fleetKey    encap.Key
@@ -60,11 +65,19 @@
 }
 
 func main() {
-	d := &demo{out: os.Stdout}
+	d := newDemo(os.Stdout)
+	serve, folder := false, ""
 	command := &cobra.Command{
 		Use: "demo", Short: "Run the demonstration", Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
-		RunE: func(command *cobra.Command, _ []string) error { return d.run(command.Context()) },
+		RunE: func(command *cobra.Command, _ []string) error {
+			if serve {
+				return d.serve(command.Context(), folder)
+			}
+			return d.run(command.Context())
+		},
 	}
+	command.Flags().BoolVar(&serve, "serve", false, "run a trial system until interrupted, for use with greengagelockctl")
+	command.Flags().StringVar(&folder, "dir", "", "empty or new folder for the files of the trial system (default: a new one under the system's temporary folder)")
 	command.Flags().Uint64Var(&d.seed, "seed", defaultSeed, "seed of the fabric")
 	command.Flags().StringVar(&d.logLevel, "log-level", "error", "log level of the daemons")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -75,23 +88,18 @@
 	}
 }
 
+func newDemo(out io.Writer) *demo { return &demo{out: out, ready: make(chan struct{})} }
+
 func (d *demo) run(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
-	d.began = time.Now()
-	d.ledger = standin.NewLedger()
-	d.imbalance = newImbalance()
 	if d.folder, err = os.MkdirTemp("", "greengagelock-demo-"); err != nil {
 		return err
 	}
 	defer os.RemoveAll(d.folder)
-	if d.document, err = readDocuments(); err != nil {
+	if err := d.prepare(demoTraffic); err != nil {
 		return err
 	}
-	if d.authority, err = devcerts.New(d.folder); err != nil {
-		return err
-	}
-	copy(d.fleetKey[:], "demo fleet key  ")
 	err = d.scenario(ctx)
 	d.say("stopping everything")
 	err = errors.Join(err, d.stopAll())
@@ -101,6 +109,24 @@
 	return d.report()
 }
 
+// prepare reads the examples and makes what all processes share. The folder must exist.
+func (d *demo) prepare(t traffic) (err error) {
+	d.began = time.Now()
+	d.traffic = t
+	d.ledger = standin.NewLedger()
+	d.imbalance = newImbalance()
+	if d.document, err = readDocuments(); err != nil {
+		return err
+	}
+	copy(d.fleetKey[:], "demo fleet key  ")
+	certificates := filepath.Join(d.folder, tlsFolder)
+	if err := os.MkdirAll(certificates, 0o700); err != nil {
+		return err
+	}
+	d.authority, err = devcerts.New(certificates)
+	return err
+}
+
 func (d *demo) connectOperator() error {
 	files, err := d.authority.Issue(model.RoleOperator, "demo")
 	if err != nil {
--- a/cmd/demo/nodes.go
+++ b/cmd/demo/nodes.go
@@ -53,6 +53,12 @@
 	s.Telemetry.LogLevel = d.logLevel
 	s.Telemetry.Trace.Exporter = "none"
 	s.ShutdownTimeout = jsonc.Duration(shutdownTimeout)
+	if d.urls != nil {
+		if s.Telemetry.Listen, err = freeTCP(); err != nil {
+			return nil, nil, err
+		}
+		d.urls[s.Name] = "http://" + s.Telemetry.Listen.String()
+	}
 	p, err := daemon.New(s)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", s.Name, err)
--- a/cmd/demo/scenario.go
+++ b/cmd/demo/scenario.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	d.start(phaseNetwork, "fabric", d.fabric.Run)
+	d.work.traffic = d.traffic
 	for i := range callerCount {
 		c, err := standin.NewCaller(standin.CallerConfig{
 			Addresses: []netip.Addr{netip.AddrFrom4([4]byte{198, 51, 100, byte(i + 1)})}, Fabric: d.fabric.CallerAddr(),
--- /dev/null
+++ b/cmd/demo/trial_test.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/greengagelock/greengagelock/internal/ctl"
+	"github.com/greengagelock/greengagelock/internal/daemon"
+	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/settings"
+	"github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+// patience bounds a spec that hangs; it is far above what a busy machine needs.
+const patience = 3 * time.Minute
+
+func TestTrial(t *testing.T) { testseed.RunSpecs(t, "trial system") }
+
+// walk types commands into a running trial system.
+type walk struct {
+	*demo
+	dir, out, err string
+}
+
+var _ = Describe("the trial system", func() {
+	// Guards against steps of docs/operations.md that fail or break flows on a running system.
+	It("goes through the changes of the operations page", func(ctx SpecContext) {
+		w := startTrial(ctx)
+		w.refuseWrongEdit(ctx)
+		w.applyEdit(ctx)
+		w.drainUnderFlows(ctx)
+		w.explainFlow(ctx)
+		w.replaceController(ctx)
+		Expect(w.work.counts()).To(ContainSubstring(", 0 flows broken, "))
+	}, SpecTimeout(patience))
+
+	// Guards against a new trial system that runs on the files of an earlier one.
+	It("refuses a folder with files", func(ctx SpecContext) {
+		dir := GinkgoT().TempDir()
+		Expect(os.WriteFile(filepath.Join(dir, "old"), nil, 0o600)).To(Succeed())
+		Expect(newDemo(GinkgoWriter).serve(ctx, dir)).To(MatchError(ContainSubstring("not empty")))
+	})
+})
+
+// startTrial runs a trial system until the spec ends, and expects it to stop without a failure.
+func startTrial(ctx context.Context) *walk {
+	GinkgoHelper()
+	w := &walk{demo: newDemo(GinkgoWriter), dir: filepath.Join(GinkgoT().TempDir(), "new")}
+	w.seed, w.logLevel = defaultSeed, "error"
+	running, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- w.serve(running, w.dir) }()
+	DeferCleanup(func() {
+		stop()
+		Eventually(ended).WithTimeout(patience).Should(Receive(Not(HaveOccurred())))
+		Expect(w.work.counts()).To(HavePrefix("0 streams open, 0 flows broken, "))
+	})
+	Eventually(w.ready).WithContext(ctx).Should(BeClosed())
+	return w
+}
+
+// ctl runs one command and returns its exit status.
+func (w *walk) ctl(ctx context.Context, args ...string) int {
+	var out, errOut bytes.Buffer
+	status := ctl.Run(ctx, append([]string{"--settings", filepath.Join(w.dir, ctlFile)}, args...), &out, &errOut)
+	w.out, w.err = out.String(), errOut.String()
+	return status
+}
+
+func (w *walk) edited(old, changed string) string {
+	GinkgoHelper()
+	text, err := os.ReadFile(filepath.Join(w.dir, configurationFile))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(text)).To(ContainSubstring(old))
+	path := filepath.Join(w.dir, "edited.jsonc")
+	Expect(os.WriteFile(path, bytes.ReplaceAll(text, []byte(old), []byte(changed)), 0o600)).To(Succeed())
+	return path
+}
+
+func (w *walk) refuseWrongEdit(ctx context.Context) {
+	GinkgoHelper()
+	file := w.edited(`"class": "request"`, `"class": "requests"`)
+	Expect(w.ctl(ctx, "config", "apply", file)).To(Equal(10))
+	Expect(w.err).To(ContainSubstring(`edited.jsonc:196:13: services[1].class: got "requests"`))
+	Expect(w.ctl(ctx, "config", "show")).To(Equal(0), w.err)
+	Expect(w.out).To(HavePrefix("// revision 1\n"))
+}
+
+func (w *walk) applyEdit(ctx context.Context) {
+	GinkgoHelper()
+	file := w.edited(`"500ms"`, `"400ms"`)
+	Expect(w.ctl(ctx, "config", "apply", file, "--wait", "--wait-timeout", "1m")).To(Equal(0), w.err)
+	Expect(w.out).To(ContainSubstring("25 of 25 nodes"))
+	Expect(w.ctl(ctx, "config", "apply", file)).To(Equal(11))
+	Expect(w.ctl(ctx, "config", "plan", file)).To(Equal(0), w.err)
+	Expect(w.err).To(ContainSubstring("starts from revision 1 and the current one is 2"))
+}
+
+// drainUnderFlows drains a target that holds streams, and looks at them until new ones have opened.
+func (w *walk) drainUnderFlows(ctx context.Context) {
+	GinkgoHelper()
+	Eventually(func() int { return w.flowsOf(ctx, "notice-2/notice-stream") }).WithContext(ctx).Should(BeNumerically(">", 0))
+	held := w.flowsOf(ctx, "notice-2/notice-stream")
+	Expect(w.ctl(ctx, "drain", "notice-2", "--wait", "--wait-timeout", "1m")).To(Equal(0), w.err)
+	Expect(w.ctl(ctx, "targets")).To(Equal(0), w.err)
+	Expect(w.out).To(MatchRegexp(`notice-2/notice-stream +\d+ +reykjavik-b +notice-stream +draining`))
+	opened := w.work.openedSoFar()
+	Eventually(w.work.openedSoFar).WithContext(ctx).Should(BeNumerically(">", opened+100))
+	Expect(w.flowsOf(ctx, "notice-2/notice-stream")).To(BeNumerically(">=", held))
+	Expect(w.work.counts()).To(HavePrefix("40 streams open, 0 flows broken, "))
+	Expect(w.ctl(ctx, "undrain", "notice-2", "--wait", "--wait-timeout", "1m")).To(Equal(0), w.err)
+}
+
+// flowsOf returns the open flows that the agent of a target last reported.
+func (w *walk) flowsOf(ctx context.Context, target string) int {
+	GinkgoHelper()
+	Expect(w.ctl(ctx, "targets", "-o", "json")).To(Equal(0), w.err)
+	var reply operator.TargetsReply
+	Expect(json.Unmarshal([]byte(w.out), &reply)).To(Succeed())
+	for _, t := range reply.Targets {
+		if t.Model.Name == target {
+			return t.Evidence.OpenFlows
+		}
+	}
+	Fail("no target " + target)
+	return 0
+}
+
+func (w *walk) explainFlow(ctx context.Context) {
+	GinkgoHelper()
+	l := w.awaitStream(ctx)
+	Expect(w.ctl(ctx, "explain", l.last.Load().LocalAddr().String(), l.Address.String())).To(Equal(0), w.err)
+	Expect(w.out).To(ContainSubstring(l.Service))
+	Expect(strings.Count(w.out, "candidate ")).To(Equal(7))
+}
+
+// replaceController starts a fourth controller as greengagelockd --join does, and removes the first.
+func (w *walk) replaceController(ctx context.Context) {
+	GinkgoHelper()
+	spare, err := settings.Load(filepath.Join(w.dir, spareName+".jsonc"))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(daemon.Join(spare)).To(Succeed())
+	spare.Telemetry.LogLevel = "error"
+	p, err := daemon.New(spare)
+	Expect(err).NotTo(HaveOccurred())
+	running, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := p.Run(running)
+		ended <- err
+	}()
+	DeferCleanup(func() {
+		stop()
+		Eventually(ended).WithTimeout(patience).Should(Receive(Not(HaveOccurred())))
+	})
+	Expect(w.ctl(ctx, "--timeout", "1m", "members", "add", spareName, spare.Controller.Listen.String())).To(Equal(0), w.err)
+	Expect(w.out).To(MatchRegexp(`control-4 +\S+ +voter`))
+	Expect(w.ctl(ctx, "--timeout", "1m", "members", "remove", "control-1")).To(Equal(0), w.err)
+	Expect(w.ctl(ctx, "members")).To(Equal(0), w.err)
+	Expect(w.out).NotTo(ContainSubstring("control-1"))
+	// The first controller in the tool's settings is the removed one; it only knows an old revision.
+	Expect(w.ctl(ctx, "--timeout", "1m", "drain", "notice-3", "--wait", "--wait-timeout", "1m")).To(Equal(0), w.err)
+	Expect(w.ctl(ctx, "drain", "notice-4")).To(Equal(0), w.err)
+	Expect(w.ctl(ctx, "status")).To(Equal(0), w.err)
+	Expect(w.out).To(MatchRegexp(`leader +control-[234]`))
+}
--- /dev/null
+++ b/cmd/demo/trialfiles.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+)
+
+// Files of the trial system.
+const (
+	tlsFolder         = "tls"
+	ctlFile           = "ctl.jsonc"           // settings of greengagelockctl
+	configurationFile = "configuration.jsonc" // as config show prints it
+	telemetryFile     = "telemetry.txt"       // lines of a process and its address
+	spareName         = "control-4"           // a controller that the operator starts
+)
+
+// writeTrialFiles writes what an operator needs to work on the running system.
+func (d *demo) writeTrialFiles(ctx context.Context) error {
+	spare, err := freeTCP()
+	if err != nil {
+		return err
+	}
+	if err := d.writeCtlSettings(spare.String()); err != nil {
+		return err
+	}
+	shown, err := d.operator.Show(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if err := d.write(configurationFile, fmt.Sprintf("// revision %d\n%s", shown.Revision, shown.Document)); err != nil {
+		return err
+	}
+	if err := d.writeSpareSettings(spare.String()); err != nil {
+		return err
+	}
+	var lines strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(d.urls)) {
+		fmt.Fprintf(&lines, "%s %s\n", name, d.urls[name])
+	}
+	return d.write(telemetryFile, lines.String())
+}
+
+// writeCtlSettings lists the spare controller too, so that the tool still works once it has
+// replaced another one.
+func (d *demo) writeCtlSettings(spare string) error {
+	files, err := d.authority.Issue(model.RoleOperator, "trial")
+	if err != nil {
+		return err
+	}
+	var addresses []string
+	for _, c := range d.controllers {
+		addresses = append(addresses, c.Address.String())
+	}
+	return d.writeJSON(ctlFile, "Settings of greengagelockctl for the trial system.", map[string]any{
+		"controllers": append(addresses, spare), "tls": tlsKeys(files),
+	})
+}
+
+// writeSpareSettings writes the settings of a controller that replaces one of the three.
+func (d *demo) writeSpareSettings(address string) error {
+	files, err := d.authority.Issue(model.RoleController, spareName)
+	if err != nil {
+		return err
+	}
+	telemetry, err := freeTCP()
+	if err != nil {
+		return err
+	}
+	d.urls[spareName] = "http://" + telemetry.String()
+	self := map[string]any{"name": spareName, "address": address}
+	var running []any
+	for _, c := range d.controllers {
+		running = append(running, map[string]any{"name": c.Name, "address": c.Address.String()})
+	}
+	return d.writeJSON(spareName+".jsonc", "Settings of a fourth controller. Start it with --join: it joins the log of \"controllers\".", map[string]any{
+		"name": spareName, "vm": spareName, "zone": "trial", "roles": []string{"controller"},
+		"controllers": running,
+		"controller": map[string]any{
+			"listen": address, "data_dir": spareName,
+			"members": append(slices.Clone(running[1:]), self),
+		},
+		"tls":       tlsKeys(files),
+		"telemetry": map[string]any{"listen": telemetry.String()},
+	})
+}
+
+// tlsKeys names files by their paths from the trial folder, where settings files start from.
+func tlsKeys(files rpc.Files) map[string]string {
+	path := func(file string) string { return filepath.Join(tlsFolder, filepath.Base(file)) }
+	return map[string]string{"cert": path(files.Cert), "key": path(files.Key), "ca": path(files.CA)}
+}
+
+func (d *demo) writeJSON(name, comment string, value any) error {
+	text, err := json.MarshalIndent(value, "", "\t")
+	if err != nil {
+		return err
+	}
+	return d.write(name, "// "+comment+"\n"+string(text)+"\n")
+}
+
+func (d *demo) write(name, text string) error {
+	return os.WriteFile(filepath.Join(d.folder, name), []byte(text), 0o600)
+}
+
+// listed returns counts as " (2 with GGL-2004, 1 with GGL-2009)", or nothing without any.
+func listed(counts map[string]int) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d with %s", counts[name], name))
+	}
+	if parts == nil {
+		return ""
+	}
+	return " (" + strings.Join(parts, ", ") + ")"
+}
--- a/cmd/demo/workload.go
+++ b/cmd/demo/workload.go
@@ -14,16 +14,25 @@
 	"github.com/greengagelock/greengagelock/internal/standin"
 )
 
+// traffic is how much the callers do.
+type traffic struct {
+	streams     int     // per service
+	utilization float64 // share of the slots that requests take on average
+}
+
+var (
+	demoTraffic = traffic{streams: 60, utilization: 0.4}
+	// trialTraffic leaves room to see the effect of single commands.
+	trialTraffic = traffic{streams: 20, utilization: 0.05}
+)
+
 const (
-	streamsPerService = 60
 	// stallLimit is the time without a line after which a caller aborts a stream.
 	stallLimit = 10 * time.Second
 	// requestLimit is the time that a caller waits for an answer.
 	requestLimit = 15 * time.Second
 	// requestsInFlight bounds the requests of one service that wait at the same time.
 	requestsInFlight = 512
-	// utilization is the share of the slots that requests take on average.
-	utilization = 0.4
 	// answerBytes spans several packets.
 	answerBytes = 6000
 	// reopenPause keeps a refused caller from trying again at once.
@@ -37,6 +46,8 @@
 	slots int // of all targets together
 
 	opened, broken, notRun atomic.Int64
+	held                   atomic.Int64                   // streams that are open now
+	last                   atomic.Pointer[standin.Stream] // opened last
 	brokenAtTarget         int64
 
 	mu      sync.Mutex
@@ -47,6 +58,7 @@
 
 // workload drives all services.
 type workload struct {
+	traffic traffic
 	callers []*standin.Caller
 	loads   []*load
 	group   sync.WaitGroup
@@ -59,7 +71,7 @@
 			w.group.Go(func() { w.submit(ctx, l, uint64(i)) })
 			continue
 		}
-		for number := range streamsPerService {
+		for number := range w.traffic.streams {
 			w.group.Go(func() { w.hold(ctx, l, number) })
 		}
 	}
@@ -81,9 +93,12 @@
 			continue
 		}
 		l.opened.Add(1)
+		l.held.Add(1)
+		l.last.Store(s)
 		if err := receive(ctx, s); err != nil {
 			l.fail(fmt.Errorf("stream %s from %s: %w", id, s.LocalAddr(), err))
 		}
+		l.held.Add(-1)
 		// The target has counted the stream if it is broken.
 		_ = s.End()
 	}
@@ -114,7 +129,7 @@
 // submit sends requests at random times, independent of the answers.
 func (w *workload) submit(ctx context.Context, l *load, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	rate := utilization * float64(l.slots) / serviceTime.Seconds()
+	rate := w.traffic.utilization * float64(l.slots) / serviceTime.Seconds()
 	free := make(chan struct{}, requestsInFlight)
 	for number := 0; ; number++ {
 		pause(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
--- a/cmd/greengagelockd/main.go
+++ b/cmd/greengagelockd/main.go
@@ -27,6 +27,7 @@
 func execute(args []string) (daemon.Outcome, error) {
 	outcome := daemon.OutcomeClean
 	var paths []string
+	join := false
 	command := &cobra.Command{
 		Use:   "greengagelockd --settings FILE",
 		Short: "Run the roles of this VM: balancer, agent, controller",
@@ -37,12 +38,14 @@
 		SilenceErrors: true,
 		RunE: func(command *cobra.Command, _ []string) error {
 			var err error
-			outcome, err = run(command.Context(), paths)
+			outcome, err = run(command.Context(), paths, join)
 			return err
 		},
 	}
 	command.Flags().StringArrayVar(&paths, "settings", nil,
 		"settings file of this process; a trial deployment may run several in one process")
+	command.Flags().BoolVar(&join, "join", false,
+		"first start of a controller that joins the running ones under \"controllers\" instead of forming a new log")
 	if err := command.MarkFlagRequired("settings"); err != nil {
 		return daemon.OutcomeFailure, err
 	}
@@ -56,7 +59,7 @@
 	return outcome, err
 }
 
-func run(ctx context.Context, paths []string) (daemon.Outcome, error) {
+func run(ctx context.Context, paths []string, join bool) (daemon.Outcome, error) {
 	var all []*settings.Settings
 	var problems []error
 	for _, path := range paths {
@@ -68,6 +71,11 @@
 	}
 	var processes []*daemon.Process
 	for _, s := range all {
+		if join {
+			if err := daemon.Join(s); err != nil {
+				return daemon.OutcomeFailure, err
+			}
+		}
 		p, err := daemon.New(s)
 		if err != nil {
 			return daemon.OutcomeFailure, err
--- a/cmd/greengagelockd/main_test.go
+++ b/cmd/greengagelockd/main_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/greengagelock/greengagelock/internal/daemon"
+	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/settings"
 	_ "github.com/greengagelock/greengagelock/internal/testseed"
 )
 
@@ -38,3 +41,35 @@
 		t.Errorf("error without the code of invalid settings: %v", err)
 	}
 }
+
+// Guards against --join that is ignored for a process that cannot join anything.
+func TestJoinNeedsAControllerAndThoseThatRun(t *testing.T) {
+	for name, s := range map[string]*settings.Settings{
+		"no controller role": {Roles: []model.Role{model.RoleAgent}, Agent: &settings.Agent{}},
+		"only itself": {
+			Roles: []model.Role{model.RoleController}, Controllers: []settings.Peer{{Name: "c4"}},
+			Controller: &settings.Controller{Identity: settings.Identity{Name: "c4"}},
+		},
+	} {
+		if err := daemon.Join(s); result.CodeOf(err) != result.SettingsInvalid {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a joining controller that forms a new log because it counts itself among the members.
+func TestJoiningControllerIsNoMemberYet(t *testing.T) {
+	running := []settings.Peer{{Name: "c1"}, {Name: "c2"}, {Name: "c3"}}
+	s := &settings.Settings{
+		Roles: []model.Role{model.RoleController}, Controllers: append(running, settings.Peer{Name: "c4"}),
+		Controller: &settings.Controller{
+			Identity: settings.Identity{Name: "c4"}, Members: []settings.Peer{{Name: "c2"}, {Name: "c3"}, {Name: "c4"}},
+		},
+	}
+	if err := daemon.Join(s); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(s.Controller.Members, running) {
+		t.Errorf("joins %v", s.Controller.Members)
+	}
+}
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,13 +32,22 @@
 }
 
 func (f *editFlags) add(c *cobra.Command) {
-	c.Flags().Int64Var(&f.base, "base", -1, "revision that the edit starts from; the default is the \"// revision N\" line of the file")
-	c.Flags().StringSliceVar(&f.acknowledged, "ack", nil, "acknowledge an effect that config plan names; may be repeated")
+	f.addBase(c)
+	f.addAcknowledged(c)
 	c.Flags().StringVar(&f.commandID, "id", "", "identifier of the command; repeat it to resend a command whose answer was lost")
 	c.Flags().BoolVar(&f.wait, "wait", false, "return once the revision is in force on every node")
 	c.Flags().DurationVar(&f.waitTimeout, "wait-timeout", defaultWait, "time limit of --wait")
 }
 
+func (f *editFlags) addBase(c *cobra.Command) {
+	c.Flags().Int64Var(&f.base, "base", -1,
+		"revision that the edit starts from; the default is the \"// revision N\" line of a document, or else the current revision")
+}
+
+func (f *editFlags) addAcknowledged(c *cobra.Command) {
+	c.Flags().StringSliceVar(&f.acknowledged, "ack", nil, "acknowledge an effect that config plan names; may be repeated")
+}
+
 func (f *editFlags) edit() operator.Edit {
 	id := f.commandID
 	if id == "" {
@@ -47,9 +57,8 @@
 }
 
 func (a *app) configCommand() *cobra.Command {
-	group := &cobra.Command{Use: "config", Short: "Check, plan, apply and show the configuration"}
-	group.AddCommand(a.configCheck(), a.configPlan(), a.configApply(), a.configHistory(), a.configShow(), a.configRollback())
-	return group
+	return group("config", "Check, plan, apply and show the configuration",
+		a.configCheck(), a.configPlan(), a.configApply(), a.configHistory(), a.configShow(), a.configRollback())
 }
 
 func (a *app) configCheck() *cobra.Command {
@@ -110,13 +119,23 @@
 			if missing := reply.Result.Missing; len(missing) > 0 {
 				fmt.Fprintf(a.errOut, "apply needs: --ack %s\n", strings.Join(missing, " --ack "))
 			}
+			a.warnOfOldBase(&f, text, reply.Base)
 			return nil
 		},
 	}
-	f.add(c)
+	f.addBase(c)
+	f.addAcknowledged(c)
 	return c
 }
 
+// warnOfOldBase says that a document was made from another revision than the current one. Its
+// effects then contain the reverse of what others changed since.
+func (a *app) warnOfOldBase(f *editFlags, text []byte, current model.Revision) {
+	if base, err := baseOf(f, text); err == nil && base != current {
+		fmt.Fprintf(a.errOut, "the document starts from revision %d and the current one is %d: apply refuses it; repeat the edit on config show\n", base, current)
+	}
+}
+
 func (a *app) printEffects(reply *operator.EditReply) error {
 	return a.print(reply, func(t *table) {
 		if len(reply.Effects) == 0 {
@@ -194,6 +213,11 @@
 		return result.New(result.ConfigInvalid, "%v", reply.Problems)
 	}
 	if missing := reply.Result.Missing; len(missing) > 0 {
+		for _, effect := range reply.Effects {
+			if slices.Contains(missing, effect.Acknowledge) {
+				fmt.Fprintf(a.errOut, "effect: %s\n", effect)
+			}
+		}
 		return result.New(reply.Result.Code, "%s: --ack %s", reply.Result.Message, strings.Join(missing, " --ack "))
 	}
 	if err := reply.Result.Err(); err != nil {
@@ -351,7 +375,7 @@
 	if err != nil {
 		return 0, err
 	}
-	status, err := client.Status(ctx)
+	status, err := a.status(ctx, client)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,8 @@
 	file    string
 	timeout time.Duration
 	client  *operator.Client
+	config  operator.Config // of client
+	started bool            // the command line was understood
 }
 
 // usageError is a mistake in the command line itself.
@@ -57,24 +60,37 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	err := root.ExecuteContext(ctx)
+	command, err := root.ExecuteContextC(ctx)
 	if a.client != nil {
 		a.client.Close()
 	}
 	if err == nil {
 		return exitOK
 	}
-	a.report(err)
+	var usage usageError
+	if !a.started && !errors.As(err, &usage) {
+		// Cobra reports wrong commands, flags and arguments as plain errors.
+		err = usageError{err}
+	}
+	a.report(command, err)
 	return exitStatus(err)
 }
 
 // report prints an error and what to do next.
-func (a *app) report(err error) {
+func (a *app) report(command *cobra.Command, err error) {
 	fmt.Fprintln(a.errOut, "error:", err)
+	var usage usageError
+	if errors.As(err, &usage) {
+		fmt.Fprintf(a.errOut, "next: see %s --help\n", command.CommandPath())
+		return
+	}
 	var numbered *result.Error
 	if !errors.As(err, &numbered) {
 		return
 	}
+	if numbered.Code == result.NoQuorum {
+		fmt.Fprintf(a.errOut, "asked: %s (the controllers in %s)\n", strings.Join(a.config.Controllers, ", "), a.file)
+	}
 	if info, ok := result.Lookup(numbered.Code); ok {
 		fmt.Fprintf(a.errOut, "%s\nnext: %s\n", info.Meaning, info.Next)
 	}
@@ -87,8 +103,7 @@
 	}
 	var numbered *result.Error
 	if !errors.As(err, &numbered) {
-		// Cobra reports wrong flags and arguments as plain errors.
-		return exitUsage
+		return exitFailure
 	}
 	switch numbered.Code {
 	case result.RevisionConflict:
@@ -125,6 +140,7 @@
 	flags.StringVarP(&a.output, "output", "o", "table", "output format: table or json")
 	flags.DurationVar(&a.timeout, "timeout", operator.DefaultTimeout, "time limit of one operation with its retries")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		a.started = true
 		if a.output != "table" && a.output != "json" {
 			return usageError{errors.Newf("--output is %q, want table or json", a.output)}
 		}
@@ -135,6 +151,23 @@
 	return root
 }
 
+// group returns a command that does nothing without one of its own commands. A misspelled one is an
+// error, because cobra would print the help and report success.
+func group(use, short string, commands ...*cobra.Command) *cobra.Command {
+	c := &cobra.Command{
+		Use:   use,
+		Short: short,
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return usageError{errors.Newf("unknown command %q for %q", args[0], c.CommandPath())}
+			}
+			return usageError{errors.Newf("%q needs one of its commands", c.CommandPath())}
+		},
+	}
+	c.AddCommand(commands...)
+	return c
+}
+
 // connect returns the client, which is made on first use: some commands need no controller.
 func (a *app) connect() (*operator.Client, error) {
 	if a.client != nil {
@@ -144,8 +177,8 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg := operator.Config{Controllers: s.Controllers, TLS: s.files(), Timeout: a.timeout}
-	a.client, err = operator.NewClient(cfg)
+	a.config = operator.Config{Controllers: s.Controllers, TLS: s.files(), Timeout: a.timeout}
+	a.client, err = operator.NewClient(a.config)
 	return a.client, err
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -83,6 +83,13 @@
 	return path
 }
 
+func (l *commandLine) read(name string) string {
+	GinkgoHelper()
+	text, err := os.ReadFile(filepath.Join(l.dir, name))
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 // run runs one command and returns its exit status.
 func (l *commandLine) run(ctx context.Context, args ...string) int {
 	var out, errOut bytes.Buffer
--- a/internal/ctl/settings.go
+++ b/internal/ctl/settings.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/greengagelock/greengagelock/internal/jsonc"
@@ -21,7 +22,7 @@
 func loadSettings(path string) (*clientSettings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, result.New(result.SettingsInvalid, "client settings: %v", err)
+		return nil, usageError{errors.Wrap(err, "name the settings of this tool with --settings")}
 	}
 	s := &clientSettings{}
 	doc := jsonc.Decode(path, data, s)
@@ -63,9 +64,7 @@
 			})
 		},
 	}
-	group := &cobra.Command{Use: "settings", Short: "Check settings files of the daemon"}
-	group.AddCommand(check)
-	return group
+	return group("settings", "Check settings files of the daemon", check)
 }
 
 // checked is the result of a successful check.
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -39,36 +37,6 @@
 	}
 }
 
-func (a *app) statusCommand() *cobra.Command {
-	return query(a, "status", "Show the state of control and which nodes have the configuration in force",
-		func(c *operator.Client, cmd *cobra.Command) (*operator.StatusReply, error) {
-			return c.Status(cmd.Context())
-		},
-		func(t *table, s *operator.StatusReply) {
-			t.row("controller", s.Controller)
-			t.row("leader", orDash(s.Leader))
-			if s.Current {
-				t.row("state", "current")
-			} else {
-				t.row("state", fmt.Sprintf("not current: no contact to a majority for %v", s.Age.Round(time.Second)))
-			}
-			t.row("revision", s.Revision)
-			t.row("generation", s.Generation)
-			if s.Settled {
-				t.row("in force", fmt.Sprintf("%d of %d nodes", s.InForce, s.Nodes))
-			} else {
-				t.row("in force", "not known yet: the leader is new")
-			}
-			for _, lag := range s.Lagging {
-				t.row("not in force on", fmt.Sprintf("%s (%s, revision %d, last seen %v ago)", lag.Node, lag.Role, lag.Revision, lag.LastSeen.Round(time.Second)))
-			}
-			for _, state := range slices.Sorted(maps.Keys(s.Targets)) {
-				t.row("targets "+state, s.Targets[state])
-			}
-			t.row("quarantined", s.Quarantined)
-		})
-}
-
 func (a *app) targetsCommand() *cobra.Command {
 	return query(a, "targets", "List targets and quarantined announcements",
 		func(c *operator.Client, cmd *cobra.Command) (*operator.TargetsReply, error) {
--- a/internal/ctl/trial.go
+++ b/internal/ctl/trial.go
@@ -32,9 +32,7 @@
 		Args: cobra.MinimumNArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error { return a.writeTrial(args[0], args[1:]) },
 	}
-	group := &cobra.Command{Use: "trial", Short: "Prepare a trial on one machine"}
-	group.AddCommand(certs)
-	return group
+	return group("trial", "Prepare a trial on one machine", certs)
 }
 
 func (a *app) writeTrial(dir string, identities []string) error {
