--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -139,6 +139,8 @@
 	flags.StringVar(&a.file, "settings", DefaultSettings, "client settings: controllers and TLS files")
 	flags.StringVarP(&a.output, "output", "o", "table", "output format: table or json")
 	flags.DurationVar(&a.timeout, "timeout", operator.DefaultTimeout, "time limit of one operation with its retries")
+	// It fails only for flags that do not exist.
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]cobra.Completion{"table", "json"}, cobra.ShellCompDirectiveNoFileComp))
 	root.PersistentPreRunE = func(*cobra.Command, []string) error {
 		a.started = true
 		if a.output != "table" && a.output != "json" {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -31,6 +31,9 @@
 	dir string
 	out string
 	err string
+
+	certs       *devcerts.Authority
+	controllers []string
 }
 
 func start(ctx context.Context) *commandLine {
@@ -53,12 +56,12 @@
 	}
 	files, err := certs.Issue(model.RoleOperator, "ana")
 	Expect(err).NotTo(HaveOccurred())
+	l := &commandLine{dir: dir, certs: certs, controllers: slices.Sorted(maps.Values(members))}
 	settings, err := json.Marshal(map[string]any{
-		"controllers": slices.Sorted(maps.Values(members)),
+		"controllers": l.controllers,
 		"tls":         map[string]string{"cert": files.Cert, "key": files.Key, "ca": files.CA},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	l := &commandLine{dir: dir}
 	l.write("ctl.jsonc", string(settings))
 	return l
 }
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -226,6 +226,13 @@
 		Use:   "errors [CODE]",
 		Short: "Explain result codes, such as GGL-2002",
 		Args:  cobra.MaximumNArgs(1),
+		ValidArgsFunction: func(*cobra.Command, []string, string) ([]cobra.Completion, cobra.ShellCompDirective) {
+			var codes []cobra.Completion
+			for _, info := range result.Table() {
+				codes = append(codes, cobra.CompletionWithDesc(info.Code.String(), info.Name))
+			}
+			return codes, cobra.ShellCompDirectiveNoFileComp
+		},
 		RunE: func(_ *cobra.Command, args []string) error {
 			var infos []result.Info
 			for _, info := range result.Table() {
--- a/internal/ctl/usage_test.go
+++ b/internal/ctl/usage_test.go
@@ -32,7 +32,7 @@
 		l := &commandLine{dir: GinkgoT().TempDir()}
 		for args, want := range map[string]string{
 			"": "Available Commands:", "config --help": "rollback", "config apply --help": "--wait-timeout",
-			"completion bash": "greengagelockctl", "__complete members ": "remove", "errors GGL-1003": "RevisionConflict",
+			"completion bash": "greengagelockctl", "__complete members ": "remove", "__complete errors GGL-10": "GGL-1003", "__complete status -o ": "json", "errors GGL-1003": "RevisionConflict",
 		} {
 			Expect(l.run(ctx, strings.Split(args, " ")...)).To(Equal(0), args)
 			Expect(l.out).To(ContainSubstring(want), args)
