Give the trial system addresses that no other process takes

Cause: of 7 specs of the trial system at the same time under the race detector, 2 waited until their time limit: another process had taken a port of 127.0.0.1 that was free a moment before, and the spec did not notice that the system had ended.

The trial system prints what broke a flow.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -44,6 +44,7 @@
 	urls  map[string]string
 	ready chan struct{} // closed when the files of the trial system are there
 
+	addresses   *addresses
 	authority   *devcerts.Authority
 	fleetKey    encap.Key
 	fabric      *standin.Fabric
@@ -115,6 +116,7 @@
 	d.traffic = t
 	d.ledger = standin.NewLedger()
 	d.imbalance = newImbalance()
+	d.addresses = newAddresses()
 	if d.document, err = readDocuments(); err != nil {
 		return err
 	}
--- a/cmd/demo/nodes.go
+++ b/cmd/demo/nodes.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"path/filepath"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/config"
 	"github.com/greengagelock/greengagelock/internal/daemon"
-	"github.com/greengagelock/greengagelock/internal/fabric"
 	"github.com/greengagelock/greengagelock/internal/jsonc"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/settings"
@@ -54,7 +52,7 @@
 	s.Telemetry.Trace.Exporter = "none"
 	s.ShutdownTimeout = jsonc.Duration(shutdownTimeout)
 	if d.urls != nil {
-		if s.Telemetry.Listen, err = freeTCP(); err != nil {
+		if s.Telemetry.Listen, err = d.addresses.tcp(); err != nil {
 			return nil, nil, err
 		}
 		d.urls[s.Name] = "http://" + s.Telemetry.Listen.String()
@@ -75,7 +73,7 @@
 
 func (d *demo) startControllers() error {
 	for i := range controllerCount {
-		address, err := freeTCP()
+		address, err := d.addresses.tcp()
 		if err != nil {
 			return err
 		}
@@ -96,7 +94,7 @@
 }
 
 func (d *demo) startBalancer(number int) error {
-	ports, err := freeUDP(2)
+	ports, err := d.addresses.udp(2)
 	if err != nil {
 		return err
 	}
@@ -129,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	ports, err := freeUDP(3)
+	ports, err := d.addresses.udp(3)
 	if err != nil {
 		return err
 	}
@@ -148,27 +146,3 @@
 	d.targets = append(d.targets, &targetNode{vm: vm, services: services, target: t})
 	return err
 }
-
-// freeUDP returns ports that were free a moment ago. They are all open at the same time, so that
-// they differ.
-func freeUDP(count int) ([]netip.AddrPort, error) {
-	var ports []netip.AddrPort
-	for range count {
-		conn, err := fabric.ListenUDP(netip.MustParseAddrPort("127.0.0.1:0"))
-		if err != nil {
-			return nil, err
-		}
-		defer conn.Close()
-		ports = append(ports, conn.LocalAddr())
-	}
-	return ports, nil
-}
-
-func freeTCP() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer listener.Close()
-	return netip.ParseAddrPort(listener.Addr().String())
-}
--- a/cmd/demo/trial.go
+++ b/cmd/demo/trial.go
@@ -82,13 +82,19 @@
 	return err
 }
 
-// watch prints the counts whenever they have changed, until ctx is done or a component fails.
+// watch prints new faults and changed counts until ctx is done or a component fails.
 func (d *demo) watch(ctx context.Context) error {
-	last := ""
+	last, printed := "", map[*load]int{}
 	for ctx.Err() == nil {
 		if err := d.failure(); err != nil {
 			return err
 		}
+		for _, l := range d.work.loads {
+			for _, fault := range l.faultsAfter(printed[l]) {
+				printed[l]++
+				d.say("%s: broken: %v", l.Service, fault)
+			}
+		}
 		if counts := d.work.counts(); counts != last {
 			last = counts
 			d.say("%s, %d opened so far", counts, d.work.openedSoFar())
--- a/cmd/demo/trialfiles.go
+++ b/cmd/demo/trialfiles.go
@@ -68,7 +68,7 @@
 func (d *demo) writeSpares() ([]string, error) {
 	var addresses []string
 	for _, name := range spares {
-		address, err := freeTCP()
+		address, err := d.addresses.tcp()
 		if err != nil {
 			return nil, err
 		}
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	telemetry, err := freeTCP()
+	telemetry, err := d.addresses.tcp()
 	if err != nil {
 		return err
 	}
--- a/cmd/demo/workload.go
+++ b/cmd/demo/workload.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -181,6 +182,13 @@
 	l.faults = append(l.faults, err)
 }
 
+// faultsAfter returns what broke flows, without the first ones.
+func (l *load) faultsAfter(count int) []error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.faults[count:])
+}
+
 // refusedAndRun counts the requests that were reported as not run and ran.
 func (l *load) refusedAndRun(ledger *standin.Ledger) int {
 	l.mu.Lock()
