--- a/internal/flowtable/handshake.go
+++ b/internal/flowtable/handshake.go
@@ -17,6 +17,10 @@
 		return
 	}
 	if r != nil {
+		if r.service == h.Service && t.abortedAttempt(p, r) {
+			t.passOn(h, p.Raw, ep, result.HandshakeFailed)
+			return
+		}
 		if r.service == h.Service && t.repeatedSYN(p, r) {
 			return
 		}
@@ -42,6 +46,13 @@
 	}
 }
 
+// abortedAttempt reports whether a SYN repeats an attempt that was aborted here. A slow target may
+// still answer the first SYN. The caller would take that answer, and the target would end the
+// connection when it comes to the RST.
+func (t *Table) abortedAttempt(p *flow.Packet, r *record) bool {
+	return r.state == stateLingering && r.has(flagAborted) && p.TCP.Seq+1 == r.callerNext
+}
+
 // repeatedSYN handles a SYN of a flow that this agent has already, and reports false for a SYN that
 // starts a new flow with the same ports.
 func (t *Table) repeatedSYN(p *flow.Packet, r *record) bool {
@@ -86,6 +97,13 @@
 	t.deliver(build(flow.Segment{From: k.Caller, To: k.Service, Seq: seq, RST: true}))
 }
 
+// abort ends an attempt whose handshake is not complete.
+func (t *Table) abort(ep *endpoint, i uint32, r *record) {
+	t.abortTarget(r)
+	t.linger(ep, i, r)
+	r.set(flagAborted)
+}
+
 // open sends a SYN to the target and takes its slot.
 func (t *Table) open(h *encap.Header, p *flow.Packet, ep *endpoint) {
 	i, r := t.hold(h, p, ep, stateHalfOpen)
@@ -232,8 +250,7 @@
 func (t *Table) foreign(h *encap.Header, p *flow.Packet, ep *endpoint, i uint32, r *record) {
 	if p.TCP.Seq-r.callerNext < attemptWindow {
 		t.note(EventISNMismatch)
-		t.abortTarget(r)
-		t.linger(ep, i, r)
+		t.abort(ep, i, r)
 		t.serveQueue(ep)
 	}
 	t.passOn(h, p.Raw, ep, result.OK)
@@ -269,12 +286,23 @@
 	t.sendCaller(p.Raw)
 }
 
-// handshakeFailed passes a SYN on that the target has refused or not answered in time.
-func (t *Table) handshakeFailed(ep *endpoint, i uint32, r *record) {
-	t.note(EventHandshakeFailed)
-	suspended := ep.admission.HandshakeFailed(t.now)
+// handshakeRefused passes a SYN on that the target has refused.
+func (t *Table) handshakeRefused(ep *endpoint, i uint32, r *record) {
 	held := t.pending[i]
 	t.linger(ep, i, r)
+	t.handshakeFailed(held, ep)
+}
+
+// handshakeTimeout passes a SYN on that the target has not answered in time.
+func (t *Table) handshakeTimeout(ep *endpoint, i uint32, r *record) {
+	held := t.pending[i]
+	t.abort(ep, i, r)
+	t.handshakeFailed(held, ep)
+}
+
+func (t *Table) handshakeFailed(held *pending, ep *endpoint) {
+	t.note(EventHandshakeFailed)
+	suspended := ep.admission.HandshakeFailed(t.now)
 	p := t.parse(held.packets[0])
 	switch {
 	case p == nil:
@@ -295,7 +323,6 @@
 // halfOpenTimeout aborts a flow whose caller has not completed the handshake.
 func (t *Table) halfOpenTimeout(ep *endpoint, i uint32, r *record) {
 	t.note(EventHalfOpenTimeout)
-	t.abortTarget(r)
-	t.linger(ep, i, r)
+	t.abort(ep, i, r)
 	t.serveQueue(ep)
 }
--- a/internal/flowtable/record.go
+++ b/internal/flowtable/record.go
@@ -38,6 +38,7 @@
 	flagHinted                       // a hint was sent at hintedAt
 	flagAdopted                      // from before the start of the agent, which may have missed a FIN
 	flagUnknown                      // no candidate owned a packet of the flow, first at takenAt
+	flagAborted                      // the agent has aborted the handshake at the target
 )
 
 // packedKey is a flow.Key in 12 bytes.
--- a/internal/flowtable/table_test.go
+++ b/internal/flowtable/table_test.go
@@ -158,6 +158,17 @@
 		expectDrop(f.target(flow.Segment{SYN: true, ACK: true, Seq: 900, Ack: 101}), flowtable.DropLateAnswer)
 	})
 
+	// Guards against a slow target whose first SYN-ACK answers a later SYN of the same attempt: the caller
+	// would take it, and the target would end the connection when it comes to the RST.
+	ginkgo.It("does not take an attempt again that it has aborted", func() {
+		f := newFixture(flowtable.Config{}, nil)
+		f.caller(header(2), syn)
+		f.wait(260 * time.Millisecond)
+		gomega.Expect(kinds(f.caller(header(2), syn))).To(gomega.Equal([]flowtable.Kind{forward}))
+		expectDrop(f.target(flow.Segment{SYN: true, ACK: true, Seq: 900, Ack: 101}), flowtable.DropLateAnswer)
+		gomega.Expect(kinds(f.caller(header(2), flow.Segment{SYN: true, Seq: 5000}))).To(gomega.Equal([]flowtable.Kind{deliver}))
+	})
+
 	// Guards against data that a target might run before the handshake has decided for it.
 	ginkgo.It("drops a SYN with data", func() {
 		f := newFixture(flowtable.Config{}, nil)
--- a/internal/flowtable/target.go
+++ b/internal/flowtable/target.go
@@ -76,7 +76,7 @@
 		t.synAck(p, ep, i, r)
 	case p.TCP.RST && p.TCP.ACK && p.TCP.Ack == r.callerNext:
 		// The caller must not see this RST: the SYN may still succeed elsewhere.
-		t.handshakeFailed(ep, i, r)
+		t.handshakeRefused(ep, i, r)
 	case t.recovering && p.TCP.ACK && !p.TCP.RST && !p.TCP.SYN:
 		t.adoptHalfOpen(p, ep, i, r)
 	case p.TCP.ACK && !p.TCP.RST && !p.TCP.FIN && len(p.Payload) == 0:
--- a/internal/flowtable/timers.go
+++ b/internal/flowtable/timers.go
@@ -76,8 +76,7 @@
 	case stateQueued:
 		t.giveUp(ep, i, r, result.QueueTimeout)
 	case stateHalfOpen:
-		t.abortTarget(r)
-		t.handshakeFailed(ep, i, r)
+		t.handshakeTimeout(ep, i, r)
 	case stateSynAckSeen:
 		t.halfOpenTimeout(ep, i, r)
 	case stateProbing:
