Measure how the parts grow towards the target size

Cause: the design states a target size, and nothing showed which part gives out first on the way to it.

Change: internal/capacity measures each quantity at three or more sizes with stand-ins in one process, fits a line with its residual and the power of growth, and compares the value at the target size with the limits. cmd/capacity and make capacity rewrite the marked tables of docs/CAPACITY.md and the plots.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 # The whole system in one process on loopback, for under a minute.
 demo:
 	$(GO) run ./cmd/demo
+
+# Measures the slopes of docs/CAPACITY.md and rewrites its tables and plots, in under 4 minutes.
+capacity:
+	$(GO) run ./cmd/capacity
--- /dev/null
+++ b/internal/capacity/run.go
@@ -0,0 +1,104 @@
+package capacity
+
+import (
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// minSizes is the least number of sizes that a line is fitted to.
+const minSizes = 3
+
+// recorder collects the points of a run.
+type recorder struct {
+	sizes  Sizes
+	folder string // for files of the measurements
+	points map[string][]Point
+}
+
+func (r *recorder) point(id string, x, y float64) {
+	r.points[id] = append(r.points[id], Point{X: x, Y: y})
+}
+
+// Measurements are the results of a run.
+type Measurements struct {
+	Series     []Series
+	Date       time.Time
+	Elapsed    time.Duration
+	LoadBefore string
+	LoadAfter  string
+	Processors int
+	Memory     float64 // largest resident size in MB
+	Process    float64 // anonymous memory before the first measurement, in MB
+}
+
+// Run runs all measurements at the given sizes. Progress is called with the name of each.
+func Run(sizes Sizes, progress func(name string)) (*Measurements, error) {
+	folder, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return nil, errors.Wrap(err, "make a folder")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	r := &recorder{sizes: sizes, folder: folder, points: map[string][]Point{}}
+	report := &Measurements{Date: time.Now(), LoadBefore: load(), Processors: runtime.NumCPU()}
+	steps := []struct {
+		name string
+		run  func(*recorder) error
+	}{
+		{"resident memory of a balancer", measureResident},
+		{"balancer", measureBalancer},
+		{"agent", measureAgent},
+		{"replicated state", measureCatalog},
+		{"commits", measureStorage},
+		{"handshakes", measureHandshakes},
+		{"agent sessions", measureSessions},
+		{"edits", measureEdits},
+		{"edits in force", measureInForce},
+		{"catch-up", measureCatchUp},
+	}
+	for _, step := range steps {
+		progress(step.name)
+		if err := step.run(r); err != nil {
+			return nil, errors.Wrapf(err, "measure %s", step.name)
+		}
+	}
+	report.Elapsed, report.LoadAfter = time.Since(report.Date), load()
+	if report.Memory, err = memoryOf("VmHWM:"); err != nil {
+		return nil, err
+	}
+	report.Process = r.points["process"][0].Y
+	delete(r.points, "process")
+	report.Series, err = r.series()
+	return report, err
+}
+
+// series joins the quantities with their points.
+func (r *recorder) series() ([]Series, error) {
+	list := quantities()
+	for i := range list {
+		list[i].Points = r.points[list[i].ID]
+		if len(list[i].Points) < minSizes {
+			return nil, errors.Newf("quantity %s was measured at %d sizes, want %d", list[i].ID, len(list[i].Points), minSizes)
+		}
+		delete(r.points, list[i].ID)
+	}
+	for id := range r.points {
+		return nil, errors.Newf("points of an unknown quantity %s", id)
+	}
+	return list, nil
+}
+
+// Find returns the series with an ID, or nil.
+func (r *Measurements) Find(id string) *Series {
+	for i := range r.Series {
+		if r.Series[i].ID == id {
+			return &r.Series[i]
+		}
+	}
+	return nil
+}
+
+// Line returns the fitted line of the series with an ID.
+func (r *Measurements) Line(id string) Line { return Fit(r.Find(id).Points) }
