--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -61,12 +61,12 @@
 	view, table := r.Find("view-memory").Target(), r.Find("balancer-table-memory").Target()
 	steady := r.Line("balancer-session-bytes").Slope
 	return []Figure{
-		{budgetTable, "balancer", "processor time of control", session + apply, "% of a core", limitCore, fmt.Sprintf("session, both ends: %s; %d deltas a day: %s", number(session), changesPerDay, number(apply))},
+		{budgetTable, "balancer", "processor time of control", session + apply, "% of a core", limitCore, fmt.Sprintf("session, both ends: %s; %s deltas a day: %s", number(session), number(changesPerDay), number(apply))},
 		{budgetTable, "balancer", "live memory of view and tables while a delta is applied", 2*view + table, "MB", limitMemory, "two views and the tables; unchanged services are shared"},
 		{budgetTable, "balancer", "anonymous memory", r.Find("balancer-resident").Target(), "MB", limitMemory, fmt.Sprintf("balancer-resident; a process that has done nothing: %s", number(r.Process))},
 		{budgetTable, "balancer", "anonymous memory with a memory limit for the runtime", r.Find("balancer-resident-limited").Target(), "MB", limitMemory, "balancer-resident-limited"},
 		{budgetTable, "balancer", "traffic, steady", steady, "KB/s", limitTraffic, "slope of balancer-session-bytes"},
-		{budgetTable, "balancer", "traffic, day's mean with changes", steady + r.perDay(r.Line("delta-bytes").At(targetsPerChange)), "KB/s", limitTraffic, fmt.Sprintf("steady and %d deltas of %d targets a day", changesPerDay, targetsPerChange)},
+		{budgetTable, "balancer", "traffic, day's mean with changes", steady + r.perDay(r.Line("delta-bytes").At(targetsPerChange)), "KB/s", limitTraffic, fmt.Sprintf("steady and %s deltas of %d targets a day", number(changesPerDay), targetsPerChange)},
 		{budgetTable, "balancer", "whole view after a restart, at the limit of traffic", r.Find("view-bytes").Target() / limitTraffic, "s", 0, "view-bytes over 19 KB/s; the balancer forwards nothing before"},
 		{budgetTable, "balancer", "targets that one delta may carry within 4 s at the limit of traffic", deltaCapacity(r.Line("delta-bytes")), "targets", 0, "delta-bytes solved for 4 s of 19 KB/s"},
 	}
@@ -102,9 +102,11 @@
 	bytes := agents*r.Line("session-bytes").Slope + balancers*r.Line("balancer-session-bytes").Slope
 	reports := r.Line("report-bytes").Slope
 	return []Figure{
+		{budgetTable, "controller", "processor time of a poll of an agent, both ends", r.Line("session-processor").Slope * 1e4, "µs", 0, "slope of session-processor at one poll a second"},
+		{budgetTable, "controller", "processor time of a poll of a balancer, both ends", r.Line("balancer-session-processor").Slope * 1e4, "µs", 0, "slope of balancer-session-processor at one poll a second"},
 		{budgetTable, "controller follower", "processor time", sessions + changes + edits, "% of a core", 0, fmt.Sprintf("%d sessions, both ends: %s; batches and edits: %s", sessionsPerController, number(sessions), number(changes+edits))},
 		{budgetTable, "controller follower", "live memory", memory, "MB", 0, "state, 1,000 revisions, 10,000 results, sessions with both ends; log entries not included"},
-		{budgetTable, "controller follower", "live memory of log entries, reasoned", logEntries * float64(targetEdits) / changesPerDay * r.Find("edit-bytes").Target() / 1e3, "MB", 0, fmt.Sprintf("%d entries before a snapshot, of which %d in %d are edits of the size of edit-bytes", logEntries, targetEdits, changesPerDay)},
+		{budgetTable, "controller follower", "live memory of log entries, reasoned", logEntries * float64(targetEdits) / changesPerDay * r.Find("edit-bytes").Target() / 1e3, "MB", 0, fmt.Sprintf("%s entries before a snapshot, of which %d in %s are edits of the size of edit-bytes", number(logEntries), targetEdits, number(changesPerDay))},
 		{budgetTable, "controller follower", "traffic of sessions and reports", bytes + sessionsPerController*reports, "KB/s", 0, "slopes of session-bytes, balancer-session-bytes and report-bytes"},
 		{budgetTable, "controller leader", "processor time", sessions + changes + edits + duties, "% of a core", 0, fmt.Sprintf("as a follower, and reports and decisions: %s", number(duties))},
 		{budgetTable, "controller leader", "traffic", bytes + (targetControllers-1)*sessionsPerController*reports, "KB/s", 0, "sessions, and the reports of 6 followers"},
