Share one sleep that ends with its context

Cause: six packages had the same function that waits for a time or the end of a context, under the names sleep, pause and wait.

Change: ctxtime.Sleep serves all of them.

Conclusion: no change of behaviour.

--- a/cmd/demo/imbalance.go
+++ b/cmd/demo/imbalance.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/model"
 )
 
@@ -41,7 +42,7 @@
 			}
 		}
 		i.mu.Unlock()
-		pause(ctx, sampleInterval)
+		ctxtime.Sleep(ctx, sampleInterval)
 	}
 }
 
--- a/cmd/demo/scenario.go
+++ b/cmd/demo/scenario.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/config"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
@@ -45,11 +46,11 @@
 		d.work.run(traffic)
 	}()
 	go d.imbalance.sample(traffic, slices.Clone(d.targets), d.work.loads)
-	pause(ctx, stepPause)
+	ctxtime.Sleep(ctx, stepPause)
 	err := d.changes(ctx)
 	stop()
 	<-done
-	pause(ctx, settleTime)
+	ctxtime.Sleep(ctx, settleTime)
 	d.countBroken()
 	return err
 }
@@ -132,7 +133,7 @@
 		if err := step(ctx); err != nil {
 			return err
 		}
-		pause(ctx, stepPause)
+		ctxtime.Sleep(ctx, stepPause)
 	}
 	return d.checkLeaving()
 }
@@ -277,7 +278,7 @@
 	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
 	defer cancel()
 	for !done() {
-		pause(ctx, pollInterval)
+		ctxtime.Sleep(ctx, pollInterval)
 		if ctx.Err() != nil {
 			return errors.Join(ctx.Err(), d.failure())
 		}
--- a/cmd/demo/workload.go
+++ b/cmd/demo/workload.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/standin"
 )
@@ -77,7 +78,7 @@
 		s, err := w.open(ctx, l, number, id)
 		if err != nil {
 			l.refuse(id, err)
-			pause(ctx, reopenPause)
+			ctxtime.Sleep(ctx, reopenPause)
 			continue
 		}
 		l.opened.Add(1)
@@ -117,7 +118,7 @@
 	rate := utilization * float64(l.slots) / serviceTime.Seconds()
 	free := make(chan struct{}, requestsInFlight)
 	for number := 0; ; number++ {
-		pause(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
+		ctxtime.Sleep(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
 		if ctx.Err() != nil {
 			return
 		}
@@ -184,12 +185,3 @@
 	defer l.mu.Unlock()
 	return errors.Join(l.faults...)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/membership"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/result"
@@ -144,16 +145,7 @@
 		if err := c.report(ctx, status); err != nil && ctx.Err() == nil {
 			c.metrics.ReportErrors.Inc()
 		}
-		wait(ctx, reportPause)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		ctxtime.Sleep(ctx, reportPause)
 	}
 }
 
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/catalog"
 	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
@@ -111,7 +112,7 @@
 		if member, ok := m.find(name); ok && !member.Learner {
 			return nil
 		}
-		wait(ctx, promotionInterval)
+		ctxtime.Sleep(ctx, promotionInterval)
 	}
 	return result.New(result.MemberChangeBusy, "controller %s has not caught up with the log yet", name)
 }
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
 	"github.com/greengagelock/greengagelock/internal/wal"
@@ -110,7 +111,7 @@
 		}
 		r.tel.Logger.Error().Str("controller", r.name).Err(err).Msg("storage of the replicated log failed, it is opened again")
 		r.status.Store(&published{})
-		wait(ctx, reopenPause)
+		ctxtime.Sleep(ctx, reopenPause)
 	}
 }
 
--- a/internal/controller/replicaapi.go
+++ b/internal/controller/replicaapi.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
@@ -59,7 +60,7 @@
 		if ctx.Err() != nil {
 			return 0, result.New(result.NoQuorum, "no read barrier in time: %v", err)
 		}
-		wait(ctx, readRetry/10)
+		ctxtime.Sleep(ctx, readRetry/10)
 	}
 }
 
@@ -123,7 +124,7 @@
 		if s.Term != position.Term {
 			break
 		}
-		wait(ctx, readRetry/10)
+		ctxtime.Sleep(ctx, readRetry/10)
 	}
 	return result.New(result.OutcomeUnknown, "the change of members was not committed in time")
 }
@@ -137,7 +138,7 @@
 		if s := r.status.Load(); s.Role != consensus.Leader && s.Leader != 0 {
 			return nil
 		}
-		wait(ctx, readRetry/30)
+		ctxtime.Sleep(ctx, readRetry/30)
 	}
 	return result.New(result.DeadlineExceeded, "no other member took over in time")
 }
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
@@ -130,7 +131,7 @@
 		request := &StepRequest{Folder: t.folder, Messages: batch}
 		if _, err := rpc.Call[StepReply](ctx, client, peerServiceName+".Step", request); err != nil {
 			t.dropped.Add(float64(len(batch)))
-			wait(ctx, stepPause)
+			ctxtime.Sleep(ctx, stepPause)
 		}
 	}
 }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/agent"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/node"
 )
@@ -64,11 +65,11 @@
 	defer cancel()
 	for d.admitsInView() {
 		d.session.Notify()
-		if !sleep(ctx, withdrawCheck) {
+		if !ctxtime.Sleep(ctx, withdrawCheck) {
 			return
 		}
 	}
-	sleep(ctx, withdrawGrace)
+	ctxtime.Sleep(ctx, withdrawGrace)
 }
 
 // admitsInView reports whether balancers may still send new flows to this agent.
@@ -84,15 +85,3 @@
 	}
 	return false
 }
-
-// sleep reports whether it slept for the whole time.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
@@ -190,7 +191,7 @@
 			s.tel.Logger.Warn().Str("node", s.cfg.Name).Err(err).Msg("session with control failed, trying the next controller")
 		}
 		s.rotate()
-		sleep(ctx, backoff(failures, random))
+		ctxtime.Sleep(ctx, backoff(failures, random))
 		failures++
 	}
 }
@@ -202,15 +203,6 @@
 	return limit/2 + time.Duration(random.Int64N(int64(limit/2)))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (s *Session) poll(ctx context.Context) error {
 	s.mu.Lock()
 	snapshot := s.resync
@@ -311,7 +303,7 @@
 			// The next poll carries the announcement as well.
 			s.metrics.Errors.Inc()
 		}
-		sleep(ctx, announcePause)
+		ctxtime.Sleep(ctx, announcePause)
 	}
 }
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/jsonc"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/result"
@@ -97,7 +98,7 @@
 		unknown = unknown || code == result.OutcomeUnknown || code == result.DeadlineExceeded
 		<-c.at
 		c.at <- (at + 1) % len(c.clients)
-		if tries%len(c.clients) == 0 && !pause(ctx, retryPause) || ctx.Err() != nil {
+		if tries%len(c.clients) == 0 && !ctxtime.Sleep(ctx, retryPause) || ctx.Err() != nil {
 			return nil, giveUp(method, err, unknown)
 		}
 	}
@@ -115,17 +116,6 @@
 	return last
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Check returns the problems of a document by itself.
 func (c *Client) Check(ctx context.Context, file string, document []byte) (jsonc.Problems, error) {
 	reply, err := call[CheckReply](ctx, c, "Check", &CheckRequest{File: file, Document: document})
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
 )
 
@@ -142,7 +143,7 @@
 			}
 			return nil
 		case err != nil:
-			if !pause(ctx, acceptPause) {
+			if !ctxtime.Sleep(ctx, acceptPause) {
 				return nil
 			}
 		default:
@@ -151,17 +152,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // admit starts a connection, or closes it if there are too many.
 func (s *Server) admit(ctx context.Context, conn net.Conn) {
 	select {
