--- a/cmd/demo/workload.go
+++ b/cmd/demo/workload.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/standin"
 )
@@ -90,7 +91,7 @@
 		s, err := w.open(ctx, l, number, id)
 		if err != nil {
 			l.refuse(id, err)
-			pause(ctx, reopenPause)
+			ctxtime.Sleep(ctx, reopenPause)
 			continue
 		}
 		l.opened.Add(1)
@@ -133,7 +134,7 @@
 	rate := w.traffic.utilization * float64(l.slots) / serviceTime.Seconds()
 	free := make(chan struct{}, requestsInFlight)
 	for number := 0; ; number++ {
-		pause(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
+		ctxtime.Sleep(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
 		if ctx.Err() != nil {
 			return
 		}
@@ -207,12 +208,3 @@
 	defer l.mu.Unlock()
 	return errors.Join(l.faults...)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
