--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: build test format lint unit race demo trial fuzz-corpus tun-check capacity bench
+.PHONY: build test format lint unit race demo trial tun-check capacity bench fuzz
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -45,3 +45,12 @@
 # Measures the slopes of docs/CAPACITY.md and rewrites its tables and plots, in under 4 minutes.
 capacity:
 	$(GO) run ./cmd/capacity
+
+# Benchmarks, each beside a baseline in the same run.
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+# Fuzzes the packet path for half a minute each; the corpus itself runs with every test.
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/encap
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./internal/flow
