Share test fixtures between packages

Cause: the tests of controller, node and rpc each had their own functions that issue and load certificates, check an error and wait for a condition, and controller and node the same node without a data path.

Change: testkit has them once. The condition of a node test is looked at every 10 ms instead of every 1 ms; the limit of a minute stays.

Conclusion: the same checks run; the packages pass also with the race detector.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -9,6 +9,7 @@
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
 // quorumLoss is several elections, so that a controller that counts wrongly would have led.
@@ -17,8 +18,8 @@
 func apply(t testing.TB, ctl *operator.Client, base model.Revision, document []byte) {
 	t.Helper()
 	reply, err := ctl.Apply(context.Background(), operator.Edit{Base: base, File: "doc", Document: document})
-	check(t, err)
-	check(t, reply.Result.Err())
+	testkit.Check(t, err)
+	testkit.Check(t, reply.Result.Err())
 	if reply.Result.Revision != base+1 {
 		t.Fatalf("edit on revision %d got revision %d", base, reply.Result.Revision)
 	}
@@ -35,35 +36,35 @@
 	h.node(model.RoleBalancer, "b1", balancer, c.addresses()...)
 	first := operator.Edit{CommandID: "first", File: "doc", Document: document(1, 1, "")}
 	reply, err := ctl.Apply(t.Context(), first)
-	check(t, err)
-	check(t, reply.Result.Err())
+	testkit.Check(t, err)
+	testkit.Check(t, reply.Result.Err())
 	for range 2 {
-		eventually(t, "a leader", func() bool { return c.leader() != "" })
+		testkit.Eventually(t, "a leader", func() bool { return c.leader() != "" })
 		leader := c.leader()
 		c.stop(leader)
 		again, err := ctl.Apply(t.Context(), first)
-		check(t, err)
+		testkit.Check(t, err)
 		if again.Result.Code != result.OK || again.Result.Revision != 1 {
 			t.Fatalf("resent command got code %d and revision %d, want the first result", again.Result.Code, again.Result.Revision)
 		}
 		c.start(leader, nil, c.members)
 	}
 	apply(t, ctl, 1, document(2, 1, ""))
-	eventually(t, "revision 2 at the balancer", func() bool { return balancer.last().Revision == 2 })
+	testkit.Eventually(t, "revision 2 at the balancer", func() bool { return balancer.last().Revision == 2 })
 	conflict, err := ctl.Apply(t.Context(), operator.Edit{Base: 1, File: "doc", Document: document(3, 1, "")})
-	check(t, err)
+	testkit.Check(t, err)
 	if conflict.Result.Code != result.RevisionConflict {
 		t.Fatalf("edit of an old revision got code %d, want %d", conflict.Result.Code, result.RevisionConflict)
 	}
-	check(t, inOrder(balancer))
+	testkit.Check(t, inOrder(balancer))
 }
 
 // inOrder returns an error if a node saw an older state after a newer one.
 func inOrder(s *standin) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i := 1; i < len(s.views); i++ {
-		before, after := s.views[i-1], s.views[i]
+	s.Lock()
+	defer s.Unlock()
+	for i := 1; i < len(s.Views); i++ {
+		before, after := s.Views[i-1], s.Views[i]
 		if after.Generation < before.Generation || after.Revision < before.Revision {
 			return result.New(result.StaleGeneration, "generation %d and revision %d came after %d and %d",
 				after.Generation, after.Revision, before.Generation, before.Revision)
@@ -80,7 +81,7 @@
 	c := h.cluster(3)
 	ctl := h.operator(c.addresses()...)
 	apply(t, ctl, 0, document(1, 1, ""))
-	eventually(t, "registered folders", func() bool {
+	testkit.Eventually(t, "registered folders", func() bool {
 		registered := 0
 		for _, running := range c.running {
 			for name := range c.members {
@@ -92,15 +93,15 @@
 		return registered == 9
 	})
 	c.stop("c1")
-	check(t, os.RemoveAll(c.folders["c1"]))
+	testkit.Check(t, os.RemoveAll(c.folders["c1"]))
 	c.folders["c1"] = h.t.TempDir()
 	c.start("c1", nil, c.members)
-	eventually(t, "refusal of c1", func() bool {
+	testkit.Eventually(t, "refusal of c1", func() bool {
 		return c.running["c2"].members.admit("c1", c.running["c1"].transport.folder) != nil
 	})
 	apply(t, ctl, 1, document(2, 1, ""))
 	c.stop("c2")
-	eventually(t, "end of the leadership", func() bool { return c.leader() == "" })
+	testkit.Eventually(t, "end of the leadership", func() bool { return c.leader() == "" })
 	limited, cancel := context.WithTimeout(t.Context(), quorumLoss)
 	defer cancel()
 	reply, err := ctl.Apply(limited, operator.Edit{Base: 2, File: "doc", Document: document(3, 1, "")})
@@ -108,9 +109,9 @@
 		t.Fatalf("an edit was decided without a quorum: %+v", reply.Result)
 	}
 	c.start("c2", nil, c.members)
-	eventually(t, "a leader", func() bool { return c.leader() != "" })
+	testkit.Eventually(t, "a leader", func() bool { return c.leader() != "" })
 	show, err := ctl.Show(t.Context(), 0)
-	check(t, err)
+	testkit.Check(t, err)
 	if show.Revision < 2 {
 		t.Fatalf("revision %d is in force after the repair, revision 2 was accepted", show.Revision)
 	}
@@ -124,7 +125,7 @@
 	c := h.cluster(3)
 	ctl := h.operator(c.addresses()...)
 	apply(t, ctl, 0, document(1, 1, ""))
-	eventually(t, "a leader", func() bool { return c.leader() != "" })
+	testkit.Eventually(t, "a leader", func() bool { return c.leader() != "" })
 	lost := "c1"
 	if c.leader() == lost {
 		lost = "c2"
@@ -140,9 +141,9 @@
 	c.members["c4"] = listener.Addr().String()
 	c.start("c4", listener, others)
 	_, err := ctl.AddMember(t.Context(), "c4", c.members["c4"])
-	check(t, err)
+	testkit.Check(t, err)
 	members, err := ctl.RemoveMember(t.Context(), lost)
-	check(t, err)
+	testkit.Check(t, err)
 	if len(members) != 3 {
 		t.Fatalf("there are %d members after the replacement, want 3", len(members))
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -8,6 +8,7 @@
 	"github.com/greengagelock/greengagelock/internal/node"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
 // Guards against a break anywhere on the way of an edit: from the operator through the log to the
@@ -21,26 +22,26 @@
 	h.node(model.RoleBalancer, "b1", balancer, addresses...)
 	h.node(model.RoleAgent, "vm-0-0", agent, addresses...)
 	reply, err := ctl.Apply(t.Context(), operator.Edit{File: "doc", Document: document(2, 1, "")})
-	check(t, err)
-	check(t, reply.Result.Err())
-	eventually(t, "target in the views", func() bool {
+	testkit.Check(t, err)
+	testkit.Check(t, reply.Result.Err())
+	testkit.Eventually(t, "target in the views", func() bool {
 		return len(balancer.last().Targets) == 1 && len(balancer.last().Services) == 2 &&
 			len(agent.last().Targets) == 1 && len(agent.last().Services) == 1
 	})
-	wait, err := ctl.WaitInForce(t.Context(), reply.Result.Revision, patience)
-	check(t, err)
+	wait, err := ctl.WaitInForce(t.Context(), reply.Result.Revision, testkit.Patience)
+	testkit.Check(t, err)
 	if wait.Nodes != 2 || wait.InForce != 2 {
 		t.Fatalf("in force on %d of %d nodes, want 2 of 2", wait.InForce, wait.Nodes)
 	}
 	drain, err := ctl.Drain(t.Context(), operator.Edit{Base: 1, Names: []string{"vm-0-0"}})
-	check(t, err)
+	testkit.Check(t, err)
 	if drain.Result.Code != result.AcknowledgeRequired {
 		t.Fatalf("draining the only target: got code %d, want %d", drain.Result.Code, result.AcknowledgeRequired)
 	}
 	drain, err = ctl.Drain(t.Context(), operator.Edit{Base: 1, Names: []string{"vm-0-0"}, Acknowledged: drain.Result.Missing})
-	check(t, err)
-	check(t, drain.Result.Err())
-	eventually(t, "draining state at the agent", func() bool {
+	testkit.Check(t, err)
+	testkit.Check(t, drain.Result.Err())
+	testkit.Eventually(t, "draining state at the agent", func() bool {
 		for _, target := range agent.last().Targets {
 			return target.State == model.TargetDraining
 		}
@@ -63,8 +64,8 @@
 		stops = append(stops, stop)
 	}
 	reply, err := ctl.Apply(t.Context(), operator.Edit{File: "doc", Document: document(1, 2, "")})
-	check(t, err)
-	check(t, reply.Result.Err())
+	testkit.Check(t, err)
+	testkit.Check(t, reply.Result.Err())
 	state := func(vm model.VM) (model.TargetID, model.TargetState) {
 		for id, target := range balancer.last().Targets {
 			if target.VM == vm {
@@ -73,12 +74,12 @@
 		}
 		return 0, model.TargetLost
 	}
-	eventually(t, "both targets", func() bool { return len(balancer.last().Targets) == 2 })
+	testkit.Eventually(t, "both targets", func() bool { return len(balancer.last().Targets) == 2 })
 	before, _ := state("vm-0-1")
 	stops[1]()
-	eventually(t, "lost state", func() bool { _, s := state("vm-0-1"); return s == model.TargetLost })
+	testkit.Eventually(t, "lost state", func() bool { _, s := state("vm-0-1"); return s == model.TargetLost })
 	h.node(model.RoleAgent, "vm-0-1", agentStandin("vm-0-1", 9000, "s0"), addresses...)
-	eventually(t, "active state", func() bool { _, s := state("vm-0-1"); return s == model.TargetActive })
+	testkit.Eventually(t, "active state", func() bool { _, s := state("vm-0-1"); return s == model.TargetActive })
 	if after, _ := state("vm-0-1"); after != before {
 		t.Fatalf("target has number %d after the restart, want %d", after, before)
 	}
--- a/internal/controller/disk_test.go
+++ b/internal/controller/disk_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 	"github.com/greengagelock/greengagelock/internal/wal"
 )
 
@@ -22,7 +23,7 @@
 		c.full[name] = &atomic.Bool{}
 	}
 	folder, err := wal.NewDirFS(filepath.Join(c.folders[name], "log"))
-	check(c.h.t, err)
+	testkit.Check(c.h.t, err)
 	return &disk{FS: folder, full: c.full[name]}
 }
 
@@ -58,18 +59,18 @@
 	apply(t, ctl, 0, document(1, 1, ""))
 	balancer := &standin{}
 	session, _ := h.node(model.RoleBalancer, "b1", balancer, c.addresses()...)
-	eventually(t, "revision 1", func() bool { return session.Revision() == 1 })
+	testkit.Eventually(t, "revision 1", func() bool { return session.Revision() == 1 })
 	leader := c.leader()
 	c.full[leader].Store(true)
 	apply(t, ctl, 1, document(2, 1, ""))
-	eventually(t, "revision 2", func() bool { return session.Revision() == 2 })
+	testkit.Eventually(t, "revision 2", func() bool { return session.Revision() == 2 })
 	if c.running[leader].log.Status().IsLeader {
 		t.Fatal("a controller without disk space leads")
 	}
 	c.full[leader].Store(false)
-	eventually(t, "revision 2 at the controller that has space again", func() bool {
+	testkit.Eventually(t, "revision 2 at the controller that has space again", func() bool {
 		_, err := c.running[leader].current()
 		return err == nil && c.running[leader].revision() == 2
 	})
-	check(t, inOrder(balancer))
+	testkit.Check(t, inOrder(balancer))
 }
--- a/internal/controller/gate_test.go
+++ b/internal/controller/gate_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
 // gate cuts a controller off without a sign: what it sends and what is sent to it disappears,
@@ -77,12 +78,12 @@
 	balancer := &standin{}
 	session, _ := h.node(model.RoleBalancer, "b1", balancer, c.addresses()...)
 	apply(t, ctl, 0, document(1, 1, ""))
-	eventually(t, "revision 1", func() bool { return session.Revision() == 1 })
+	testkit.Eventually(t, "revision 1", func() bool { return session.Revision() == 1 })
 	cut := c.leader()
 	c.gate(cut).closed.Store(true)
 	apply(t, ctl, 1, document(2, 1, ""))
-	eventually(t, "revision 2", func() bool { return session.Revision() == 2 })
-	eventually(t, "the end of the old leadership", func() bool {
+	testkit.Eventually(t, "revision 2", func() bool { return session.Revision() == 2 })
+	testkit.Eventually(t, "the end of the old leadership", func() bool {
 		_, err := c.running[cut].current()
 		return err != nil && !c.running[cut].log.Status().IsLeader
 	})
@@ -90,11 +91,11 @@
 		t.Fatalf("the controller that is cut off has revision %d, want 1", revision)
 	}
 	c.gate(cut).closed.Store(false)
-	eventually(t, "revision 2 at all controllers", func() bool {
+	testkit.Eventually(t, "revision 2 at all controllers", func() bool {
 		_, err := c.running[cut].current()
 		return err == nil && c.running[cut].revision() == 2
 	})
 	apply(t, ctl, 2, document(3, 1, ""))
-	eventually(t, "revision 3", func() bool { return session.Revision() == 3 })
-	check(t, inOrder(balancer))
+	testkit.Eventually(t, "revision 3", func() bool { return session.Revision() == 3 })
+	testkit.Check(t, inOrder(balancer))
 }
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -11,7 +11,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"go.uber.org/goleak"
 
@@ -21,13 +20,10 @@
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 	_ "github.com/greengagelock/greengagelock/internal/testseed"
 )
 
-// patience is how long a test waits for something that must happen. It is far above the time
-// that it takes, so that a busy machine does not change the verdict.
-const patience = time.Minute
-
 // Guards against goroutines that outlive the components which started them.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
@@ -43,8 +39,7 @@
 
 func newHarness(t testing.TB) *harness {
 	t.Helper()
-	certs, err := devcerts.New(t.TempDir())
-	check(t, err)
+	certs := testkit.Authority(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &harness{t: t, certs: certs, ctx: ctx, stop: cancel}
 	t.Cleanup(func() {
@@ -54,24 +49,15 @@
 	return h
 }
 
-func check(t testing.TB, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func (h *harness) files(role model.Role, name string) rpc.Files {
 	h.t.Helper()
-	files, err := h.certs.Issue(role, name)
-	check(h.t, err)
-	return files
+	return testkit.Issue(h.t, h.certs, role, name)
 }
 
 func (h *harness) listen() net.Listener {
 	h.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(h.t, err)
+	testkit.Check(h.t, err)
 	if h.wrap != nil {
 		return h.wrap(l)
 	}
@@ -97,9 +83,9 @@
 func (h *harness) operator(controllers ...string) *operator.Client {
 	h.t.Helper()
 	client, err := operator.NewClient(operator.Config{
-		Controllers: controllers, TLS: h.files(model.RoleOperator, "ana"), Timeout: patience,
+		Controllers: controllers, TLS: h.files(model.RoleOperator, "ana"), Timeout: testkit.Patience,
 	})
-	check(h.t, err)
+	testkit.Check(h.t, err)
 	h.t.Cleanup(client.Close)
 	return client
 }
@@ -144,7 +130,7 @@
 		Name: name, Members: members, Listen: c.members[name], Listener: listener, DataDir: c.folders[name],
 		TLS: c.h.files(model.RoleController, name), Dial: c.gate(name).dial, FS: c.disk(name),
 	}, telemetry.Discard())
-	check(c.h.t, err)
+	testkit.Check(c.h.t, err)
 	c.running[name] = made
 	c.stops[name] = c.h.run(made.Run)
 }
@@ -167,31 +153,15 @@
 }
 
 // standin is a node without a data path.
-type standin struct {
-	mu           sync.Mutex
-	announcement model.Announcement
-	views        []*model.View
-}
-
-func (s *standin) Announcement() model.Announcement {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.announcement
-}
-
-func (s *standin) ApplyView(v *model.View) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.views = append(s.views, v)
-}
+type standin struct{ testkit.Node }
 
 func (s *standin) last() *model.View {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.views) == 0 {
+	s.Lock()
+	defer s.Unlock()
+	if len(s.Views) == 0 {
 		return model.NewView()
 	}
-	return s.views[len(s.views)-1]
+	return s.Views[len(s.Views)-1]
 }
 
 func (h *harness) node(role model.Role, name string, s node.Handler, controllers ...string) (*node.Session, func()) {
@@ -199,15 +169,15 @@
 	session, err := node.New(node.Config{
 		Name: name, Role: role, Controllers: controllers, TLS: h.files(role, name),
 	}, s, telemetry.Discard())
-	check(h.t, err)
+	testkit.Check(h.t, err)
 	return session, h.run(session.Run)
 }
 
 func agentStandin(vm string, port uint16, service string) *standin {
-	return &standin{announcement: model.Announcement{VM: model.VM(vm), Targets: []model.TargetAnnouncement{{
+	return &standin{testkit.Node{Announced: model.Announcement{VM: model.VM(vm), Targets: []model.TargetAnnouncement{{
 		Service: service, Agent: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), Slots: 2, MaxConns: 2000,
 		Evidence: model.Evidence{EndpointHealthy: true},
-	}}}}
+	}}}}}
 }
 
 // document returns a configuration with services "s0", "s1", ... and the given VMs for each.
@@ -232,13 +202,3 @@
 	return []byte(fmt.Sprintf("{\n\"inventory\": {\"vms\": [%s]},\n\"services\": [%s]%s\n}\n",
 		strings.Join(inventory, ",\n"), strings.Join(rules, ",\n"), extra))
 }
-
-// eventually waits until a condition holds.
-func eventually(t testing.TB, what string, condition func() bool) {
-	t.Helper()
-	for deadline := time.Now().Add(patience); !condition(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("%s: not reached", what)
-		}
-	}
-}
--- a/internal/controller/measure_test.go
+++ b/internal/controller/measure_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
 // Size of the measured deployment: the balancers of the target size, with a part of its targets.
@@ -31,9 +32,9 @@
 }
 
 func (n *timedNode) ApplyView(v *model.View) {
-	n.mu.Lock()
-	n.views = []*model.View{v}
-	n.mu.Unlock()
+	n.Lock()
+	n.Views = []*model.View{v}
+	n.Unlock()
 	n.applied.LoadOrStore(v.Revision, time.Now())
 }
 
@@ -59,7 +60,7 @@
 	h.wrap = m.listener
 	c := h.cluster(3)
 	ctl := h.operator(c.addresses()...)
-	eventually(b, "a leader", func() bool { return c.leader() != "" })
+	testkit.Eventually(b, "a leader", func() bool { return c.leader() != "" })
 	idle := m.take()
 	nodes := make([]*timedNode, measuredNodes)
 	for i := range nodes {
@@ -94,7 +95,7 @@
 }
 
 func awaitAll(b *testing.B, nodes []*timedNode, revision model.Revision) {
-	for deadline := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(testkit.Patience); ; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			b.Fatalf("revision %d is not in force everywhere", revision)
 		}
--- a/internal/controller/service_test.go
+++ b/internal/controller/service_test.go
@@ -13,13 +13,13 @@
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
 func (h *harness) client(role model.Role, name, address string) *rpc.Client {
 	h.t.Helper()
-	credentials, err := rpc.LoadCredentials(h.files(role, name))
-	check(h.t, err)
-	client := rpc.NewClient(rpc.ClientConfig{Address: address, Role: model.RoleController, Credentials: credentials, CallTimeout: patience})
+	credentials := testkit.Load(h.t, h.files(role, name))
+	client := rpc.NewClient(rpc.ClientConfig{Address: address, Role: model.RoleController, Credentials: credentials, CallTimeout: testkit.Patience})
 	h.t.Cleanup(client.Close)
 	return client
 }
@@ -44,10 +44,10 @@
 	ctl := h.operator(c.addresses()...)
 	forged := operator.Edit{Origin: operator.Origin{Author: "someone", Forwarded: true}, File: "doc", Document: document(1, 1, "")}
 	reply, err := ctl.Apply(t.Context(), forged)
-	check(t, err)
-	check(t, reply.Result.Err())
+	testkit.Check(t, err)
+	testkit.Check(t, reply.Result.Err())
 	history, err := ctl.History(t.Context())
-	check(t, err)
+	testkit.Check(t, err)
 	if len(history) != 1 || history[0].Author != "ana" {
 		t.Errorf("history %+v, want one revision by ana", history)
 	}
@@ -62,13 +62,13 @@
 	balancer := &standin{}
 	session, _ := h.node(model.RoleBalancer, "b1", balancer, c.addresses()...)
 	apply(t, h.operator(c.addresses()...), 0, document(1, 1, ""))
-	eventually(t, "revision 1", func() bool { return session.Revision() == 1 })
+	testkit.Eventually(t, "revision 1", func() bool { return session.Revision() == 1 })
 	c.stop("c2")
 	c.stop("c3")
-	eventually(t, "age above the limit", func() bool { return session.ControlAge() > MaxAge })
+	testkit.Eventually(t, "age above the limit", func() bool { return session.ControlAge() > MaxAge })
 	var status *operator.StatusReply
 	ctl := h.operator(c.members["c1"])
-	eventually(t, "status without a quorum", func() bool {
+	testkit.Eventually(t, "status without a quorum", func() bool {
 		var err error
 		status, err = ctl.Status(t.Context())
 		return err == nil && !status.Current && status.Age > MaxAge
@@ -92,23 +92,23 @@
 	c := h.cluster(3)
 	ctl := h.operator(c.addresses()...)
 	balancer, agent := &standin{}, agentStandin("vm-0-0", 9000, "s0")
-	agent.announcement.Targets[0].Evidence.OpenFlows = 3
+	agent.Announced.Targets[0].Evidence.OpenFlows = 3
 	h.node(model.RoleBalancer, "b1", balancer, c.addresses()...)
 	session, _ := h.node(model.RoleAgent, "vm-0-0", agent, c.addresses()...)
 	apply(t, ctl, 0, document(2, 1, ""))
-	eventually(t, "the target", func() bool { return len(balancer.last().Targets) == 1 })
+	testkit.Eventually(t, "the target", func() bool { return len(balancer.last().Targets) == 1 })
 	explained, err := ctl.Explain(t.Context(), operator.ExplainRequest{
 		Caller: netip.MustParseAddrPort("10.9.0.1:4000"), Service: netip.MustParseAddrPort("10.10.0.1:7001"),
 	})
-	check(t, err)
+	testkit.Check(t, err)
 	if !explained.Found || len(explained.New) != 1 || explained.New[0].Name != "vm-0-0/s0" {
 		t.Fatalf("explained %+v, want the target vm-0-0/s0", explained)
 	}
 	without := operator.Edit{Base: 1, File: "doc", Document: documentOf(1, 2, 1)}
 	var plan *operator.EditReply
-	eventually(t, "a plan with open flows", func() bool {
+	testkit.Eventually(t, "a plan with open flows", func() bool {
 		plan, err = ctl.Plan(t.Context(), &operator.Edit{Kind: catalog.KindApply, Base: 1, File: "doc", Document: without.Document})
-		check(t, err)
+		testkit.Check(t, err)
 		return slices.ContainsFunc(plan.Effects, func(e config.Effect) bool { return e.OpenFlows == 3 })
 	})
 	if len(plan.Result.Missing) != 1 || plan.Result.Missing[0] != "empties:s0" {
@@ -116,9 +116,9 @@
 	}
 	without.Acknowledged = plan.Result.Missing
 	reply, err := ctl.Apply(t.Context(), without)
-	check(t, err)
-	check(t, reply.Result.Err())
-	eventually(t, "draining state", func() bool {
+	testkit.Check(t, err)
+	testkit.Check(t, reply.Result.Err())
+	testkit.Eventually(t, "draining state", func() bool {
 		for _, target := range balancer.last().Targets {
 			return target.State == model.TargetDraining
 		}
@@ -128,13 +128,13 @@
 	if v := balancer.last(); len(v.Services) != 2 || len(v.Targets) != 1 {
 		t.Fatalf("%d services and %d targets are left while flows are open, want 2 and 1", len(v.Services), len(v.Targets))
 	}
-	agent.mu.Lock()
-	agent.announcement.Targets = []model.TargetAnnouncement{agent.announcement.Targets[0]}
-	agent.announcement.Targets[0].Evidence.OpenFlows = 0
-	agent.mu.Unlock()
+	agent.Lock()
+	agent.Announced.Targets = []model.TargetAnnouncement{agent.Announced.Targets[0]}
+	agent.Announced.Targets[0].Evidence.OpenFlows = 0
+	agent.Unlock()
 	session.Notify()
-	eventually(t, "end of the service", func() bool { v := balancer.last(); return len(v.Services) == 1 && len(v.Targets) == 0 })
-	eventually(t, "quarantine", func() bool {
+	testkit.Eventually(t, "end of the service", func() bool { v := balancer.last(); return len(v.Services) == 1 && len(v.Targets) == 0 })
+	testkit.Eventually(t, "quarantine", func() bool {
 		targets, err := ctl.Targets(t.Context())
 		return err == nil && len(targets.Quarantine) == 1
 	})
--- a/internal/node/session_test.go
+++ b/internal/node/session_test.go
@@ -15,12 +15,10 @@
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 	_ "github.com/greengagelock/greengagelock/internal/testseed"
 )
 
-// patience is far above the time that anything here takes.
-const patience = time.Minute
-
 // Node is a scripted controller.
 type Node struct {
 	poll      func(request *node.PollRequest, reply *node.PollReply) error
@@ -43,29 +41,13 @@
 }
 
 // handler is a node without a data path.
-type handler struct {
-	mu           sync.Mutex
-	announcement model.Announcement
-	views        []*model.View
-}
-
-func (h *handler) Announcement() model.Announcement {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.announcement
-}
-
-func (h *handler) ApplyView(v *model.View) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.views = append(h.views, v)
-}
+type handler struct{ testkit.Node }
 
 func (h *handler) generations() []model.Generation {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	h.Lock()
+	defer h.Unlock()
 	var list []model.Generation
-	for _, v := range h.views {
+	for _, v := range h.Views {
 		list = append(list, v.Generation)
 	}
 	return list
@@ -82,8 +64,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	certs, err := devcerts.New(t.TempDir())
-	check(t, err)
+	certs := testkit.Authority(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fixture{t: t, certs: certs, ctx: ctx, announced: make(chan model.Announcement)}
 	t.Cleanup(func() {
@@ -94,33 +75,23 @@
 	return f
 }
 
-func check(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func (f *fixture) files(role model.Role, name string) rpc.Files {
 	f.t.Helper()
-	files, err := f.certs.Issue(role, name)
-	check(f.t, err)
-	return files
+	return testkit.Issue(f.t, f.certs, role, name)
 }
 
 func (f *fixture) controller(poll func(request *node.PollRequest, reply *node.PollReply) error) {
 	f.t.Helper()
-	credentials, err := rpc.LoadCredentials(f.files(model.RoleController, "c"))
-	check(f.t, err)
+	credentials := testkit.Load(f.t, f.files(model.RoleController, "c"))
 	server, err := rpc.NewServer(rpc.ServerConfig{
 		Credentials: credentials,
 		Services: func(*rpc.Peer) (map[string]any, error) {
 			return map[string]any{node.ServiceName: &Node{poll: poll, announced: f.announced, ended: f.ctx.Done()}}, nil
 		},
 	}, telemetry.Discard())
-	check(f.t, err)
+	testkit.Check(f.t, err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(f.t, err)
+	testkit.Check(f.t, err)
 	f.addresses = append(f.addresses, listener.Addr().String())
 	f.wg.Go(func() { _ = server.Serve(f.ctx, listener) })
 }
@@ -130,7 +101,7 @@
 	s, err := node.New(node.Config{
 		Name: "b1", Role: model.RoleBalancer, Controllers: f.addresses, TLS: f.files(model.RoleBalancer, "b1"),
 	}, h, telemetry.Discard())
-	check(f.t, err)
+	testkit.Check(f.t, err)
 	f.wg.Go(func() {
 		if err := s.Run(f.ctx); err != nil {
 			f.t.Errorf("session failed: %v", err)
@@ -139,15 +110,6 @@
 	return s
 }
 
-func eventually(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	for deadline := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("%s: not reached", what)
-		}
-	}
-}
-
 func view(generation model.Generation) *model.View {
 	v := model.NewView()
 	v.Generation, v.Revision = generation, 1
@@ -184,7 +146,7 @@
 	}
 	h := &handler{}
 	s := f.session(h)
-	eventually(t, "generation 6", func() bool { return s.Generation() == 6 })
+	testkit.Eventually(t, "generation 6", func() bool { return s.Generation() == 6 })
 	if got := h.generations(); len(got) != 2 || got[0] != 5 || got[1] != 6 {
 		t.Fatalf("generations %v came in force, want 5 and 6", got)
 	}
@@ -219,7 +181,7 @@
 	})
 	h := &handler{}
 	s := f.session(h)
-	eventually(t, "generation 2", func() bool { return s.Generation() == 2 })
+	testkit.Eventually(t, "generation 2", func() bool { return s.Generation() == 2 })
 	mu.Lock()
 	defer mu.Unlock()
 	if got := h.generations(); snapshots != 1 || len(got) != 2 {
@@ -245,16 +207,16 @@
 	h := &handler{}
 	s := f.session(h)
 	<-held
-	h.mu.Lock()
-	h.announcement.Targets = []model.TargetAnnouncement{{Service: "s", Draining: true}}
-	h.mu.Unlock()
+	h.Lock()
+	h.Announced.Targets = []model.TargetAnnouncement{{Service: "s", Draining: true}}
+	h.Unlock()
 	s.Notify()
 	select {
 	case a := <-f.announced:
 		if a.Node != "b1" || a.Role != model.RoleBalancer || a.Incarnation == 0 || !a.Targets[0].Draining {
 			t.Fatalf("announcement %+v, want the changed one of b1", a)
 		}
-	case <-time.After(patience):
+	case <-time.After(testkit.Patience):
 		t.Fatal("the change was not announced")
 	}
 }
@@ -275,10 +237,10 @@
 		return nil
 	})
 	s := f.session(&handler{})
-	eventually(t, "the age that the controller reports", func() bool { return s.ControlAge() >= time.Hour })
+	testkit.Eventually(t, "the age that the controller reports", func() bool { return s.ControlAge() >= time.Hour })
 	mu.Lock()
 	current = false
 	mu.Unlock()
 	before := s.ControlAge()
-	eventually(t, "a growing age", func() bool { return s.ControlAge() >= before+500*time.Millisecond })
+	testkit.Eventually(t, "a growing age", func() bool { return s.ControlAge() >= before+500*time.Millisecond })
 }
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -19,12 +19,10 @@
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 	_ "github.com/greengagelock/greengagelock/internal/testseed"
 )
 
-// patience is far above the time that anything here takes.
-const patience = time.Minute
-
 // Echo is the service of the test server.
 type Echo struct {
 	peer    *rpc.Peer
@@ -78,10 +76,7 @@
 
 func serve(t *testing.T, change func(*rpc.ServerConfig)) *fixture {
 	t.Helper()
-	f := &fixture{t: t, release: make(chan struct{})}
-	var err error
-	f.certs, err = devcerts.New(t.TempDir())
-	check(t, err)
+	f := &fixture{t: t, certs: testkit.Authority(t), release: make(chan struct{})}
 	cfg := rpc.ServerConfig{
 		Credentials: f.load(f.issue(model.RoleController, "c1")),
 		Services: func(p *rpc.Peer) (map[string]any, error) {
@@ -96,45 +91,34 @@
 		change(&cfg)
 	}
 	server, err := rpc.NewServer(cfg, telemetry.Discard())
-	check(t, err)
+	testkit.Check(t, err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(t, err)
+	testkit.Check(t, err)
 	f.address = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(ctx, listener) }()
 	t.Cleanup(func() {
 		cancel()
-		check(t, <-done)
+		testkit.Check(t, <-done)
 		goleak.VerifyNone(t)
 	})
 	return f
 }
 
-func check(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func (f *fixture) issue(role model.Role, name string) rpc.Files {
 	f.t.Helper()
-	files, err := f.certs.Issue(role, name)
-	check(f.t, err)
-	return files
+	return testkit.Issue(f.t, f.certs, role, name)
 }
 
 func (f *fixture) load(files rpc.Files) *rpc.Credentials {
 	f.t.Helper()
-	c, err := rpc.LoadCredentials(files)
-	check(f.t, err)
-	return c
+	return testkit.Load(f.t, files)
 }
 
 func (f *fixture) client(files rpc.Files, change func(*rpc.ClientConfig)) *rpc.Client {
 	f.t.Helper()
-	cfg := rpc.ClientConfig{Address: f.address, Role: model.RoleController, Credentials: f.load(files), CallTimeout: patience}
+	cfg := rpc.ClientConfig{Address: f.address, Role: model.RoleController, Credentials: f.load(files), CallTimeout: testkit.Patience}
 	if change != nil {
 		change(&cfg)
 	}
@@ -170,13 +154,13 @@
 	f := serve(t, nil)
 	uri := func(text string) *url.URL {
 		u, err := url.Parse(text)
-		check(t, err)
+		testkit.Check(t, err)
 		return u
 	}
 	strangers, err := devcerts.New(t.TempDir())
-	check(t, err)
+	testkit.Check(t, err)
 	stranger, err := strangers.Issue(model.RoleAgent, "vm-1")
-	check(t, err)
+	testkit.Check(t, err)
 	stranger.CA = f.issue(model.RoleAgent, "vm-1").CA
 	cases := map[string]rpc.Files{"another authority": stranger, "wrong role for the service": f.issue(model.RoleBalancer, "b1")}
 	for name, uris := range map[string][]*url.URL{
@@ -187,7 +171,7 @@
 		"two identities": {uri("greengagelock://agent/a"), uri("greengagelock://controller/b")},
 	} {
 		cases[name], err = f.certs.IssueURI(strings.ReplaceAll(name, " ", "-"), uris...)
-		check(t, err)
+		testkit.Check(t, err)
 	}
 	for name, files := range cases {
 		asked := f.served.Load()
@@ -199,7 +183,7 @@
 		}
 	}
 	conn, err := tls.Dial("tcp", f.address, &tls.Config{InsecureSkipVerify: true})
-	check(t, err)
+	testkit.Check(t, err)
 	defer func() { _ = conn.Close() }()
 	if _, err := conn.Read(make([]byte, 1)); err == nil {
 		t.Error("a peer without a certificate was not refused")
@@ -243,13 +227,13 @@
 		c.HandshakeTimeout, c.IdleTimeout, c.IOTimeout = 50*time.Millisecond, 50*time.Millisecond, 50*time.Millisecond
 	})
 	raw, err := net.Dial("tcp", f.address)
-	check(t, err)
+	testkit.Check(t, err)
 	defer func() { _ = raw.Close() }()
 	conn, err := tls.Dial("tcp", f.address, f.load(f.issue(model.RoleAgent, "vm-1")).ClientTLS(model.RoleController, "c1"))
-	check(t, err)
+	testkit.Check(t, err)
 	defer func() { _ = conn.Close() }()
 	for name, c := range map[string]net.Conn{"handshake": raw, "request": conn} {
-		check(t, c.SetReadDeadline(time.Now().Add(patience)))
+		testkit.Check(t, c.SetReadDeadline(time.Now().Add(testkit.Patience)))
 		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("%s: got %v, want a closed connection", name, err)
 		}
@@ -280,14 +264,14 @@
 			}()
 		}
 	}
-	for deadline := time.Now().Add(patience); f.running.Load() < 5; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(testkit.Patience); f.running.Load() < 5; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%d calls run, want 5", f.running.Load())
 		}
 	}
 	close(f.release)
 	for range clients * calls {
-		check(t, <-done)
+		testkit.Check(t, <-done)
 	}
 	if most := f.most.Load(); most != 5 {
 		t.Errorf("%d calls ran at the same time, want 5", most)
@@ -305,7 +289,7 @@
 	credentials := f.load(files)
 	before := credentials.ClientTLS(model.RoleController, "").Certificates[0].Leaf.SerialNumber
 	other, err := f.certs.IssueURI("other", rpc.Identity{Role: model.RoleAgent, Name: "vm-1"}.URI())
-	check(t, err)
+	testkit.Check(t, err)
 	move(t, other.Cert, files.Cert)
 	if now := credentials.ClientTLS(model.RoleController, "").Certificates[0].Leaf.SerialNumber; now.Cmp(before) != 0 {
 		t.Fatal("a certificate without its key was taken")
@@ -320,8 +304,8 @@
 // of the file system's clock.
 func move(t *testing.T, from, to string) {
 	t.Helper()
-	check(t, os.Chtimes(from, time.Time{}, time.Now().Add(time.Hour)))
-	check(t, os.Rename(from, to))
+	testkit.Check(t, os.Chtimes(from, time.Time{}, time.Now().Add(time.Hour)))
+	testkit.Check(t, os.Rename(from, to))
 }
 
 // Guards against a first call after a quiet time that fails, or whose outcome is unknown, because
