Name types and functions for what they do

Cause: some names in catalog, controller and membership needed an explanation, and two functions were long.

Change: storedResult, publishedStatus, heldSession, withTable, batchFrom and markLost replace stored, published, held, with, more and lose; a variable no longer hides the builtin print. markLost counts the targets that take flows with the same function as the rest of the policy, and sorts in a function of its own. The check of the membership property test counts in a function of its own; its bounds are the same.

Conclusion: no change of behaviour.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -41,8 +41,8 @@
 	return result.New(r.Code, "%s", r.Message)
 }
 
-// stored is a result as it is replicated.
-type stored struct {
+// storedResult is a result as it is replicated.
+type storedResult struct {
 	Result
 	Fingerprint uint64
 }
@@ -73,7 +73,7 @@
 	applied     uint64
 	history     history
 	index       *config.Index
-	results     map[string]stored
+	results     map[string]storedResult
 	order       []string // of results, oldest first
 	nextService model.ServiceID
 	nextTarget  model.TargetID
@@ -102,6 +102,7 @@
 	Reason       string
 }
 
+// dirty is what changed since the view was published last.
 type dirty struct {
 	services map[model.ServiceID]bool
 	targets  map[model.TargetID]bool
@@ -112,7 +113,7 @@
 // New returns an empty catalog.
 func New() *Catalog {
 	c := &Catalog{
-		results:    map[string]stored{},
+		results:    map[string]storedResult{},
 		services:   map[model.ServiceID]*service{},
 		targets:    map[model.TargetID]*target{},
 		quarantine: map[Key]Quarantined{},
--- a/internal/catalog/configure.go
+++ b/internal/catalog/configure.go
@@ -20,9 +20,9 @@
 	if cmd.Kind == KindApply && err != nil {
 		text = nil
 	}
-	print := cmd.fingerprint(text)
+	fingerprint := cmd.fingerprint(text)
 	if first, ok := c.results[cmd.ID]; ok {
-		if first.Fingerprint != print {
+		if first.Fingerprint != fingerprint {
 			return c.refuse(cmd, result.RevisionConflict, "the command ID was used for another command before")
 		}
 		return first.Result
@@ -31,7 +31,7 @@
 	if len(r.Message) > maxMessage {
 		r.Message = r.Message[:maxMessage]
 	}
-	c.keep(r, print)
+	c.keep(r, fingerprint)
 	return r
 }
 
@@ -43,7 +43,7 @@
 }
 
 func (c *Catalog) keep(r Result, fingerprint uint64) {
-	c.results[r.CommandID] = stored{Result: r, Fingerprint: fingerprint}
+	c.results[r.CommandID] = storedResult{Result: r, Fingerprint: fingerprint}
 	c.order = append(c.order, r.CommandID)
 	if len(c.order) > MaxResults {
 		delete(c.results, c.order[0])
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -16,7 +16,7 @@
 type image struct {
 	Applied     uint64
 	History     history
-	Results     []stored
+	Results     []storedResult
 	NextService model.ServiceID
 	NextTarget  model.TargetID
 	Services    []service
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -45,8 +45,8 @@
 	return l.table
 }
 
-// with runs f with the table of the leader, or returns an error if this controller does not lead.
-func (l *leader) with(f func(t *membership.Table, now time.Time)) error {
+// withTable runs f with the table of the leader, or returns an error if this controller does not lead.
+func (l *leader) withTable(f func(t *membership.Table, now time.Time)) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -59,7 +59,7 @@
 }
 
 func (l *leader) observe(reports []membership.Report) (missing []string, err error) {
-	err = l.with(func(t *membership.Table, now time.Time) { missing = t.Observe(now, reports) })
+	err = l.withTable(func(t *membership.Table, now time.Time) { missing = t.Observe(now, reports) })
 	return missing, err
 }
 
@@ -76,7 +76,7 @@
 		}
 		status := c.log.Status()
 		c.members.refresh()
-		if c.leader.with(func(*membership.Table, time.Time) {}) != nil {
+		if c.leader.withTable(func(*membership.Table, time.Time) {}) != nil {
 			continue
 		}
 		if ready != status.Term {
@@ -98,7 +98,7 @@
 	var quarantine []catalog.Quarantined
 	c.state.read(func(cat *catalog.Catalog) { targets, quarantine = cat.Targets(), cat.Quarantine() })
 	var batch catalog.Batch
-	err := c.leader.with(func(t *membership.Table, now time.Time) { batch = t.Decide(now, targets, quarantine) })
+	err := c.leader.withTable(func(t *membership.Table, now time.Time) { batch = t.Decide(now, targets, quarantine) })
 	if err != nil || batch.Empty() {
 		return
 	}
@@ -183,6 +183,6 @@
 // evidence returns what the leader knows of targets. It is empty if this controller does not lead.
 func (c *Controller) evidence(targets []catalog.TargetStatus) map[model.TargetID]model.Evidence {
 	var evidence map[model.TargetID]model.Evidence
-	_ = c.leader.with(func(t *membership.Table, _ time.Time) { evidence = t.Evidence(targets) })
+	_ = c.leader.withTable(func(t *membership.Table, _ time.Time) { evidence = t.Evidence(targets) })
 	return evidence
 }
--- a/internal/controller/operatorservice.go
+++ b/internal/controller/operatorservice.go
@@ -197,7 +197,7 @@
 		}
 		reply.Quarantined = len(cat.Quarantine())
 	})
-	_ = c.leader.with(func(t *membership.Table, now time.Time) {
+	_ = c.leader.withTable(func(t *membership.Table, now time.Time) {
 		reply.Settled = t.Settled(now)
 		reply.Lagging, reply.Nodes = t.Lagging(now, reply.Revision)
 		reply.InForce = reply.Nodes - len(reply.Lagging)
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -52,7 +52,7 @@
 
 	requests chan func()
 	messages chan consensus.Message
-	status   atomic.Pointer[published]
+	status   atomic.Pointer[publishedStatus]
 
 	// Owned by the goroutine of Run.
 	node          *consensus.Node
@@ -64,8 +64,8 @@
 	lastApplied   uint64
 }
 
-// published is the status as of a point in time.
-type published struct {
+// publishedStatus is the status as of a point in time.
+type publishedStatus struct {
 	consensus.Status
 	at      time.Duration
 	age     time.Duration
@@ -83,7 +83,7 @@
 		requests: make(chan func(), requestQueue), messages: make(chan consensus.Message, messageQueue),
 		reads: map[uint64]chan consensus.ReadState{},
 	}
-	r.status.Store(&published{})
+	r.status.Store(&publishedStatus{})
 	return r, nil
 }
 
@@ -110,7 +110,7 @@
 			return err
 		}
 		r.tel.Logger.Error().Str("controller", r.name).Err(err).Msg("storage of the replicated log failed, it is opened again")
-		r.status.Store(&published{})
+		r.status.Store(&publishedStatus{})
 		ctxtime.Sleep(ctx, reopenPause)
 	}
 }
@@ -273,5 +273,5 @@
 func (r *replica) publish() {
 	now := r.now()
 	age, contact := r.node.QuorumAge(now)
-	r.status.Store(&published{Status: r.node.Status(now), at: now, age: age, contact: contact})
+	r.status.Store(&publishedStatus{Status: r.node.Status(now), at: now, age: age, contact: contact})
 }
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -14,10 +14,11 @@
 	limit int
 
 	mu    sync.Mutex
-	nodes map[string]*held
+	nodes map[string]*heldSession
 }
 
-type held struct {
+// heldSession is the session of one node with this controller.
+type heldSession struct {
 	announcement model.Announcement
 	seen         time.Time
 	version      uint64 // of the announcement
@@ -26,7 +27,7 @@
 }
 
 func newSessions(limit int) *sessions {
-	return &sessions{limit: limit, nodes: map[string]*held{}}
+	return &sessions{limit: limit, nodes: map[string]*heldSession{}}
 }
 
 // touch takes in an announcement. It reports whether it differs from the last one, and false for
@@ -39,7 +40,7 @@
 		if len(s.nodes) >= s.limit {
 			return false, false
 		}
-		h = &held{}
+		h = &heldSession{}
 		s.nodes[a.Node] = h
 	}
 	changed = h.version == 0 || !sameOffer(&h.announcement, a)
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -115,7 +115,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-queue:
-			batch = more(queue, m)
+			batch = batchFrom(queue, m)
 		}
 		name, address := t.directory.find(to)
 		if address == "" {
@@ -143,8 +143,8 @@
 	})
 }
 
-// more returns a message with those that wait behind it, up to the bounds of one call.
-func more(queue chan consensus.Message, first consensus.Message) []consensus.Message {
+// batchFrom returns a message with those that wait behind it, up to the bounds of one call.
+func batchFrom(queue chan consensus.Message, first consensus.Message) []consensus.Message {
 	batch, size := []consensus.Message{first}, messageSize(&first)
 	for len(batch) < maxStepMessages && size < maxStepBytes {
 		select {
--- a/internal/membership/decide.go
+++ b/internal/membership/decide.go
@@ -30,8 +30,7 @@
 			b.Removals = append(b.Removals, present[i].Model.ID)
 		}
 	}
-	lost := t.lose(silent, present, b)
-	if lost {
+	if t.markLost(silent, present, b) {
 		t.removeLost(now, silent, b)
 	}
 	t.decideEjections(now, targets, present, b)
@@ -59,9 +58,9 @@
 	return target.DrainingSince != 0 && o.known && stopped && o.evidence.OpenFlows == 0
 }
 
-// lose marks silent targets as lost, those that are silent longest first. It reports whether all
+// markLost marks silent targets as lost, those that are silent longest first. It reports whether all
 // of them are marked then. Draining targets take no new flows, so they do not count.
-func (t *Table) lose(silent, present []catalog.TargetStatus, b *catalog.Batch) bool {
+func (t *Table) markLost(silent, present []catalog.TargetStatus, b *catalog.Batch) bool {
 	staying, marked := 0, 0
 	var candidates []catalog.TargetStatus
 	for _, target := range slices.Concat(silent, present) {
@@ -72,35 +71,28 @@
 	for _, target := range silent {
 		switch {
 		case target.DrainingSince != 0:
-			t.loseDraining(&target, b)
+			t.decideDraining(&target, b)
 		case target.Lost:
 			marked++
 		default:
 			candidates = append(candidates, target)
 		}
 	}
-	slices.SortFunc(candidates, func(x, y catalog.TargetStatus) int {
-		return cmp.Or(
-			t.offers[x.Registration.Key].seen.Compare(t.offers[y.Registration.Key].seen),
-			cmp.Compare(x.Model.ID, y.Model.ID))
-	})
+	t.sortBySilence(candidates)
 	left := admitting(present) + admitting(candidates)
 	for i := range candidates {
-		takes := 0
-		if !candidates[i].Ejected && !candidates[i].Joining {
-			takes = 1
-		}
-		if (marked+1)*100 > staying*MaxLostPercent || left-takes < 1 {
+		left -= admitting(candidates[i : i+1])
+		marked++
+		if marked*100 > staying*MaxLostPercent || left < 1 {
 			return false
 		}
-		marked++
-		left -= takes
 		b.Liveness = append(b.Liveness, catalog.LivenessChange{Target: candidates[i].Model.ID, Lost: true})
 	}
 	return true
 }
 
-func (t *Table) loseDraining(target *catalog.TargetStatus, b *catalog.Batch) {
+// decideDraining removes a silent target whose flows have ended, and marks it as lost otherwise.
+func (t *Table) decideDraining(target *catalog.TargetStatus, b *catalog.Batch) {
 	switch {
 	case t.drained(target):
 		b.Removals = append(b.Removals, target.Model.ID)
@@ -109,6 +101,16 @@
 	}
 }
 
+// sortBySilence puts the targets first that are silent longest.
+func (t *Table) sortBySilence(targets []catalog.TargetStatus) {
+	slices.SortFunc(targets, func(x, y catalog.TargetStatus) int {
+		return cmp.Or(
+			t.offers[x.Registration.Key].seen.Compare(t.offers[y.Registration.Key].seen),
+			cmp.Compare(x.Model.ID, y.Model.ID))
+	})
+}
+
+// admitting counts the targets that take new flows.
 func admitting(targets []catalog.TargetStatus) int {
 	count := 0
 	for i := range targets {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -97,7 +97,7 @@
 // check compares a batch with the bounds of the policy, from the states before it.
 func (w *world) check(t fataler, b *catalog.Batch) {
 	targets := map[model.TargetID]catalog.TargetStatus{}
-	members, lost, ejected, admitting := 0, 0, 0, 0
+	members := 0
 	for _, target := range w.cat.Targets() {
 		targets[target.Model.ID] = target
 		if target.DrainingSince == 0 {
@@ -123,20 +123,7 @@
 		}
 		targets[e.Target] = target
 	}
-	for _, target := range targets {
-		if target.DrainingSince != 0 {
-			continue
-		}
-		if target.Lost {
-			lost++
-		}
-		if target.Ejected {
-			ejected++
-		}
-		if !target.Lost && !target.Ejected {
-			admitting++
-		}
-	}
+	lost, ejected, admitting := countStates(targets)
 	if newlyLost > 0 && lost*2 > members {
 		t.Fatalf("%d of %d targets are lost after a batch", lost, members)
 	}
@@ -156,6 +143,25 @@
 	return w.now.Sub(since), silent
 }
 
+// countStates counts the targets that are not draining by what a batch may do to them.
+func countStates(targets map[model.TargetID]catalog.TargetStatus) (lost, ejected, admitting int) {
+	for _, target := range targets {
+		if target.DrainingSince != 0 {
+			continue
+		}
+		if target.Lost {
+			lost++
+		}
+		if target.Ejected {
+			ejected++
+		}
+		if !target.Lost && !target.Ejected {
+			admitting++
+		}
+	}
+	return lost, ejected, admitting
+}
+
 func (w *world) checkLost(t fataler, target *catalog.TargetStatus) {
 	quiet, silent := w.silence(target)
 	if !silent || quiet < membership.Lease || w.now.Sub(w.started) < membership.Lease {
