Trace a SYN from the balancer to the answer of the target

The agent derived the trace ID from the flow key alone and selected flows by the low bits of the hash, the balancer by the key and the ISN and by the high bits, so no trace contained both hops. The agent now uses internal/flow/trace.go as well.

Spans carry service, target, generation, hops and outcome; a refusal shows its result code. A SYN that waits in the queue gets a span agent.queue, and the answer of the target a span target.answer. Sampled SYNs are kept in a bounded map beside the flow table, so flow records do not grow.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -53,7 +53,7 @@
 
 	// Extend returns the chain extension for a view; nil: chains are not extended.
 	Extend func(v *model.View) flowtable.Extend
-	// SampleEvery is the sampling rate of traces: one in so many flows; zero: none.
+	// SampleEvery is the share of flows that are traced, see flow.Sampled; zero traces none.
 	SampleEvery uint64
 }
 
@@ -93,6 +93,7 @@
 	// The rest belongs to the goroutine that owns the flow table.
 	table  *flowtable.Table
 	out    output
+	spans  synTracer
 	view   *model.View
 	extend flowtable.Extend
 	report target.Report
@@ -128,6 +129,7 @@
 	}
 	a.table = flowtable.New(flowtable.Config{Extend: a.extendChain, Recovering: true})
 	a.out = newOutput(a)
+	a.spans = newSYNTracer(a)
 	a.publish()
 	return a, nil
 }
--- a/internal/agent/owner.go
+++ b/internal/agent/owner.go
@@ -6,6 +6,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/encap"
 	"github.com/greengagelock/greengagelock/internal/flow"
+	"github.com/greengagelock/greengagelock/internal/flowtable"
 	"github.com/greengagelock/greengagelock/internal/target"
 )
 
@@ -50,14 +51,21 @@
 	if age, ok := a.age(); ok {
 		a.table.SetControlAge(now, age)
 	}
-	a.out.run(a.table.Tick(now))
+	a.run(now, a.table.Tick(now))
 	a.out.flush()
 	if now-a.published >= publishInterval {
 		a.published = now
 		a.publish()
+		a.spans.expire(now)
 	}
 }
 
+// run does what the flow table has decided.
+func (a *Agent) run(now time.Duration, actions []flowtable.Action) {
+	a.spans.observe(now, actions)
+	a.out.run(actions)
+}
+
 // untilTick returns the time until the flow table has something to do.
 func (a *Agent) untilTick() time.Duration {
 	now := a.now()
@@ -87,11 +95,11 @@
 			a.metrics.drop(reason)
 			continue
 		}
-		if p.IsSYN() && a.sampled(p.Key) {
+		if a.spans.samples(&p) {
 			a.tracedSYN(now, &h, &p)
 			continue
 		}
-		a.out.run(a.table.FromFabric(now, &h, &p))
+		a.run(now, a.table.FromFabric(now, &h, &p))
 	}
 	a.out.flush()
 }
@@ -103,7 +111,7 @@
 		a.metrics.drop(reason)
 		return
 	}
-	a.out.run(a.table.Signal(now, &s))
+	a.run(now, a.table.Signal(now, &s))
 }
 
 // handleTarget handles a batch of packets that the target has sent.
@@ -116,7 +124,8 @@
 			a.metrics.drop(reason)
 			continue
 		}
-		a.out.run(a.table.FromTarget(now, &p))
+		a.spans.answered(now, &p)
+		a.run(now, a.table.FromTarget(now, &p))
 	}
 	a.out.flush()
 }
@@ -129,11 +138,11 @@
 	}
 	if r.Draining != a.report.Draining {
 		a.logger.Info().Str("agent", a.cfg.Name).Bool("draining", r.Draining).Msg("target announces drain")
-		a.out.run(a.table.SetLeaving(now, r.Draining))
+		a.run(now, a.table.SetLeaving(now, r.Draining))
 	}
 	if r.Restarted {
 		a.logger.Info().Str("agent", a.cfg.Name).Str("instance", r.Load.Instance).Msg("target restarted")
-		a.out.run(a.table.TargetRestarted(now))
+		a.run(now, a.table.TargetRestarted(now))
 	}
 	if r.HasLoad {
 		a.table.Report(r.Load.SlotsInUse, r.Load.Connections)
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -20,7 +20,7 @@
 // serving its flows until the context of Run is done.
 func (a *Agent) Stop(ctx context.Context) Result {
 	stopped := a.do(func() {
-		a.out.run(a.table.StopAdmitting(a.now()))
+		a.run(a.now(), a.table.StopAdmitting(a.now()))
 		a.out.flush()
 		a.publish()
 		a.logger.Info().Str("agent", a.cfg.Name).Int("requests", a.table.OpenRequests()).Msg("agent stops admitting")
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -33,7 +33,7 @@
 		a.extend = a.cfg.Extend(v)
 	}
 	a.local = a.endpoints(v)
-	a.out.run(a.table.SetEndpoints(a.now(), a.local))
+	a.run(a.now(), a.table.SetEndpoints(a.now(), a.local))
 	a.out.flush()
 	a.publish()
 	a.logger.Info().Str("agent", a.cfg.Name).Uint64("generation", uint64(v.Generation)).
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -150,14 +150,19 @@
 		return
 	}
 	key := flow.KeyOf(packet)
+	service := table.Lookup(key.Service)
 	ctx := trace.ContextWithRemoteSpanContext(context.Background(), flow.SpanContext(key, d.ISN))
 	_, span := b.telemetry.Tracer.Start(ctx, "balancer.forward", trace.WithSpanKind(trace.SpanKindProducer),
 		trace.WithAttributes(
 			attribute.String("node", b.cfg.Name),
 			attribute.String("flow", key.String()),
-			attribute.String("agent", d.To.String()),
+			attribute.Int64("service", int64(service.ID)),
+			attribute.Int64("generation", int64(service.Generation)),
 			attribute.Int("bucket", int(placement.BucketOf(d.Hash))),
-			attribute.Int64("generation", int64(table.Generation())),
+			attribute.Int("hops", 0),
+			attribute.String("agent", d.To.String()),
+			attribute.Bool("hinted", d.Hinted),
+			attribute.String("outcome", "forwarded"),
 		))
 	span.End()
 }
