Trace configuration changes from the operator to the nodes

A change had no spans. The trace ID is now derived from the command ID in model.TraceOf, and the operator's client, the controller that takes the edit, the leader and each node record a span. The command-line tool has its own trace exporter, none by default.

A node does not know the command ID. The digest does not contain it.

Ratio 0 now records nothing even if the parent of a span is sampled.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -225,7 +225,7 @@
 		}
 	}
 	if len(entry.targets)+len(entry.services)+len(c.dirty.nodes) > 0 || c.dirty.config {
-		next.Generation, next.Revision = generation, c.history.revision()
+		next.Generation, next.Revision, next.Trace = generation, c.history.revision(), c.history.trace()
 		c.view, c.digest = next, next.Digest()
 		c.record(entry)
 	}
--- a/internal/catalog/history.go
+++ b/internal/catalog/history.go
@@ -45,6 +45,19 @@
 	return h.Records[len(h.Records)-1].Info.Revision
 }
 
+// trace returns the trace ID of the change that led to the last revision.
+func (h *history) trace() model.TraceID {
+	if len(h.Records) == 0 {
+		return ""
+	}
+	return model.TraceOf(h.Records[len(h.Records)-1].Info.CommandID)
+}
+
+// changedAfter reports whether the last revision is later than a generation.
+func (h *history) changedAfter(g model.Generation) bool {
+	return len(h.Records) > 0 && h.Records[len(h.Records)-1].Info.Generation > g
+}
+
 func (h *history) add(info RevisionInfo, text []byte) {
 	if n := len(h.Records); n > 0 {
 		last := &h.Records[n-1]
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -61,7 +61,7 @@
 	next := New()
 	next.applied, next.history = img.Applied, img.History
 	next.nextService, next.nextTarget = img.NextService, img.NextTarget
-	next.view.Generation, next.view.Revision = img.Generation, img.Revision
+	next.view.Generation, next.view.Revision, next.view.Trace = img.Generation, img.Revision, img.History.trace()
 	for _, r := range img.Results {
 		next.results[r.CommandID] = r
 		next.order = append(next.order, r.CommandID)
--- a/internal/catalog/update.go
+++ b/internal/catalog/update.go
@@ -67,7 +67,7 @@
 		return c.view
 	}
 	v := model.NewView()
-	v.Generation, v.Revision = c.view.Generation, c.view.Revision
+	v.Generation, v.Revision, v.Trace = c.view.Generation, c.view.Revision, c.view.Trace
 	for id := range c.servicesOf(node) {
 		if s, ok := c.view.Services[id]; ok {
 			v.Services[id] = s
@@ -97,6 +97,9 @@
 func (c *Catalog) delta(role model.Role, node string, from model.Generation) *model.Delta {
 	services, targets := c.changedSince(from)
 	d := &model.Delta{From: from, To: c.view.Generation, Revision: c.view.Revision}
+	if c.history.changedAfter(from) {
+		d.Trace = c.view.Trace
+	}
 	d.Digest = c.digestFor(role, node)
 	var scope map[model.ServiceID]bool
 	if role == model.RoleAgent {
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/goleak"
 
 	"github.com/greengagelock/greengagelock/internal/devcerts"
@@ -38,7 +39,9 @@
 	stop  context.CancelFunc
 	// wrap changes the listeners of controllers, for measurements.
 	wrap func(net.Listener) net.Listener
-	ctx  context.Context
+	// tracer receives the spans of all components; nil records none.
+	tracer trace.Tracer
+	ctx    context.Context
 }
 
 func newHarness(t testing.TB) *harness {
@@ -61,6 +64,14 @@
 	}
 }
 
+func (h *harness) telemetry() telemetry.Handle {
+	handle := telemetry.Discard()
+	if h.tracer != nil {
+		handle.Tracer = h.tracer
+	}
+	return handle
+}
+
 func (h *harness) files(role model.Role, name string) rpc.Files {
 	h.t.Helper()
 	files, err := h.certs.Issue(role, name)
@@ -97,7 +108,7 @@
 func (h *harness) operator(controllers ...string) *operator.Client {
 	h.t.Helper()
 	client, err := operator.NewClient(operator.Config{
-		Controllers: controllers, TLS: h.files(model.RoleOperator, "ana"), Timeout: patience,
+		Controllers: controllers, TLS: h.files(model.RoleOperator, "ana"), Timeout: patience, Tracer: h.telemetry().Tracer,
 	})
 	check(h.t, err)
 	h.t.Cleanup(client.Close)
@@ -143,7 +154,7 @@
 	made, err := New(Config{
 		Name: name, Members: members, Listen: c.members[name], Listener: listener, DataDir: c.folders[name],
 		TLS: c.h.files(model.RoleController, name), Dial: c.gate(name).dial, FS: c.disk(name),
-	}, telemetry.Discard())
+	}, c.h.telemetry())
 	check(c.h.t, err)
 	c.running[name] = made
 	c.stops[name] = c.h.run(made.Run)
@@ -198,7 +209,7 @@
 	h.t.Helper()
 	session, err := node.New(node.Config{
 		Name: name, Role: role, Controllers: controllers, TLS: h.files(role, name),
-	}, s, telemetry.Discard())
+	}, s, h.telemetry())
 	check(h.t, err)
 	return session, h.run(session.Run)
 }
--- a/internal/controller/operatorservice.go
+++ b/internal/controller/operatorservice.go
@@ -43,9 +43,15 @@
 
 // Edit runs an edit.
 func (o *Operator) Edit(edit *operator.Edit, reply *operator.EditReply) error {
-	return atLeader(o, &edit.Origin, "Edit", edit, reply, func(ctx context.Context) error {
-		return o.c.edit(ctx, edit, reply)
-	})
+	o.identify(&edit.Origin)
+	commit := func(ctx context.Context) error {
+		return o.c.traceEdit("controller.commit", edit, reply, func() error { return o.c.edit(ctx, edit, reply) })
+	}
+	take := func() error { return atLeader(o, &edit.Origin, "Edit", edit, reply, commit) }
+	if edit.Forwarded {
+		return take()
+	}
+	return o.c.traceEdit("controller.receive", edit, reply, take)
 }
 
 // plan fills in what an edit would do in the current state.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -13,6 +13,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
 )
 
 // Exit statuses, the same as in docs/errors.md.
@@ -34,6 +35,8 @@
 	thousandsStorage = 4
 )
 
+const programName = "greengagelockctl"
+
 // DefaultSettings is the client settings file that is read when --settings is not given.
 const DefaultSettings = "/etc/greengagelock/ctl.jsonc"
 
@@ -45,6 +48,7 @@
 	file    string
 	timeout time.Duration
 	client  *operator.Client
+	traces  *telemetry.Telemetry
 }
 
 // usageError is a mistake in the command line itself.
@@ -61,6 +65,7 @@
 	if a.client != nil {
 		a.client.Close()
 	}
+	a.exportSpans()
 	if err == nil {
 		return exitOK
 	}
@@ -68,6 +73,18 @@
 	return exitStatus(err)
 }
 
+// exportSpans exports the spans of the command. A failure does not change the outcome of the command.
+func (a *app) exportSpans() {
+	if a.traces == nil {
+		return
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := a.traces.Run(ended); err != nil {
+		fmt.Fprintln(a.errOut, "warning: spans not exported:", err)
+	}
+}
+
 // report prints an error and what to do next.
 func (a *app) report(err error) {
 	fmt.Fprintln(a.errOut, "error:", err)
@@ -144,7 +161,17 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg := operator.Config{Controllers: s.Controllers, TLS: s.files(), Timeout: a.timeout}
+	// Standard output holds the result of the command, so spans go to the standard error.
+	a.traces, err = telemetry.New(telemetry.Config{
+		Node: programName, Service: programName, Logs: a.errOut, Spans: a.errOut,
+		Trace: telemetry.TraceConfig{Exporter: s.Trace.Exporter, Endpoint: s.Trace.Endpoint, SampleRatio: 1},
+	})
+	if err != nil {
+		return nil, err
+	}
+	cfg := operator.Config{
+		Controllers: s.Controllers, TLS: s.files(), Timeout: a.timeout, Tracer: a.traces.Handle("operator").Tracer,
+	}
 	a.client, err = operator.NewClient(cfg)
 	return a.client, err
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"maps"
 	"net"
@@ -104,6 +105,22 @@
 `
 
 var _ = Describe("greengagelockctl", func() {
+	// Guards against a tool whose trace exporter is not applied or spoils its output.
+	It("writes the span of an edit to the standard error once an exporter is chosen", func(ctx SpecContext) {
+		l := start(ctx)
+		file := l.write("configuration.jsonc", document)
+		text, err := os.ReadFile(filepath.Join(l.dir, "ctl.jsonc"))
+		Expect(err).NotTo(HaveOccurred())
+		l.write("ctl.jsonc", strings.Replace(string(text), "{", `{"trace": {"exporter": "stdout"},`, 1))
+		Expect(l.run(ctx, "config", "apply", "--base", "0", "--id", "first", "--output", "json", file)).To(Equal(0))
+		Expect(l.err).To(ContainSubstring(`"Name":"operator.command"`))
+		Expect(l.err).To(ContainSubstring(hex.EncodeToString([]byte(model.TraceOf("first")))))
+		Expect(json.Valid([]byte(l.out))).To(BeTrue())
+		l.write("ctl.jsonc", strings.Replace(string(text), "{", `{"trace": {"exporter": "zipkin"},`, 1))
+		Expect(l.run(ctx, "status")).To(Equal(10))
+		Expect(l.err).To(ContainSubstring("trace.exporter"))
+	})
+
 	// Guards against a mistaken edit that passes silently, and against scripts that take a refusal for a success.
 	It("reports every outcome of an edit with its own exit status", func(ctx SpecContext) {
 		l := start(ctx)
--- a/internal/ctl/settings.go
+++ b/internal/ctl/settings.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"net/url"
 	"os"
 	"path/filepath"
 
@@ -10,12 +11,21 @@
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 	"github.com/greengagelock/greengagelock/internal/settings"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
 )
 
 // clientSettings are the settings of greengagelockctl itself.
 type clientSettings struct {
-	Controllers []string     `json:"controllers"` // addresses, such as "10.0.0.1:7300"
-	TLS         settings.TLS `json:"tls"`
+	Controllers []string      `json:"controllers"` // addresses, such as "10.0.0.1:7300"
+	TLS         settings.TLS  `json:"tls"`
+	Trace       traceSettings `json:"trace"`
+}
+
+// traceSettings say where the spans of commands go. Every edit is recorded once there is an
+// exporter.
+type traceSettings struct {
+	Exporter string `json:"exporter"` // none by default
+	Endpoint string `json:"endpoint"` // base URL of the collector, for otlp
 }
 
 func loadSettings(path string) (*clientSettings, error) {
@@ -28,6 +38,7 @@
 	if len(s.Controllers) == 0 {
 		doc.Report("controllers", "the addresses of the controllers")
 	}
+	checkTrace(doc, s.Trace)
 	dir := filepath.Dir(path)
 	for key, file := range map[string]*string{"tls.cert": &s.TLS.Cert, "tls.key": &s.TLS.Key, "tls.ca": &s.TLS.CA} {
 		if *file != "" && !filepath.IsAbs(*file) {
@@ -43,6 +54,18 @@
 	return s, nil
 }
 
+func checkTrace(doc *jsonc.Document, t traceSettings) {
+	switch t.Exporter {
+	case "", telemetry.ExporterNone, telemetry.ExporterStdout:
+	case telemetry.ExporterOTLP:
+		if u, err := url.Parse(t.Endpoint); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			doc.Report("trace.endpoint", `an HTTP URL, such as "http://10.0.0.9:4318"`)
+		}
+	default:
+		doc.Report("trace.exporter", "none, stdout or otlp")
+	}
+}
+
 func (s *clientSettings) files() rpc.Files {
 	return rpc.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA}
 }
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -132,6 +132,7 @@
 type View struct {
 	Generation Generation
 	Revision   Revision // the configuration that this generation contains
+	Trace      TraceID  // of the change that led to Revision; not part of the digest
 	Services   map[ServiceID]Service
 	Targets    map[TargetID]Target
 }
@@ -140,6 +141,7 @@
 type Delta struct {
 	From, To        Generation
 	Revision        Revision
+	Trace           TraceID // set if the delta brings a new revision
 	Services        []Service
 	Targets         []Target
 	RemovedServices []ServiceID
--- a/internal/model/view.go
+++ b/internal/model/view.go
@@ -20,6 +20,7 @@
 	return &View{
 		Generation: v.Generation,
 		Revision:   v.Revision,
+		Trace:      v.Trace,
 		Services:   maps.Clone(v.Services),
 		Targets:    maps.Clone(v.Targets),
 	}
@@ -45,6 +46,9 @@
 	}
 	v.Generation = d.To
 	v.Revision = d.Revision
+	if d.Trace != "" {
+		v.Trace = d.Trace
+	}
 	return true
 }
 
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/fx"
 
 	"github.com/greengagelock/greengagelock/internal/model"
@@ -240,7 +241,7 @@
 		return err
 	}
 	if view != nil {
-		s.handler.ApplyView(view)
+		s.applyTraced(view, reply.View != nil)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -253,6 +254,21 @@
 	return nil
 }
 
+// applyTraced hands a view to the handler, within a span if it brings a new revision.
+func (s *Session) applyTraced(view *model.View, whole bool) {
+	if view.Revision > s.Revision() {
+		span := telemetry.StartChange(s.tel.Tracer, view.Trace, "node.apply",
+			attribute.String("node", s.cfg.Name),
+			attribute.String("role", string(s.cfg.Role)),
+			attribute.Int64("revision", int64(view.Revision)),
+			attribute.Int64("generation", int64(view.Generation)),
+			attribute.Bool("whole_view", whole),
+		)
+		defer span.End()
+	}
+	s.handler.ApplyView(view)
+}
+
 // next returns the view that a reply leads to, or nil if it changes nothing.
 func (s *Session) next(reply *PollReply) (*model.View, uint64, error) {
 	switch {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/greengagelock/greengagelock/internal/catalog"
 	"github.com/greengagelock/greengagelock/internal/config"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
 )
 
 const (
@@ -28,6 +31,7 @@
 	Controllers []string // addresses
 	TLS         rpc.Files
 	Timeout     time.Duration // of one operation with all its retries; DefaultTimeout if zero
+	Tracer      trace.Tracer  // for the spans of edits; nil records none
 }
 
 // Client calls the operator API at whichever controller answers.
@@ -45,6 +49,9 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = DefaultTimeout
 	}
+	if cfg.Tracer == nil {
+		cfg.Tracer = telemetry.Discard().Tracer
+	}
 	credentials, err := rpc.LoadCredentials(cfg.TLS)
 	if err != nil {
 		return nil, err
@@ -146,7 +153,15 @@
 	if edit.CommandID == "" {
 		edit.CommandID = NewCommandID()
 	}
-	return call[EditReply](ctx, c, "Edit", edit)
+	span := telemetry.StartChange(c.cfg.Tracer, model.TraceOf(edit.CommandID), "operator.command",
+		attribute.String("command", edit.CommandID), attribute.String("kind", edit.Kind.String()))
+	reply, err := call[EditReply](ctx, c, "Edit", edit)
+	code := result.CodeOf(err)
+	if err == nil {
+		code = reply.Result.Code
+	}
+	telemetry.EndChange(span, uint16(code), err)
+	return reply, err
 }
 
 // Apply puts a document in force.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -20,6 +20,8 @@
 const (
 	// instrumentation names the source of the spans.
 	instrumentation = "github.com/greengagelock/greengagelock"
+	// DefaultService is the service name in the spans of the daemon.
+	DefaultService = "greengagelockd"
 	// requestTimeout bounds reading and answering a request for metrics or health.
 	requestTimeout = 10 * time.Second
 	// flushTimeout bounds the export of the last spans when the process stops.
@@ -29,6 +31,8 @@
 // Config configures the telemetry of a process.
 type Config struct {
 	Node string // name of the process
+	// Service is the service name of the spans; DefaultService if empty.
+	Service string
 	// Listen is the TCP address of the HTTP endpoints. Without it there are none.
 	Listen   netip.AddrPort
 	LogLevel string
@@ -50,6 +54,9 @@
 
 // New opens the HTTP listener and the trace exporter.
 func New(cfg Config) (*Telemetry, error) {
+	if cfg.Service == "" {
+		cfg.Service = DefaultService
+	}
 	if cfg.Logs == nil {
 		cfg.Logs = os.Stderr
 	}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
 	"github.com/greengagelock/greengagelock/internal/testseed"
 )
@@ -82,6 +83,7 @@
 			_, span := t.Handle("agent").Tracer.Start(context.Background(), "admit")
 			Expect(span.SpanContext().IsSampled()).To(BeFalse())
 			span.End()
+			telemetry.StartChange(t.Handle("agent").Tracer, model.TraceOf("edit"), "node.apply").End()
 			Expect(stop()).To(Succeed())
 			Expect(spans.Len()).To(BeZero())
 		},
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -26,21 +26,22 @@
 	SampleRatio float64
 }
 
-// newTracers returns a provider that records nothing without an exporter. Spans wait in a bounded
+// newTracers returns a provider that records nothing without an exporter or at ratio 0, not even spans
+// whose parent is sampled. Spans wait in a bounded
 // queue and are dropped when it is full, so that a slow collector never delays packets.
 func newTracers(cfg Config) (*sdktrace.TracerProvider, error) {
 	exporter, err := newExporter(cfg)
 	if err != nil {
 		return nil, err
 	}
-	if exporter == nil {
+	if exporter == nil || cfg.Trace.SampleRatio <= 0 {
 		return sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample())), nil
 	}
 	return sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter),
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(cfg.Trace.SampleRatio))),
 		sdktrace.WithResource(resource.NewSchemaless(
-			attribute.String("service.name", "greengagelockd"),
+			attribute.String("service.name", cfg.Service),
 			attribute.String("service.instance.id", cfg.Node),
 		)),
 	), nil
