--- a/internal/agent/expire_test.go
+++ b/internal/agent/expire_test.go
@@ -12,7 +12,8 @@
 	"github.com/greengagelock/greengagelock/internal/flowtable"
 )
 
-// Guards against a silent target that leaves no span, and against traced SYNs that are kept for ever.
+// Guards against a silent target that leaves no span, and against traced SYNs that are kept for ever or
+// get the outcome of a later connection with the same ports.
 func TestAnswerTimesOut(t *testing.T) {
 	recorder := tracetest.NewSpanRecorder()
 	s := synTracer{
@@ -33,6 +34,8 @@
 	if took := spans[0].EndTime().Sub(spans[0].StartTime()); took != flowtable.HalfOpenTimeout {
 		t.Fatalf("span takes %v, want %v", took, flowtable.HalfOpenTimeout)
 	}
+	s.keep(&p, &tracedSYN{isn: p.TCP.Seq + 1}, outcomeQueued)
+	s.forget(&p)
 	if len(s.waiting) != 0 {
 		t.Fatal("the SYN is still kept")
 	}
--- a/internal/agent/trace.go
+++ b/internal/agent/trace.go
@@ -82,6 +82,7 @@
 	}
 	final := h.Final
 	actions := a.table.FromFabric(now, h, p)
+	s.forget(p)
 	s.observe(now, actions)
 	outcome := synOutcome(p.Key, actions)
 	s.span("agent.syn", p.Key, p.TCP.Seq, now, a.now(),
@@ -90,6 +91,13 @@
 	a.out.run(actions)
 }
 
+// forget drops a queued SYN of an earlier connection with the same ports, which the flow table abandons.
+func (s *synTracer) forget(p *flow.Packet) {
+	if syn, ok := s.waiting[p.Key]; ok && !syn.delivered && syn.isn != p.TCP.Seq {
+		delete(s.waiting, p.Key)
+	}
+}
+
 // keep remembers a SYN that waits in the queue or for an answer of the target.
 func (s *synTracer) keep(p *flow.Packet, syn *tracedSYN, outcome string) {
 	if len(s.waiting) >= maxTracedSYNs {
