Add a memory limit to the settings

Cause: a balancer at the target size needs 36 to 40 MB, most of it replaced views that wait for the garbage collector; the limit is 32 MB. Conclusion: not measured with the daemon itself yet.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,9 @@
 // Run starts all parts, waits until ctx is done or a part fails, and stops them in order within
 // the shutdown timeout.
 func (p *Process) Run(ctx context.Context) (Outcome, error) {
+	if limit := p.settings.MemoryLimit; limit > 0 {
+		debug.SetMemoryLimit(int64(limit))
+	}
 	starting, cancel := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 	defer cancel()
 	if err := p.app.Start(starting); err != nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -20,6 +20,10 @@
 // majority than the next smaller one.
 var memberCounts = []int{3, 5, 7}
 
+// minMemoryLimit leaves room for the views and chains of the largest fleet. Below it the garbage
+// collector would run all the time.
+const minMemoryLimit = 16 << 20
+
 // checker checks what the types of the settings cannot express.
 type checker struct {
 	*jsonc.Document
@@ -47,6 +51,9 @@
 	c.controllers()
 	c.files()
 	c.telemetry()
+	if c.valid("memory_limit") && c.s.MemoryLimit < minMemoryLimit {
+		c.Report("memory_limit", "at least 16MiB")
+	}
 	if c.valid("shutdown_timeout") && c.s.ShutdownTimeout == 0 {
 		c.Report("shutdown_timeout", "a duration above 0")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,9 @@
 	FleetKeyFile    string         `json:"fleet_key_file"`
 	Telemetry       Telemetry      `json:"telemetry"`
 	ShutdownTimeout jsonc.Duration `json:"shutdown_timeout"`
+	// MemoryLimit is the soft limit of the Go runtime; zero for none. Without it the views that a
+	// balancer has replaced wait long for the garbage collector.
+	MemoryLimit jsonc.Bytes `json:"memory_limit"`
 
 	// FleetKey is the content of FleetKeyFile.
 	FleetKey encap.Key `json:"-"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -102,7 +102,7 @@
 		},
 		Entry("unknown key", `"vm": "exec-1",`, `"vm": "exec-1", "pool": 1,`,
 			`3:18: pool: found "pool", expected one of the keys agent, balancer, controller, controllers, fleet_key_file, `+
-				`name, roles, shutdown_timeout, telemetry, tls, vm, zone`),
+				`memory_limit, name, roles, shutdown_timeout, telemetry, tls, vm, zone`),
 		Entry("missing name", `"name": "exec-1",`+"\n", "\n", `1:1: name: expected a name`,
 			`21:14: controller.members: found [{"name": "exec-1", "address": "10.0.0.1:7500"}, {"name": "b", "address": "10.0...., `+
 				`expected a member with the name of this process, ""`),
@@ -119,6 +119,8 @@
 			`27:22: shutdown_timeout: found 10, expected a duration with its unit, such as "500ms", "30s" or "5m"`),
 		Entry("unit unknown", `"10s"`, `"10sec"`,
 			`27:22: shutdown_timeout: found "10sec", expected a duration with its unit, such as "500ms", "30s" or "5m"`),
+		Entry("memory limit too small", `"shutdown_timeout": "10s"`, `"shutdown_timeout": "10s", "memory_limit": "1MiB"`,
+			`27:45: memory_limit: found "1MiB", expected at least 16MiB`),
 		Entry("zero timeout", `"10s"`, `"0s"`, `27:22: shutdown_timeout: found "0s", expected a duration above 0`),
 		Entry("duplicate address", `"data": "10.0.0.1:7402"`, `"data": "10.0.0.1:7400"`,
 			`11:11: agent.data: found "10.0.0.1:7400", expected another address than balancer.ingress.listen`),
