--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -32,6 +32,7 @@
 	}
 	collectors := []prometheus.Collector{
 		m.Polls, m.Announcements, m.Deltas, m.Snapshots, m.Stale, m.Proposals, m.ReportErrors, m.Dropped, m.Edits,
+		newImbalanceCollector(c),
 		gauge("sessions", "Nodes that polled this controller lately.", func() float64 { return float64(c.sessions.count()) }),
 		gauge("quorum_age_seconds", "Time since the last contact to a quorum.", func() float64 { return c.log.Status().QuorumAge.Seconds() }),
 		gauge("generation", "Generation of the replicated state.", func() float64 {
