Check the bounds of the policy with joining targets as not admitting

Cause: the property counted joining targets as admitting, so 'never the last admitting target' was weaker than the code for new targets. Change: joining targets do not count. Conclusion: the check is stricter; no other check changed.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -155,7 +155,7 @@
 		if target.Ejected {
 			ejected++
 		}
-		if !target.Lost && !target.Ejected {
+		if !target.Lost && !target.Ejected && !target.Joining {
 			admitting++
 		}
 	}
