Take the last poll of a node as the start of its silence in the membership property

Cause: with 3,000 checks TestPolicyKeepsItsBounds failed after 1,025: a node went back and silent again without a poll in between, and the test took that moment for its last poll. The trace shows that the node had not polled for a minute, so marking it as lost was right. Change: the test records the last poll of every node. Every bound stays as it is. Conclusion: the fault was in the test's bookkeeping, not in the policy.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -27,13 +27,14 @@
 	started  time.Time // of the leader
 	vms      int
 	silent   map[string]time.Time // nodes that do not poll, with the time of the last poll
+	polled   map[string]time.Time // last poll of every node
 	evidence map[string]model.Evidence
 	lostAt   map[model.TargetID]time.Time
 }
 
 func newWorld(t fataler, vms int) *world {
 	w := &world{
-		now: time.Unix(0, 0), cat: catalog.New(), vms: vms, silent: map[string]time.Time{},
+		now: time.Unix(0, 0), cat: catalog.New(), vms: vms, silent: map[string]time.Time{}, polled: map[string]time.Time{},
 		evidence: map[string]model.Evidence{}, lostAt: map[model.TargetID]time.Time{},
 	}
 	w.started = w.now
@@ -73,6 +74,7 @@
 		if _, silent := w.silent[name]; silent {
 			continue
 		}
+		w.polled[name] = w.now
 		a := model.Announcement{
 			Node: name, Role: model.RoleAgent, VM: model.VM(name), Applied: w.cat.View().Generation, Revision: w.cat.Revision(),
 			Targets: []model.TargetAnnouncement{{
@@ -196,7 +198,8 @@
 			"long": func(t *rapid.T) { w.tick(t, time.Duration(rapid.IntRange(0, 11).Draw(t, "minutes"))*time.Minute) },
 			"silent": func(t *rapid.T) {
 				if name := anyNode(t); w.silent[name].IsZero() {
-					w.silent[name] = w.now
+					// A node that was silent until now has not polled in between.
+					w.silent[name] = w.polled[name]
 				}
 			},
 			"back": func(t *rapid.T) { delete(w.silent, anyNode(t)) },
