--- a/cmd/greengagelockd/main.go
+++ b/cmd/greengagelockd/main.go
@@ -49,6 +49,7 @@
 	if err := command.MarkFlagRequired("settings"); err != nil {
 		return daemon.OutcomeFailure, err
 	}
+	command.AddCommand(nodeCommand())
 	command.SetArgs(args)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/internal/confstore/announcements.go
@@ -0,0 +1,102 @@
+package confstore
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
+	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/roster"
+)
+
+// expireInterval is the time between two looks for leases that have ended.
+const expireInterval = 200 * time.Millisecond
+
+// serveAnnouncements answers the announcements of all processes.
+func (c *Controller) serveAnnouncements(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = c.udp.Close() })
+	defer stop()
+	go c.expire(ctx)
+	return packet.Receive(ctx, c.udp, c.tel.Logger, func(from netip.AddrPort, b []byte) {
+		a, err := roster.DecodeAnnouncement(b)
+		addr, ok := packet.AddrOf(from)
+		if err != nil || !ok {
+			c.tel.Logger.Debug().Str("from", from.String()).Err(err).Msg("a datagram was no announcement")
+			return
+		}
+		c.answer(from, addr.IP, a)
+	})
+}
+
+func (c *Controller) answer(to netip.AddrPort, from hop.IP, a *roster.Announcement) {
+	base := c.baseAnswer()
+	c.mu.Lock()
+	changed := c.registry.Announce(time.Since(c.start), from, a)
+	answers := c.registry.Answers(base, a.Role, a.Digest)
+	c.mu.Unlock()
+	for i := range answers {
+		c.sendAnswer(to, &answers[i])
+	}
+	if changed {
+		t := a.Target
+		c.tel.Logger.Info().Str("target", t.ID).Str("relay", a.Name).Str("state", t.State.String()).Msg("a target changed")
+		c.tellEntries()
+	}
+}
+
+func (c *Controller) baseAnswer() roster.Answer {
+	return roster.Answer{Version: c.state.version(), Current: c.Current(), Controllers: c.addresses()}
+}
+
+func (c *Controller) sendAnswer(to netip.AddrPort, a *roster.Answer) {
+	datagram, err := a.Encode()
+	if err != nil {
+		c.tel.Logger.Error().Err(err).Msg("an answer could not be encoded")
+		return
+	}
+	if _, err := c.udp.WriteToUDPAddrPort(datagram, to); err != nil {
+		c.tel.Logger.Debug().Str("to", to.String()).Err(err).Msg("an answer could not be sent")
+	}
+}
+
+// expire forgets processes that do not announce themselves any more.
+func (c *Controller) expire(ctx context.Context) {
+	for ctxtime.Sleep(ctx, expireInterval) {
+		c.mu.Lock()
+		changed := c.registry.Expire(time.Since(c.start))
+		c.mu.Unlock()
+		if changed {
+			c.tel.Logger.Info().Msg("a target's relay stopped announcing itself")
+			c.tellEntries()
+		}
+	}
+}
+
+// tellEntries sends the list to all entry VMs at once, without waiting for their announcements.
+func (c *Controller) tellEntries() {
+	base := c.baseAnswer()
+	c.mu.Lock()
+	entries := c.registry.Nodes(roster.RoleEntry)
+	answers := c.registry.Answers(base, roster.RoleEntry, 0)
+	c.mu.Unlock()
+	for _, ip := range entries {
+		for i := range answers {
+			c.sendAnswer(netip.AddrPortFrom(netip.AddrFrom4(ip), c.cfg.Port), &answers[i])
+		}
+	}
+}
+
+// committed tells all entry VMs that a configuration was committed.
+func (c *Controller) committed(version uint64) {
+	c.tel.Logger.Info().Uint64("version", version).Msg("configuration committed")
+	base := c.baseAnswer()
+	c.mu.Lock()
+	entries := c.registry.Nodes(roster.RoleEntry)
+	_, base.Digest = c.registry.Targets()
+	c.mu.Unlock()
+	for _, ip := range entries {
+		c.sendAnswer(netip.AddrPortFrom(netip.AddrFrom4(ip), c.cfg.Port), &base)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,7 +11,9 @@
 	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
@@ -23,9 +25,6 @@
 	MaxAge = 2 * time.Second
 	// transferTimeout bounds the hand-over of leadership when a controller stops.
 	transferTimeout = 2 * time.Second
-	// compactEvery is the number of log entries between two snapshots. Replaying them takes less
-	// than a second.
-	compactEvery = 4096
 	// maxEdits bounds the edits that run at the same time. Only one of them can be accepted, as
 	// they name the same revision.
 	maxEdits = 16
@@ -55,14 +54,14 @@
 	cfg       Config
 	tel       telemetry.Handle
 	metrics   *Metrics
-	log       Log
+	log       replica.Log
 	state     *state
 	sessions  *sessions
 	server    *rpc.Server
 	peers     *peers
 	leader    *leader
 	barrier   *barrier
-	directory *directory
+	directory *replica.Directory
 	transport *transport
 	members   *members
 	edits     chan struct{}
@@ -89,13 +88,16 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := newReplica(cfg.Name, cfg.DataDir, firstMembers(cfg.Name, cfg.Members), c.directory, t)
+	r, err := replica.New(replica.Config{
+		Name: cfg.Name, Folder: cfg.DataDir, Members: replica.FirstMembers(cfg.Name, cfg.Members),
+		Directory: c.directory, FS: cfg.FS,
+		Send: func(messages []consensus.Message) { c.transport.send(messages) },
+	}, t)
 	if err != nil {
 		return nil, err
 	}
-	c.transport = newTransport(r.bootstrap.Folder, credentials, cfg.Dial, c.directory, c.metrics.Dropped)
-	r.send, r.fs = c.transport.send, cfg.FS
-	c.use(r, r.bootstrap.Folder)
+	c.transport = newTransport(r.FolderName(), credentials, cfg.Dial, c.directory, c.metrics.Dropped)
+	c.use(r, r.FolderName())
 	return c, nil
 }
 
@@ -106,7 +108,7 @@
 	}
 	c := &Controller{
 		cfg: cfg, tel: t, state: newState(), sessions: newSessions(cfg.MaxSessions),
-		peers: newPeers(credentials, cfg.Dial), directory: newDirectory(cfg.Members),
+		peers: newPeers(credentials, cfg.Dial), directory: replica.NewDirectory(cfg.Members),
 		edits: make(chan struct{}, maxEdits), kick: make(chan struct{}, 1),
 	}
 	c.barrier = newBarrier(c.readBarrier)
@@ -121,7 +123,7 @@
 }
 
 // use gives the controller its log.
-func (c *Controller) use(log Log, folder string) {
+func (c *Controller) use(log replica.Log, folder string) {
 	c.log, c.leader, c.members = log, &leader{log: log}, newMembers(c, folder)
 }
 
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -9,6 +9,7 @@
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/membership"
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
@@ -27,7 +28,7 @@
 
 // leader holds the table of sessions while this controller leads.
 type leader struct {
-	log Log
+	log replica.Log
 
 	mu    sync.Mutex
 	term  uint64
@@ -35,7 +36,7 @@
 }
 
 // follow brings the table in line with the log. It returns nil if this controller does not lead.
-func (l *leader) follow(status LogStatus, now time.Time) *membership.Table {
+func (l *leader) follow(status replica.Status, now time.Time) *membership.Table {
 	switch {
 	case !status.IsLeader:
 		l.table = nil
@@ -149,7 +150,7 @@
 	}
 }
 
-func (c *Controller) report(ctx context.Context, status LogStatus) error {
+func (c *Controller) report(ctx context.Context, status replica.Status) error {
 	now := time.Now()
 	reports := c.sessions.reports(now)
 	if len(reports) == 0 {
@@ -163,7 +164,7 @@
 	return nil
 }
 
-func (c *Controller) sendReports(ctx context.Context, status LogStatus, reports []membership.Report) ([]string, error) {
+func (c *Controller) sendReports(ctx context.Context, status replica.Status, reports []membership.Report) ([]string, error) {
 	if status.IsLeader {
 		return c.leader.observe(reports)
 	}
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -9,6 +9,7 @@
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
 
@@ -58,12 +59,12 @@
 			addresses[member.Name] = member.Address
 		}
 	})
-	m.c.directory.add(addresses)
+	m.c.directory.Add(addresses)
 }
 
 // decide registers members that are missing in the catalog, and promotes a learner that has
 // caught up.
-func (m *members) decide(ctx context.Context, status LogStatus) {
+func (m *members) decide(ctx context.Context, status replica.Status) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	for _, member := range status.Members {
@@ -77,7 +78,7 @@
 		if !member.Learner {
 			continue
 		}
-		if err := m.c.log.ChangeMember(ctx, consensus.MemberChange{Promote: memberID(member.Name)}); err == nil {
+		if err := m.c.log.ChangeMember(ctx, consensus.MemberChange{Promote: replica.MemberID(member.Name)}); err == nil {
 			m.c.tel.Logger.Info().Str("controller", m.c.cfg.Name).Str("member", member.Name).Msg("a new controller votes")
 		}
 	}
@@ -104,7 +105,7 @@
 	}
 	m.refresh()
 	if _, ok := m.find(name); !ok {
-		if err := m.c.log.ChangeMember(ctx, consensus.MemberChange{AddLearner: memberID(name)}); err != nil {
+		if err := m.c.log.ChangeMember(ctx, consensus.MemberChange{AddLearner: replica.MemberID(name)}); err != nil {
 			return err
 		}
 	}
@@ -134,7 +135,7 @@
 	if err := r.Err(); err != nil {
 		return err
 	}
-	return m.c.log.ChangeMember(ctx, consensus.MemberChange{Remove: memberID(name)})
+	return m.c.log.ChangeMember(ctx, consensus.MemberChange{Remove: replica.MemberID(name)})
 }
 
 // checkRemoval refuses a removal that the log would refuse, before the name is retired.
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/catalog"
 	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
 
@@ -34,7 +35,7 @@
 
 // Apply implements Machine. What is applied already is skipped, since the log begins again with
 // older entries when its files are opened again.
-func (s *state) Apply(c Committed) error {
+func (s *state) Apply(c replica.Committed) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -63,7 +64,7 @@
 	return s.catalog.Snapshot()
 }
 
-func (s *state) keep(c Committed, r catalog.Result) {
+func (s *state) keep(c replica.Committed, r catalog.Result) {
 	s.outcomes[c.Index] = outcome{term: c.Term, result: r}
 	delete(s.outcomes, c.Index-keptOutcomes)
 }
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -10,6 +10,7 @@
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
@@ -44,7 +45,7 @@
 	folder      string
 	credentials *rpc.Credentials
 	dialer      rpc.Dial
-	directory   *directory
+	directory   *replica.Directory
 	dropped     prometheus.Counter
 
 	mu      sync.Mutex
@@ -53,7 +54,7 @@
 	senders map[consensus.MemberID]chan consensus.Message
 }
 
-func newTransport(folder string, credentials *rpc.Credentials, dialer rpc.Dial, d *directory, dropped prometheus.Counter) *transport {
+func newTransport(folder string, credentials *rpc.Credentials, dialer rpc.Dial, d *replica.Directory, dropped prometheus.Counter) *transport {
 	return &transport{
 		folder: folder, credentials: credentials, dialer: dialer, directory: d, dropped: dropped,
 		senders: map[consensus.MemberID]chan consensus.Message{},
@@ -117,7 +118,7 @@
 		case m := <-queue:
 			batch = batchFrom(queue, m)
 		}
-		name, address := t.directory.find(to)
+		name, address := t.directory.Find(to)
 		if address == "" {
 			t.dropped.Add(float64(len(batch)))
 			continue
@@ -177,7 +178,7 @@
 		return err
 	}
 	for i := range request.Messages {
-		if request.Messages[i].From != memberID(p.peer.Name) {
+		if request.Messages[i].From != replica.MemberID(p.peer.Name) {
 			return result.New(result.PeerUnknown, "controller %s sent a message of another member", p.peer.Name)
 		}
 	}
--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
+	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/place"
+	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/roster"
+	"github.com/greengagelock/greengagelock/internal/routing"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/uplink"
+)
+
+// sweepInterval is the time between two sweeps of the flow cache.
+const sweepInterval = 5 * time.Second
+
+// ProcessConfig configures a Process.
+type ProcessConfig struct {
+	Codec packet.Codec
+	Name  string
+	Zone  string
+	// Callers is the address that receives packets of callers; packets for callers go to the same port
+	// of theirs.
+	Callers netip.AddrPort
+	// IP and Port are the address for relays and controllers.
+	IP    netip.Addr
+	Port  uint16
+	Seeds []netip.Addr
+	Parse func(body []byte) (*routing.Document, error)
+	// Linger is the time for which a process that is stopping still forwards, so that the fabric can
+	// take it out first.
+	Linger time.Duration
+}
+
+// Process runs an Entry on its sockets.
+type Process struct {
+	cfg     ProcessConfig
+	tel     telemetry.Handle
+	start   time.Time
+	callers *net.UDPConn
+	nodes   *net.UDPConn
+	uplink  *uplink.Uplink
+
+	mu       sync.Mutex
+	entry    *Entry
+	timer    *time.Timer
+	armed    time.Duration // of timer, negative if it does not run
+	stopping bool
+}
+
+// NewProcess opens the sockets.
+func NewProcess(cfg ProcessConfig, picker *place.Picker, t telemetry.Handle) (*Process, error) {
+	p := &Process{cfg: cfg, tel: t, start: time.Now(), armed: -1}
+	p.entry = New(Config{Codec: cfg.Codec, Self: cfg.IP.As4()}, picker, p)
+	p.timer = time.AfterFunc(time.Hour, p.tick)
+	p.timer.Stop()
+	var err error
+	if p.callers, err = packet.Listen(cfg.Callers); err != nil {
+		return nil, err
+	}
+	if p.nodes, err = packet.Listen(netip.AddrPortFrom(cfg.IP, cfg.Port)); err != nil {
+		return nil, errors.CombineErrors(err, p.callers.Close())
+	}
+	p.uplink = uplink.New(uplink.Config{
+		Port: cfg.Port, Seeds: cfg.Seeds, Logger: t.Logger, Parse: cfg.Parse,
+		Send: p.sendNode, Announce: p.announcement, InForce: p.setTable,
+	})
+	return p, nil
+}
+
+func (p *Process) now() time.Duration { return time.Since(p.start) }
+
+// Run serves until ctx is done, and then for the linger time.
+func (p *Process) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	closeAll := context.AfterFunc(running, func() {
+		_ = p.callers.Close()
+		_ = p.nodes.Close()
+		p.timer.Stop()
+	})
+	defer closeAll()
+	group.Go(func() error {
+		return packet.Receive(running, p.callers, p.tel.Logger, func(_ netip.AddrPort, b []byte) {
+			p.locked(func(now time.Duration) { p.entry.FromCaller(now, b) })
+		})
+	})
+	group.Go(func() error { return packet.Receive(running, p.nodes, p.tel.Logger, p.fromNode) })
+	group.Go(func() error { return p.uplink.Run(running) })
+	group.Go(func() error { p.sweep(running); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			p.setStopping()
+			ctxtime.Sleep(running, p.cfg.Linger)
+		case <-running.Done():
+		}
+		stop()
+		return nil
+	})
+	return group.Wait()
+}
+
+func (p *Process) setStopping() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopping = true
+}
+
+// locked runs f, and arms the timer for what it has set in motion.
+func (p *Process) locked(f func(now time.Duration)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.now())
+	p.arm(p.entry.NextDue())
+}
+
+func (p *Process) fromNode(from netip.AddrPort, b []byte) {
+	addr, ok := packet.AddrOf(from)
+	if !ok {
+		return
+	}
+	if !roster.IsControl(b) {
+		p.locked(func(now time.Duration) { p.entry.FromNode(now, addr.IP, b) })
+		return
+	}
+	a, err := roster.DecodeAnswer(b)
+	if err != nil {
+		p.tel.Logger.Debug().Str("from", from.String()).Err(err).Msg("a datagram was no answer of a controller")
+		return
+	}
+	p.uplink.Answer(addr.IP, a)
+	p.locked(func(now time.Duration) { p.entry.View.Answer(now, addr.IP, a) })
+}
+
+// arm lets the timer run at the given time, unless it runs earlier.
+func (p *Process) arm(due time.Duration) {
+	if due < 0 || (p.armed >= 0 && p.armed <= due) {
+		return
+	}
+	p.armed = due
+	p.timer.Reset(max(due-p.now(), 0))
+}
+
+func (p *Process) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.armed = -1
+	p.arm(p.entry.Tick(p.now()))
+}
+
+func (p *Process) sweep(ctx context.Context) {
+	for ctxtime.Sleep(ctx, sweepInterval) {
+		p.mu.Lock()
+		p.entry.Sweep(p.now())
+		stats, flows, targets := p.entry.Stats, p.entry.Flows(), p.entry.View.Len()
+		p.mu.Unlock()
+		p.tel.Logger.Info().Any("counters", stats).Int("flows", flows).Int("targets", targets).Msg("counters")
+	}
+}
+
+// ToCaller implements Ports.
+func (p *Process) ToCaller(to packet.Addr, raw []byte) {
+	p.write(p.callers, netip.AddrPortFrom(netip.AddrFrom4(to.IP), p.cfg.Callers.Port()), raw)
+}
+
+// ToNode implements Ports.
+func (p *Process) ToNode(to hop.IP, datagram []byte) {
+	p.sendNode(netip.AddrPortFrom(netip.AddrFrom4(to), p.cfg.Port), datagram)
+}
+
+func (p *Process) sendNode(to netip.AddrPort, datagram []byte) { p.write(p.nodes, to, datagram) }
+
+// write sends a datagram. A lost one is repeated by its ends.
+func (p *Process) write(conn *net.UDPConn, to netip.AddrPort, b []byte) {
+	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
+		p.tel.Logger.Debug().Str("to", to.String()).Err(err).Msg("a packet could not be sent")
+	}
+}
+
+func (p *Process) announcement(to hop.IP) roster.Announcement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return roster.Announcement{
+		Role: roster.RoleEntry, Name: p.cfg.Name, Version: p.entry.Version(), Digest: p.entry.View.Digest(to),
+	}
+}
+
+func (p *Process) setTable(t *routing.Table) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entry.SetTable(t)
+}
+
+// SetSeeds replaces the seeds after a change of the settings.
+func (p *Process) SetSeeds(seeds []netip.Addr) { p.uplink.SetSeeds(seeds) }
+
+// Ready returns the reason for which the fabric should not send packets here, or nil.
+func (p *Process) Ready() error {
+	p.mu.Lock()
+	stopping, targets := p.stopping, p.entry.View.Len()
+	p.mu.Unlock()
+	switch {
+	case stopping:
+		return result.New(result.TargetDraining, "the process is stopping")
+	case !p.uplink.CaughtUp():
+		return result.New(result.StaleGeneration, "the newest configuration is not in force")
+	case targets == 0:
+		return result.New(result.NoTarget, "no target is known")
+	}
+	return nil
+}
+
+// StatsNow returns the counters.
+func (p *Process) StatsNow() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entry.Stats
+}
--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,177 @@
+// Package hop encodes the UDP datagrams between entry VMs and the relays beside targets.
+//
+// A datagram is a message of fixed layout in network byte order. Forward, Returned and Refused carry
+// the packet of a flow behind their header, unchanged.
+package hop
+
+import (
+	"encoding/binary"
+
+	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/result"
+)
+
+// Kind is the kind of a message.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	// Forward carries a packet of a caller to a relay.
+	Forward Kind = iota + 1
+	// Admitted tells the entry VM which target has taken a flow, and how loaded that target is.
+	Admitted
+	// Refused gives a SYN back that no candidate took.
+	Refused
+	// Returned gives a packet back whose flow is not at the target of the relay.
+	Returned
+	// Find asks a relay whether its target owns a flow.
+	Find
+	// Found answers Find.
+	Found
+)
+
+// Answer is the content of Found.
+type Answer uint8
+
+// Answers to Find.
+const (
+	// NotOwned means that the target does not have the flow.
+	NotOwned Answer = iota + 1
+	// Owned means that it has.
+	Owned
+	// Unsure means that the relay started after its target and has not seen the flow since.
+	Unsure
+)
+
+// MaxCandidates bounds the candidates of a SYN. A chain of four meets a free slot with a probability
+// above 99% at 70% of the slots in use; a longer one only delays the refusal.
+const MaxCandidates = 4
+
+// IP is the IPv4 address of a process of the system. Ports are the same on all VMs.
+type IP [4]byte
+
+// Message is a decoded datagram. Which fields are set depends on Kind.
+type Message struct {
+	Kind    Kind
+	Service uint64 // ServiceID of the service that a SYN is for
+	Entry   IP     // entry VM that answers go to
+	// Key names the flow in Admitted, Find and Found.
+	Key packet.Key
+	// Seq is the sequence number of the SYN in Admitted, Ack the acknowledgement number of the packet
+	// that Find asks for.
+	Seq, Ack uint32
+	Answer   Answer
+	Load     Load
+
+	// Candidates of a SYN in the order of preference, At the position of the receiver.
+	Candidates []IP
+	At         uint8
+	// Final asks the receiver to take the SYN if it can at all, because all others are busy.
+	Final bool
+	// Best is the position of the least loaded candidate so far, BestLoad its load.
+	Best     uint8
+	BestLoad uint8
+
+	// Packet is the packet of the flow; it shares memory with the datagram.
+	Packet []byte
+}
+
+// Load is how busy a target is.
+type Load struct {
+	// Busy is the number of requests that the target works on or queues now, Mean the average over
+	// about two seconds in sixteenths.
+	Busy uint16
+	Mean uint16
+	// Flows is the number of open flows.
+	Flows uint16
+}
+
+const (
+	headBytes    = 8
+	forwardBytes = headBytes + 8 + 4
+	admittedSize = headBytes + packet.KeyBytes + 4 + 6
+	findSize     = headBytes + packet.KeyBytes + 4
+	finalBit     = 1
+)
+
+// Append appends the encoded message to b.
+//
+//	0 kind, 1 flags, 2 candidates, 3 position, 4 best, 5 load of best, 6 answer, 7 zero
+func (m *Message) Append(b []byte) []byte {
+	flags := byte(0)
+	if m.Final {
+		flags = finalBit
+	}
+	b = append(b, byte(m.Kind), flags, byte(len(m.Candidates)), m.At, m.Best, m.BestLoad, byte(m.Answer), 0)
+	switch m.Kind {
+	case Forward, Refused, Returned:
+		b = binary.BigEndian.AppendUint64(b, m.Service)
+		b = append(b, m.Entry[:]...)
+		for _, c := range m.Candidates {
+			b = append(b, c[:]...)
+		}
+		return append(b, m.Packet...)
+	case Admitted:
+		b = m.Key.Append(b)
+		b = binary.BigEndian.AppendUint32(b, m.Seq)
+		b = binary.BigEndian.AppendUint16(b, m.Load.Busy)
+		b = binary.BigEndian.AppendUint16(b, m.Load.Mean)
+		return binary.BigEndian.AppendUint16(b, m.Load.Flows)
+	default:
+		b = m.Key.Append(b)
+		return binary.BigEndian.AppendUint32(b, m.Ack)
+	}
+}
+
+// Parse decodes a datagram. The candidates are stored in m.Candidates, whose memory is used again.
+func (m *Message) Parse(b []byte) error {
+	if len(b) < headBytes {
+		return truncated(b)
+	}
+	candidates := m.Candidates[:0]
+	*m = Message{
+		Kind: Kind(b[0]), Final: b[1]&finalBit != 0, At: b[3], Best: b[4], BestLoad: b[5], Answer: Answer(b[6]),
+	}
+	count := int(b[2])
+	switch m.Kind {
+	case Forward, Refused, Returned:
+		if count > MaxCandidates || len(b) < forwardBytes+4*count {
+			return truncated(b)
+		}
+		m.Service = binary.BigEndian.Uint64(b[headBytes:])
+		m.Entry = IP(b[headBytes+8 : forwardBytes])
+		rest := b[forwardBytes:]
+		for range count {
+			candidates = append(candidates, IP(rest[:4]))
+			rest = rest[4:]
+		}
+		if count > 0 && (int(m.At) >= count || int(m.Best) >= count) {
+			return result.New(result.PacketInvalid, "position %d of %d candidates", max(m.At, m.Best), count)
+		}
+		m.Candidates, m.Packet = candidates, rest
+		return nil
+	case Admitted:
+		if len(b) < admittedSize {
+			return truncated(b)
+		}
+		m.Key = packet.ParseKey(b[headBytes:])
+		rest := b[headBytes+packet.KeyBytes:]
+		m.Seq = binary.BigEndian.Uint32(rest)
+		m.Load = Load{
+			Busy: binary.BigEndian.Uint16(rest[4:]), Mean: binary.BigEndian.Uint16(rest[6:]), Flows: binary.BigEndian.Uint16(rest[8:]),
+		}
+		return nil
+	case Find, Found:
+		if len(b) < findSize {
+			return truncated(b)
+		}
+		m.Key = packet.ParseKey(b[headBytes:])
+		m.Ack = binary.BigEndian.Uint32(b[headBytes+packet.KeyBytes:])
+		return nil
+	}
+	return result.New(result.PacketInvalid, "message of unknown kind %d", b[0])
+}
+
+func truncated(b []byte) error {
+	return result.New(result.PacketInvalid, "message of %d bytes is truncated", len(b))
+}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -11,6 +11,7 @@
 	"github.com/greengagelock/greengagelock/internal/jsonc"
 	"github.com/greengagelock/greengagelock/internal/membership"
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/replica"
 )
 
 // ServiceName is the name of the RPC service.
@@ -123,14 +124,7 @@
 }
 
 // Member is a controller of the replicated log.
-type Member struct {
-	Name    string
-	Address string
-	Learner bool // receives the log and does not vote
-	Leader  bool
-	// Match is the last log entry that the member is known to hold; known only to the leader.
-	Match uint64
-}
+type Member = replica.Member
 
 // MembersReply holds the controllers, ordered by name.
 type MembersReply struct {
--- /dev/null
+++ b/internal/packet/packet.go
@@ -0,0 +1,119 @@
+// Package packet is the view of a flow's packet that balancing needs: its ends, its control bits
+// and its sequence numbers. The bytes of a packet belong to its two ends and pass through unchanged;
+// a Codec reads them and changes only the fields that the format reserves for the system.
+package packet
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Addr is one end of a flow: an IPv4 address and a port.
+type Addr struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// AddrOf returns an IPv4 address and port, and false for any other address.
+func AddrOf(a netip.AddrPort) (Addr, bool) {
+	ip := a.Addr().Unmap()
+	if !ip.Is4() {
+		return Addr{}, false
+	}
+	return Addr{IP: ip.As4(), Port: a.Port()}, true
+}
+
+// AddrPort returns the address in the form of the standard library.
+func (a Addr) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(a.IP), a.Port)
+}
+
+// String returns the address as IP:port.
+func (a Addr) String() string { return a.AddrPort().String() }
+
+// Key identifies a flow.
+type Key struct {
+	Caller  Addr
+	Service Addr
+}
+
+// KeyBytes is the size of an encoded key.
+const KeyBytes = 12
+
+// Append appends the encoded key.
+func (k Key) Append(b []byte) []byte {
+	b = append(b, k.Caller.IP[:]...)
+	b = binary.BigEndian.AppendUint16(b, k.Caller.Port)
+	b = append(b, k.Service.IP[:]...)
+	return binary.BigEndian.AppendUint16(b, k.Service.Port)
+}
+
+// ParseKey reads an encoded key from the first KeyBytes of b.
+func ParseKey(b []byte) Key {
+	return Key{
+		Caller:  Addr{IP: [4]byte(b[0:4]), Port: binary.BigEndian.Uint16(b[4:])},
+		Service: Addr{IP: [4]byte(b[6:10]), Port: binary.BigEndian.Uint16(b[10:])},
+	}
+}
+
+// Hash returns a hash of the key that is the same in every process.
+func (k Key) Hash() uint64 {
+	var buf [KeyBytes]byte
+	return xxhash.Sum64(k.Append(buf[:0]))
+}
+
+// String returns the key as CALLER>SERVICE, which is the name of a flow in logs.
+func (k Key) String() string { return k.Caller.String() + ">" + k.Service.String() }
+
+// Flags are the control bits of a packet.
+type Flags uint8
+
+// Control bits.
+const (
+	SYN Flags = 1 << iota
+	ACK
+	FIN
+	RST
+	// Returned marks a packet that a target did not take.
+	Returned
+)
+
+// Has reports whether all given bits are set.
+func (f Flags) Has(bits Flags) bool { return f&bits == bits }
+
+// View is a parsed packet.
+type View struct {
+	Source      Addr
+	Destination Addr
+	Flags       Flags
+	Seq         uint32
+	Ack         uint32 // next byte that the sender expects; in a SYN, the number of copies sent before
+	DataBytes   int
+	// Token is the value that the system wrote with Codec.SetToken before it handed the packet over.
+	Token uint32
+}
+
+// Opens reports whether the packet asks for a new flow.
+func (v *View) Opens() bool { return v.Flags&(SYN|ACK|RST) == SYN }
+
+// Accepts reports whether the packet is a target's answer to a SYN.
+func (v *View) Accepts() bool { return v.Flags.Has(SYN | ACK) }
+
+// FromCaller returns the key of a packet on its way to the target.
+func (v *View) FromCaller() Key { return Key{Caller: v.Source, Service: v.Destination} }
+
+// FromTarget returns the key of a packet on its way to the caller.
+func (v *View) FromTarget() Key { return Key{Caller: v.Destination, Service: v.Source} }
+
+// Codec reads and marks packets of one format.
+type Codec interface {
+	// Parse reads a packet. It fails for a packet that is truncated, oversized or inconsistent.
+	Parse(raw []byte) (View, error)
+	// SetToken writes a value that the target leaves in a packet it returns, and clears Returned.
+	SetToken(raw []byte, token uint32)
+	// Reset returns a packet that ends a flow at its caller. ack is the last acknowledgement number of
+	// the caller, zero for a flow that is not open.
+	Reset(k Key, ack uint32) []byte
+}
--- /dev/null
+++ b/internal/relay/process.go
@@ -0,0 +1,255 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
+	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/roster"
+	"github.com/greengagelock/greengagelock/internal/routing"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
+	"github.com/greengagelock/greengagelock/internal/uplink"
+)
+
+const (
+	// sweepInterval is the time between two sweeps of the flow table.
+	sweepInterval = time.Second
+	// countersEvery is the number of sweeps between two log lines with the counters.
+	countersEvery = 5
+	// checkInterval is the time between two looks whether the target should be asked.
+	checkInterval = 50 * time.Millisecond
+	// checkTimeout bounds the question.
+	checkTimeout = 300 * time.Millisecond
+)
+
+// ProcessConfig configures a Process.
+type ProcessConfig struct {
+	Codec packet.Codec
+	Name  string
+	Zone  string
+	// Service of the target beside the process, and the address of the target.
+	Service string
+	Target  netip.AddrPort
+	// FromTarget is the address that the target sends its packets to.
+	FromTarget netip.AddrPort
+	// CallerPort is the port of callers that packets are sent to.
+	CallerPort uint16
+	// IP and Port are the address for entry VMs, relays and controllers.
+	IP    netip.Addr
+	Port  uint16
+	Seeds []netip.Addr
+	// HeartbeatInterval is the time between two heartbeats of the target.
+	HeartbeatInterval time.Duration
+	// Linger is the time for which a process that is stopping still passes packets on.
+	Linger time.Duration
+}
+
+// Process runs a Relay on its sockets.
+type Process struct {
+	cfg    ProcessConfig
+	tel    telemetry.Handle
+	start  time.Time
+	target *net.UDPConn
+	nodes  *net.UDPConn
+	uplink *uplink.Uplink
+
+	mu    sync.Mutex
+	relay *Relay
+	state roster.State // as last announced
+}
+
+// NewProcess opens the sockets.
+func NewProcess(cfg ProcessConfig, t telemetry.Handle) (*Process, error) {
+	p := &Process{cfg: cfg, tel: t, start: time.Now()}
+	p.relay = New(Config{Codec: cfg.Codec, Service: routing.IDOf(cfg.Service), Self: cfg.IP.As4()}, p)
+	var err error
+	if p.target, err = packet.Listen(cfg.FromTarget); err != nil {
+		return nil, err
+	}
+	if p.nodes, err = packet.Listen(netip.AddrPortFrom(cfg.IP, cfg.Port)); err != nil {
+		return nil, errors.CombineErrors(err, p.target.Close())
+	}
+	p.uplink = uplink.New(uplink.Config{
+		Port: cfg.Port, Seeds: cfg.Seeds, Logger: t.Logger, Send: p.sendNode, Announce: p.announcement,
+	})
+	return p, nil
+}
+
+func (p *Process) now() time.Duration { return time.Since(p.start) }
+
+// Run serves until ctx is done, and then for the linger time.
+func (p *Process) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	closeAll := context.AfterFunc(running, func() {
+		_ = p.target.Close()
+		_ = p.nodes.Close()
+	})
+	defer closeAll()
+	group.Go(func() error {
+		return packet.Receive(running, p.target, p.tel.Logger, func(_ netip.AddrPort, b []byte) {
+			p.locked(func(now time.Duration) { p.relay.FromTarget(now, b) })
+		})
+	})
+	group.Go(func() error { return packet.Receive(running, p.nodes, p.tel.Logger, p.fromNode) })
+	group.Go(func() error { return p.uplink.Run(running) })
+	group.Go(func() error { p.sweep(running); return nil })
+	group.Go(func() error { p.watch(running); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			p.locked(func(time.Duration) { p.relay.Stop() })
+			p.uplink.Announce()
+			ctxtime.Sleep(running, p.cfg.Linger)
+		case <-running.Done():
+		}
+		stop()
+		return nil
+	})
+	return group.Wait()
+}
+
+func (p *Process) locked(f func(now time.Duration)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.now())
+}
+
+func (p *Process) fromNode(from netip.AddrPort, b []byte) {
+	addr, ok := packet.AddrOf(from)
+	if !ok {
+		return
+	}
+	if !roster.IsControl(b) {
+		p.locked(func(now time.Duration) { p.relay.FromNode(now, addr.IP, b) })
+		return
+	}
+	a, err := roster.DecodeAnswer(b)
+	if err != nil {
+		p.tel.Logger.Debug().Str("from", from.String()).Err(err).Msg("a datagram was no answer of a controller")
+		return
+	}
+	p.uplink.Answer(addr.IP, a)
+}
+
+// ToTarget implements Ports.
+func (p *Process) ToTarget(raw []byte) { p.write(p.target, p.cfg.Target, raw) }
+
+// ToCaller implements Ports.
+func (p *Process) ToCaller(to packet.Addr, raw []byte) {
+	p.write(p.target, netip.AddrPortFrom(netip.AddrFrom4(to.IP), p.cfg.CallerPort), raw)
+}
+
+// ToNode implements Ports.
+func (p *Process) ToNode(to hop.IP, datagram []byte) {
+	p.sendNode(netip.AddrPortFrom(netip.AddrFrom4(to), p.cfg.Port), datagram)
+}
+
+func (p *Process) sendNode(to netip.AddrPort, datagram []byte) { p.write(p.nodes, to, datagram) }
+
+// write sends a datagram. A lost one is repeated by its ends.
+func (p *Process) write(conn *net.UDPConn, to netip.AddrPort, b []byte) {
+	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
+		p.tel.Logger.Debug().Str("to", to.String()).Err(err).Msg("a packet could not be sent")
+	}
+}
+
+func (p *Process) announcement(hop.IP) roster.Announcement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	t := p.relay.Announced(now, p.cfg.Zone)
+	return roster.Announcement{Role: roster.RoleRelay, Name: p.cfg.Name, Target: &t, Load: p.relay.Load(now)}
+}
+
+// Heartbeat takes in a heartbeat of the target.
+func (p *Process) Heartbeat(h *Heartbeat) error {
+	var err error
+	p.locked(func(now time.Duration) { err = p.relay.Heartbeat(now, h) })
+	p.announceChange("heartbeat of the target")
+	return err
+}
+
+// Leave takes in that the target ends.
+func (p *Process) Leave(id string, born int64) error {
+	var err error
+	p.locked(func(now time.Duration) { err = p.relay.Leave(now, id, born) })
+	p.announceChange("the target said that it ends")
+	return err
+}
+
+// announceChange tells the controllers at once if the state of the target has changed.
+func (p *Process) announceChange(why string) {
+	p.mu.Lock()
+	t := p.relay.Announced(p.now(), p.cfg.Zone)
+	before := p.state
+	p.state = t.State
+	p.mu.Unlock()
+	if before == t.State {
+		return
+	}
+	p.tel.Logger.Info().Str("target", t.ID).Int64("born", t.Born).Str("before", before.String()).
+		Str("state", t.State.String()).Str("why", why).Msg("state of the target")
+	p.uplink.Announce()
+}
+
+func (p *Process) sweep(ctx context.Context) {
+	turn := 0
+	for ctxtime.Sleep(ctx, sweepInterval) {
+		p.locked(p.relay.Sweep)
+		if turn++; turn%countersEvery == 0 {
+			p.tel.Logger.Info().Any("counters", p.StatsNow()).Msg("counters")
+		}
+	}
+}
+
+// watch asks the target whether it still listens when it has not answered for a while.
+func (p *Process) watch(ctx context.Context) {
+	for ctxtime.Sleep(ctx, checkInterval) {
+		due := false
+		p.locked(func(now time.Duration) { due = p.relay.CheckDue(now, p.cfg.HeartbeatInterval) })
+		if !due {
+			continue
+		}
+		outcome := p.check(ctx)
+		p.locked(func(now time.Duration) { p.relay.Checked(now, outcome, p.cfg.HeartbeatInterval) })
+		p.announceChange("the target was asked whether it listens")
+	}
+}
+
+// check opens a connection to the target. It takes no slot, as a request for its health would.
+func (p *Process) check(ctx context.Context) CheckResult {
+	dialer := net.Dialer{Timeout: checkTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", p.cfg.Target.String())
+	switch {
+	case err == nil:
+		if err := conn.Close(); err != nil {
+			p.tel.Logger.Debug().Err(err).Msg("the connection to the target could not be closed")
+		}
+		return Listens
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return NoProcess
+	default:
+		return NoAnswer
+	}
+}
+
+// SetSeeds replaces the seeds after a change of the settings.
+func (p *Process) SetSeeds(seeds []netip.Addr) { p.uplink.SetSeeds(seeds) }
+
+// StatsNow returns the counters.
+func (p *Process) StatsNow() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.relay.Stats
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,507 @@
+// Package relay is the datagram data path beside a target. It decides which SYNs the target is
+// offered, remembers which flows the target owns, and passes on everything else. The target's word
+// counts most: a packet that it returns is not of a flow that it has.
+package relay
+
+import (
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/roster"
+	"github.com/greengagelock/greengagelock/internal/routing"
+)
+
+// Bounds of the relay.
+const (
+	// FlowLifetime is the time without packets after which a flow is forgotten. Both ends discard flows
+	// that are idle for longer.
+	FlowLifetime = 60 * time.Second
+	// handshakeTimeout is the time after which a flow that did not open is taken as given up. A caller
+	// gives up after 1.4 s.
+	handshakeTimeout = 2 * time.Second
+	// tokenCount bounds the packets that are at the target at the same time and may come back.
+	tokenCount = 4096
+	// closedLinger is how long a flow that was reset or closed is remembered.
+	closedLinger = 10 * time.Second
+	// maxFlows bounds the memory of the flow table to about 4 MB.
+	maxFlows = 32768
+)
+
+// Ports is where the relay sends packets to. Packets are valid until the call returns.
+type Ports interface {
+	ToTarget(raw []byte)
+	ToCaller(to packet.Addr, raw []byte)
+	ToNode(to hop.IP, datagram []byte)
+}
+
+// Config configures a Relay.
+type Config struct {
+	Codec   packet.Codec
+	Service routing.ServiceID // of the target beside the relay
+	Self    hop.IP
+}
+
+// Relay is the decision logic. It has no clock, goroutine or socket; one goroutine at a time may use
+// it. Time is the duration since the start of the process.
+type Relay struct {
+	cfg   Config
+	ports Ports
+	Stats Stats
+
+	target   Target
+	replaced map[string]bool // IDs of incarnations that others have followed
+	flows    map[packet.Key]*flow
+	pending  [tokenCount]offer
+	token    uint32
+	load     meter
+	// unanswered is the time of the oldest packet to the target since its last sign of life.
+	unanswered time.Duration
+	waiting    bool
+	stopping   bool
+	// complete is set when the flow table holds every flow of the target.
+	complete bool
+	started  time.Duration
+
+	message hop.Message // scratch
+	out     []byte
+}
+
+// Stats counts what the relay has done. All counters only grow.
+type Stats struct {
+	Admitted, Passed, Refused, Returned, Bounced, WrongService uint64
+	Delivered, ToCallers, Malformed, StaleAnswers              uint64
+	FlowsReset, Opened, FindsAnswered                          uint64
+}
+
+// flowState is the state of a flow at the target.
+type flowState uint8
+
+const (
+	halfOpen flowState = iota // SYN offered
+	accepted                  // the target has answered the SYN
+	open
+	foreign // another target has won the handshake
+	closed
+)
+
+type flow struct {
+	state     flowState
+	busy      bool // a request is in progress
+	callerISN uint32
+	targetISN uint32
+	next      uint32 // end of the caller's data seen so far
+	callerAck uint32
+	entry     hop.IP
+	began     time.Duration
+	seen      time.Duration
+}
+
+// offer is a packet at the target that may come back.
+type offer struct {
+	token      uint32
+	entry      hop.IP
+	service    uint64
+	at         uint8
+	best       uint8
+	bestLoad   uint8
+	count      uint8
+	candidates [hop.MaxCandidates]hop.IP
+}
+
+// New returns a relay.
+func New(cfg Config, ports Ports) *Relay {
+	return &Relay{cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, replaced: map[string]bool{}}
+}
+
+// FromNode takes in a datagram of an entry VM or another relay.
+func (r *Relay) FromNode(now time.Duration, from hop.IP, datagram []byte) {
+	m := &r.message
+	if err := m.Parse(datagram); err != nil {
+		r.Stats.Malformed++
+		return
+	}
+	switch m.Kind {
+	case hop.Forward:
+		r.forward(now, m)
+	case hop.Find:
+		r.find(now, from, m)
+	default:
+		r.Stats.Malformed++
+	}
+}
+
+func (r *Relay) forward(now time.Duration, m *hop.Message) {
+	v, err := r.cfg.Codec.Parse(m.Packet)
+	if err != nil {
+		r.Stats.Malformed++
+		return
+	}
+	if v.Opens() {
+		r.offer(now, m, &v)
+		return
+	}
+	r.deliver(now, m, &v)
+}
+
+// offer decides on a SYN.
+func (r *Relay) offer(now time.Duration, m *hop.Message, v *packet.View) {
+	key := v.FromCaller()
+	f := r.flows[key]
+	if f != nil && f.callerISN == v.Seq && f.state <= open {
+		// A copy of the SYN of a flow that this target has or may get.
+		f.entry = m.Entry
+		r.toTarget(now, m, f.state != open)
+		return
+	}
+	if !r.admits(now, m) {
+		r.pass(m)
+		return
+	}
+	if f != nil && f.busy {
+		r.load.end(now)
+	}
+	if f == nil && len(r.flows) >= maxFlows {
+		r.pass(m)
+		return
+	}
+	r.flows[key] = &flow{
+		state: halfOpen, callerISN: v.Seq, next: v.Seq + 1, entry: m.Entry, began: now, seen: now,
+	}
+	r.toTarget(now, m, true)
+}
+
+// admits reports whether the target is offered a SYN. A target without a free slot takes it only if
+// all other candidates were asked.
+func (r *Relay) admits(now time.Duration, m *hop.Message) bool {
+	if routing.ServiceID(m.Service) != r.cfg.Service {
+		r.Stats.WrongService++
+		return false
+	}
+	if !r.target.admits() || r.stopping {
+		return false
+	}
+	busy := r.busy(now)
+	if m.Final || busy < int(r.target.Slots) || len(m.Candidates) <= 1 {
+		return true
+	}
+	if r.target.Slots > 0 {
+		load := uint8(min(busy*8/int(r.target.Slots), 254)) // eighths of a request a slot
+		if m.BestLoad == 0 || load < m.BestLoad {
+			m.Best, m.BestLoad = m.At, max(load, 1)
+		}
+	}
+	return false
+}
+
+// busy is the number of requests in progress and of flows that are about to bring one.
+func (r *Relay) busy(now time.Duration) int { return r.load.now(now) }
+
+// pass hands a SYN to the next candidate, to the least loaded one after the last, or back to the
+// entry VM.
+func (r *Relay) pass(m *hop.Message) {
+	next := int(m.At) + 1
+	switch {
+	case !m.Final && next < len(m.Candidates):
+		m.At = uint8(next)
+	case !m.Final && m.BestLoad > 0:
+		m.Final, m.At = true, m.Best
+		if m.Candidates[m.At] == r.cfg.Self {
+			r.Stats.Passed++
+			r.again(m)
+			return
+		}
+	default:
+		r.Stats.Refused++
+		m.Kind = hop.Refused
+		r.toNode(m.Entry, m)
+		return
+	}
+	r.Stats.Passed++
+	r.toNode(m.Candidates[m.At], m)
+}
+
+// again takes a SYN that came back to the relay that is the least loaded itself.
+func (r *Relay) again(m *hop.Message) {
+	r.out = m.Append(r.out[:0])
+	r.ports.ToNode(r.cfg.Self, r.out)
+}
+
+func (r *Relay) toNode(to hop.IP, m *hop.Message) {
+	r.out = m.Append(r.out[:0])
+	r.ports.ToNode(to, r.out)
+}
+
+// deliver hands a packet of a flow to the target if it may own the flow.
+func (r *Relay) deliver(now time.Duration, m *hop.Message, v *packet.View) {
+	key := v.FromCaller()
+	f := r.flows[key]
+	switch {
+	case f == nil && (r.complete || r.target.gone()):
+		r.giveBack(m)
+		return
+	case f == nil:
+		// The relay has started after its target, which alone knows.
+		r.toTarget(now, m, false)
+		return
+	case f.state == foreign:
+		r.giveBack(m)
+		return
+	case f.state == accepted && !acknowledges(v, f.targetISN):
+		// The caller has completed the handshake with another target.
+		r.lose(now, f)
+		r.giveBack(m)
+		return
+	}
+	if f.state == accepted {
+		f.state = open
+		r.Stats.Opened++
+	}
+	r.note(now, f, v, m.Entry)
+	r.toTarget(now, m, v.DataBytes > 0)
+}
+
+// acknowledges reports whether a packet answers a SYN-ACK with this sequence number. A target sends
+// no data before, so the number is that of the SYN-ACK or the one after it.
+func acknowledges(v *packet.View, isn uint32) bool { return v.Ack-isn <= 1 }
+
+func (r *Relay) lose(now time.Duration, f *flow) {
+	f.state = foreign
+	f.seen = now
+	r.finish(now, f)
+}
+
+// finish ends the request of a flow.
+func (r *Relay) finish(now time.Duration, f *flow) {
+	if f.busy {
+		f.busy = false
+		r.load.end(now)
+	}
+}
+
+// note records a packet of the caller.
+func (r *Relay) note(now time.Duration, f *flow, v *packet.View, entry hop.IP) {
+	f.seen, f.entry = now, entry
+	if v.Flags.Has(packet.ACK) {
+		f.callerAck = v.Ack
+	}
+	end := v.Seq + uint32(v.DataBytes)
+	if v.DataBytes > 0 && int32(end-f.next) > 0 {
+		f.next = end
+		if !f.busy {
+			f.busy = true
+			r.load.begin(now)
+		}
+	}
+	if v.Flags.Has(packet.RST) {
+		f.state = closed
+		r.finish(now, f)
+	}
+}
+
+// toTarget hands the packet of a message over and keeps what is needed if it comes back. expects
+// tells that the target answers such a packet.
+func (r *Relay) toTarget(now time.Duration, m *hop.Message, expects bool) {
+	r.token++
+	if r.token == 0 {
+		r.token = 1
+	}
+	o := &r.pending[r.token%tokenCount]
+	*o = offer{
+		token: r.token, entry: m.Entry, service: m.Service, at: m.At, best: m.Best, bestLoad: m.BestLoad,
+		count: uint8(len(m.Candidates)),
+	}
+	copy(o.candidates[:], m.Candidates)
+	r.cfg.Codec.SetToken(m.Packet, r.token)
+	r.Stats.Delivered++
+	if expects && !r.waiting {
+		r.waiting, r.unanswered = true, now
+	}
+	r.ports.ToTarget(m.Packet)
+}
+
+// giveBack tells the entry VM that the flow is not here.
+func (r *Relay) giveBack(m *hop.Message) {
+	r.Stats.Returned++
+	m.Kind, m.Candidates, m.At, m.Best = hop.Returned, m.Candidates[:0], 0, 0
+	r.toNode(m.Entry, m)
+}
+
+// FromTarget takes in a packet that the target has sent or returned.
+func (r *Relay) FromTarget(now time.Duration, raw []byte) {
+	v, err := r.cfg.Codec.Parse(raw)
+	if err != nil {
+		r.Stats.Malformed++
+		return
+	}
+	r.waiting = false
+	if v.Flags.Has(packet.Returned) {
+		r.returned(now, raw, &v)
+		return
+	}
+	key := v.FromTarget()
+	f := r.flows[key]
+	if f == nil {
+		if v.Accepts() || v.Flags.Has(packet.RST) {
+			// An answer to a SYN of before this process started, or the end of an unknown flow.
+			r.send(key, raw)
+			return
+		}
+		f = r.adopt(now, key)
+	}
+	if !r.answer(now, f, &v) {
+		r.Stats.StaleAnswers++
+		return
+	}
+	r.send(key, raw)
+	if v.Accepts() {
+		r.confirm(now, key, f)
+	}
+}
+
+// adopt records a flow that the target had before this process started.
+func (r *Relay) adopt(now time.Duration, key packet.Key) *flow {
+	f := &flow{state: open, began: now, seen: now}
+	if len(r.flows) < maxFlows {
+		r.flows[key] = f
+	}
+	return f
+}
+
+// answer records a packet of the target. It reports whether the caller may get it.
+func (r *Relay) answer(now time.Duration, f *flow, v *packet.View) bool {
+	switch {
+	case f.state == foreign:
+		return false
+	case f.state <= accepted && now-f.began > handshakeTimeout:
+		return false // the caller has given up, and may use its port for another flow
+	case v.Accepts():
+		if f.state == halfOpen {
+			f.state, f.targetISN = accepted, v.Seq
+		}
+	case v.Flags.Has(packet.RST):
+		if f.state <= accepted {
+			f.state = closed
+			return false // the caller's flow may be open at another target
+		}
+		f.state = closed
+		r.finish(now, f)
+	}
+	if v.DataBytes > 0 {
+		r.finish(now, f)
+	}
+	f.seen = now
+	return true
+}
+
+// confirm tells the entry VM who has accepted the SYN.
+func (r *Relay) confirm(now time.Duration, key packet.Key, f *flow) {
+	r.Stats.Admitted++
+	r.load.expect(now)
+	r.toNode(f.entry, &hop.Message{Kind: hop.Admitted, Key: key, Seq: f.callerISN, Load: r.Load(now)})
+}
+
+func (r *Relay) send(key packet.Key, raw []byte) {
+	r.Stats.ToCallers++
+	r.ports.ToCaller(key.Caller, raw)
+}
+
+// returned handles a packet that the target did not take.
+func (r *Relay) returned(now time.Duration, raw []byte, v *packet.View) {
+	r.Stats.Bounced++
+	o := r.pending[v.Token%tokenCount]
+	if v.Token == 0 || o.token != v.Token {
+		r.Stats.Malformed++
+		return
+	}
+	key := v.FromCaller()
+	f := r.flows[key]
+	r.cfg.Codec.SetToken(raw, 0)
+	m := hop.Message{
+		Kind: hop.Forward, Service: o.service, Entry: o.entry, At: o.at, Best: o.best, BestLoad: o.bestLoad,
+		Candidates: o.candidates[:o.count], Packet: raw,
+	}
+	if v.Opens() {
+		if f != nil && f.callerISN == v.Seq && f.state == halfOpen {
+			delete(r.flows, key)
+		}
+		r.pass(&m)
+		return
+	}
+	if f != nil && f.state != foreign {
+		r.finish(now, f)
+		delete(r.flows, key)
+	}
+	r.giveBack(&m)
+}
+
+// find answers the question of an entry VM for the owner of a flow.
+func (r *Relay) find(now time.Duration, from hop.IP, m *hop.Message) {
+	r.Stats.FindsAnswered++
+	a := hop.Message{Kind: hop.Found, Key: m.Key, Ack: m.Ack, Answer: hop.NotOwned}
+	f := r.flows[m.Key]
+	switch {
+	case f == nil && !r.complete && !r.target.gone():
+		a.Answer = hop.Unsure
+	case f == nil || f.state == foreign || f.state == halfOpen:
+	case f.state == accepted && m.Ack-f.targetISN > 1:
+	default:
+		a.Answer = hop.Owned
+		f.seen = now
+	}
+	r.toNode(from, &a)
+}
+
+// Load returns how busy the target is.
+func (r *Relay) Load(now time.Duration) hop.Load {
+	return hop.Load{
+		Busy: uint16(min(r.load.now(now), 65535)), Mean: r.load.mean(now), Flows: uint16(min(len(r.flows), 65535)),
+	}
+}
+
+// Flows returns the number of flows in the table, closed ones included.
+func (r *Relay) Flows() int { return len(r.flows) }
+
+// Stop ends admission because the process is stopping.
+func (r *Relay) Stop() { r.stopping = true }
+
+// Sweep forgets flows whose time is over. The caller calls it about once a second.
+func (r *Relay) Sweep(now time.Duration) {
+	for key, f := range r.flows {
+		limit := FlowLifetime
+		switch f.state {
+		case halfOpen, accepted:
+			limit = handshakeTimeout + closedLinger
+		case closed, foreign:
+			limit = closedLinger
+		}
+		if now-f.seen > limit {
+			r.finish(now, f)
+			delete(r.flows, key)
+		}
+	}
+	if !r.complete && now-r.started > FlowLifetime {
+		r.complete = true
+	}
+}
+
+// resetAll ends all open flows at their callers, because the target has lost them.
+func (r *Relay) resetAll(now time.Duration) {
+	for key, f := range r.flows {
+		if f.state == open {
+			r.Stats.FlowsReset++
+			r.ports.ToCaller(key.Caller, r.cfg.Codec.Reset(key, f.callerAck))
+		}
+		r.finish(now, f)
+	}
+	clear(r.flows)
+	r.load.reset()
+}
+
+// State returns the state of the target for the roster.
+func (r *Relay) State() roster.State {
+	if r.stopping && r.target.State == roster.Ready {
+		return roster.Draining
+	}
+	return r.target.State
+}
--- a/internal/controller/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -1,4 +1,4 @@
-package controller
+package replica
 
 import (
 	"crypto/rand"
@@ -33,7 +33,7 @@
 func (b bootstrap) memberIDs() []consensus.MemberID {
 	var ids []consensus.MemberID
 	for _, name := range b.Members {
-		ids = append(ids, memberID(name))
+		ids = append(ids, MemberID(name))
 	}
 	return ids
 }
@@ -56,21 +56,26 @@
 	return b, nil
 }
 
-// save writes the file so that it is either complete or missing after a crash.
 func (b bootstrap) save(folder string) error {
 	data, err := json.Marshal(b)
 	if err != nil {
 		return errors.Wrap(err, "encode the member file")
 	}
+	return WriteDurable(folder, bootstrapFile, data)
+}
+
+// WriteDurable writes a file of the data folder so that it is either complete or missing after a
+// crash, and durable when the call returns.
+func WriteDurable(folder, name string, data []byte) error {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return result.New(result.StorageFailed, "create the data folder: %v", err)
 	}
-	temporary := filepath.Join(folder, bootstrapFile+".tmp")
+	temporary := filepath.Join(folder, name+".tmp")
 	if err := writeSynced(temporary, data); err != nil {
-		return result.New(result.StorageFailed, "write %s: %v", bootstrapFile, err)
+		return result.New(result.StorageFailed, "write %s: %v", name, err)
 	}
-	if err := os.Rename(temporary, filepath.Join(folder, bootstrapFile)); err != nil {
-		return result.New(result.StorageFailed, "rename %s: %v", bootstrapFile, err)
+	if err := os.Rename(temporary, filepath.Join(folder, name)); err != nil {
+		return result.New(result.StorageFailed, "rename %s: %v", name, err)
 	}
 	return syncFolder(folder)
 }
@@ -98,9 +103,9 @@
 	return nil
 }
 
-// firstMembers returns the members that form the log at its first start, in order. A controller
+// FirstMembers returns the members that form the log at its first start, in order. A controller
 // that is not among them joins an existing log.
-func firstMembers(self string, members map[string]string) []string {
+func FirstMembers(self string, members map[string]string) []string {
 	if _, ok := members[self]; !ok {
 		return nil
 	}
--- a/internal/controller/log.go
+++ b/internal/replica/log.go
@@ -1,14 +1,13 @@
-package controller
+package replica
 
 import (
 	"context"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
-	"github.com/greengagelock/greengagelock/internal/operator"
 )
 
-// Log is the replicated log as the controller uses it.
+// Log is the replicated log as its users see it.
 type Log interface {
 	// Run drives the log until ctx is done. It hands everything that is committed to m, in order.
 	Run(ctx context.Context, m Machine) error
@@ -20,7 +19,7 @@
 	ReadBarrier(ctx context.Context) (uint64, error)
 	// Step takes in messages of another member.
 	Step(ctx context.Context, messages []consensus.Message) error
-	Status() LogStatus
+	Status() Status
 	// ChangeMember starts a change of one member and waits until it is committed.
 	ChangeMember(ctx context.Context, change consensus.MemberChange) error
 	// Transfer hands leadership to another member if this one is the leader.
@@ -42,8 +41,8 @@
 	Snapshot []byte
 }
 
-// LogStatus is the state of the log at this member.
-type LogStatus struct {
+// Status is the state of the log at this member.
+type Status struct {
 	Leader   string // empty if unknown
 	IsLeader bool
 	Term     uint64
@@ -52,5 +51,18 @@
 	// Without any contact it is the time since the start, and Contact is false.
 	QuorumAge time.Duration
 	Contact   bool
-	Members   []operator.Member
+	Members   []Member
+}
+
+// Member is a member of the replicated log.
+type Member struct {
+	Name    string
+	Address string
+	Learner bool // receives the log and does not vote
+	Leader  bool
+	// Match is the last log entry that the member is known to hold; known only to the leader.
+	Match uint64
+	// ContactAge is the time since the leader last heard from the member; known only to the leader,
+	// zero for the leader itself.
+	ContactAge time.Duration `json:"-"`
 }
--- a/internal/controller/replica.go
+++ b/internal/replica/replica.go
@@ -1,4 +1,6 @@
-package controller
+// Package replica runs one member of a replicated log: it drives the decision logic of package
+// consensus, keeps its durable state in package wal, and hands committed entries to a state machine.
+package replica
 
 import (
 	"context"
@@ -24,8 +26,11 @@
 	messageQueue = 256
 	// maxBatch bounds the input that one sync covers.
 	maxBatch = 256
-	// keptEntries serve members that are a little behind without a snapshot.
-	keptEntries = 2048
+	// DefaultCompactEvery is the number of log entries between two snapshots. Replaying them takes
+	// less than a second.
+	DefaultCompactEvery = 4096
+	// DefaultKeptEntries serve members that are a little behind without a snapshot.
+	DefaultKeptEntries = 2048
 	// reopenPause is the time between a failure of the storage and the next try.
 	reopenPause = 2 * time.Second
 	// readRetry is the time after which an unanswered read barrier is asked for again.
@@ -34,18 +39,16 @@
 
 // memberID returns the number of a member. Names are never given to another data folder, which
 // the catalog ensures, so numbers are not either.
-func memberID(name string) consensus.MemberID {
+func MemberID(name string) consensus.MemberID {
 	return consensus.MemberID(max(xxhash.Sum64String(name), 1))
 }
 
-// replica drives the replicated log: one goroutine owns the consensus node and the files.
-type replica struct {
-	name      string
-	folder    string
-	fs        wal.FS
+// Replica drives the replicated log: one goroutine owns the consensus node and the files.
+type Replica struct {
+	cfg       Config
 	bootstrap bootstrap
 	tel       telemetry.Handle
-	directory *directory
+	directory *Directory
 	send      func(messages []consensus.Message)
 	start     time.Time
 	random    *rand.Rand
@@ -72,13 +75,40 @@
 	contact bool
 }
 
-func newReplica(name, folder string, members []string, d *directory, t telemetry.Handle) (*replica, error) {
-	b, err := loadBootstrap(folder, members)
+// Config configures a Replica. Zero values mean the defaults.
+type Config struct {
+	// Name is never given to another data folder, because a member that forgets its votes can cause
+	// two leaders in a term. The number of the member is its hash.
+	Name   string
+	Folder string // data folder
+	// Members are the names of the members that form the log when it starts for the first time; none
+	// for a member that joins later.
+	Members   []string
+	Directory *Directory
+	// Send passes messages to other members. Any of them may get lost.
+	Send func(messages []consensus.Message)
+	// FS holds the files of the log; nil means a folder in Folder.
+	FS wal.FS
+	// CompactEvery is the number of entries between two snapshots, KeptEntries the number that stays
+	// for members that are behind.
+	CompactEvery int
+	KeptEntries  uint64
+}
+
+// New returns a member of the log. It writes the first file of the data folder.
+func New(cfg Config, t telemetry.Handle) (*Replica, error) {
+	b, err := loadBootstrap(cfg.Folder, cfg.Members)
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{
-		name: name, folder: folder, bootstrap: b, tel: t, directory: d, start: time.Now(),
+	if cfg.CompactEvery == 0 {
+		cfg.CompactEvery = DefaultCompactEvery
+	}
+	if cfg.KeptEntries == 0 {
+		cfg.KeptEntries = DefaultKeptEntries
+	}
+	r := &Replica{
+		cfg: cfg, bootstrap: b, tel: t, directory: cfg.Directory, send: cfg.Send, start: time.Now(),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		requests: make(chan func(), requestQueue), messages: make(chan consensus.Message, messageQueue),
 		reads: map[uint64]chan consensus.ReadState{},
@@ -87,11 +117,14 @@
 	return r, nil
 }
 
-func (r *replica) now() time.Duration { return time.Since(r.start) }
+// FolderName returns the random name of the data folder.
+func (r *Replica) FolderName() string { return r.bootstrap.Folder }
+
+func (r *Replica) now() time.Duration { return time.Since(r.start) }
 
 // Run implements Log. A failure to write ends the part of this member until the files can be
 // opened again; damaged files end the process.
-func (r *replica) Run(ctx context.Context, m Machine) error {
+func (r *Replica) Run(ctx context.Context, m Machine) error {
 	r.machine = m
 	for {
 		err := r.open()
@@ -109,16 +142,16 @@
 		if code != result.StorageFull && code != result.StorageFailed {
 			return err
 		}
-		r.tel.Logger.Error().Str("controller", r.name).Err(err).Msg("storage of the replicated log failed, it is opened again")
+		r.tel.Logger.Error().Str("controller", r.cfg.Name).Err(err).Msg("storage of the replicated log failed, it is opened again")
 		r.status.Store(&publishedStatus{})
 		ctxtime.Sleep(ctx, reopenPause)
 	}
 }
 
-func (r *replica) open() error {
+func (r *Replica) open() error {
 	files, err := wal.New(wal.Config{
-		Folder: filepath.Join(r.folder, "log"), FS: r.fs,
-		Identity: wal.Identity{Cluster: clusterName, Member: memberID(r.name)},
+		Folder: filepath.Join(r.cfg.Folder, "log"), FS: r.cfg.FS,
+		Identity: wal.Identity{Cluster: clusterName, Member: MemberID(r.cfg.Name)},
 	}, r.tel)
 	if err != nil {
 		return err
@@ -135,13 +168,13 @@
 		}
 	}
 	r.node, err = consensus.New(consensus.Config{
-		ID: memberID(r.name), Members: r.bootstrap.memberIDs(), Rand: r.random,
+		ID: MemberID(r.cfg.Name), Members: r.bootstrap.memberIDs(), Rand: r.random,
 	}, restored)
 	return err
 }
 
 // loop runs the log until ctx is done or the storage fails.
-func (r *replica) loop(ctx context.Context) error {
+func (r *Replica) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -164,7 +197,7 @@
 }
 
 // takeMore takes in what waits already, so that one sync covers it all.
-func (r *replica) takeMore() {
+func (r *Replica) takeMore() {
 	for range maxBatch {
 		select {
 		case m := <-r.messages:
@@ -178,14 +211,14 @@
 	}
 }
 
-func (r *replica) step(m consensus.Message) {
+func (r *Replica) step(m consensus.Message) {
 	if err := r.node.Step(m, r.now()); err != nil {
-		r.tel.Logger.Warn().Str("controller", r.name).Err(err).Msg("message of another member was refused")
+		r.tel.Logger.Warn().Str("controller", r.cfg.Name).Err(err).Msg("message of another member was refused")
 	}
 }
 
 // work handles everything that the node has ready.
-func (r *replica) work() error {
+func (r *Replica) work() error {
 	for {
 		ready, ok := r.node.Ready()
 		if !ok {
@@ -205,13 +238,13 @@
 		r.node.Advance(ready)
 	}
 	r.publish()
-	if r.sinceSnapshot >= compactEvery {
+	if r.sinceSnapshot >= r.cfg.CompactEvery {
 		return r.compact()
 	}
 	return nil
 }
 
-func (r *replica) apply(ready consensus.Ready) error {
+func (r *Replica) apply(ready consensus.Ready) error {
 	if s := ready.Snapshot; s != nil {
 		at := consensus.Position{Index: s.Index, Term: s.Term}
 		if err := r.machine.Apply(Committed{Position: at, Snapshot: s.Data}); err != nil {
@@ -233,7 +266,7 @@
 	return nil
 }
 
-func (r *replica) compact() error {
+func (r *Replica) compact() error {
 	r.sinceSnapshot = 0
 	data, err := r.machine.Snapshot()
 	if err != nil {
@@ -243,10 +276,10 @@
 	if err != nil {
 		return err
 	}
-	keep := r.lastApplied - min(r.lastApplied, keptEntries)
+	keep := r.lastApplied - min(r.lastApplied, r.cfg.KeptEntries)
 	if err := r.files.SaveSnapshot(snapshot, keep); err != nil {
 		if result.CodeOf(err) == result.StorageFull {
-			r.tel.Logger.Warn().Str("controller", r.name).Err(err).Msg("no space for a snapshot, the log grows")
+			r.tel.Logger.Warn().Str("controller", r.cfg.Name).Err(err).Msg("no space for a snapshot, the log grows")
 			return nil
 		}
 		return err
@@ -254,7 +287,7 @@
 	return r.node.Compact(keep, snapshot)
 }
 
-func (r *replica) answer(reads []consensus.ReadState) {
+func (r *Replica) answer(reads []consensus.ReadState) {
 	for _, read := range reads {
 		if waiting := r.reads[read.ID]; waiting != nil {
 			delete(r.reads, read.ID)
@@ -263,14 +296,14 @@
 	}
 }
 
-func (r *replica) failReads() {
+func (r *Replica) failReads() {
 	for id, waiting := range r.reads {
 		delete(r.reads, id)
 		waiting <- consensus.ReadState{ID: id, Failed: true}
 	}
 }
 
-func (r *replica) publish() {
+func (r *Replica) publish() {
 	now := r.now()
 	age, contact := r.node.QuorumAge(now)
 	r.status.Store(&publishedStatus{Status: r.node.Status(now), at: now, age: age, contact: contact})
--- a/internal/controller/replicaapi.go
+++ b/internal/replica/replicaapi.go
@@ -1,18 +1,18 @@
-package controller
+package replica
 
 import (
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
-	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
 
 // do runs f in the goroutine that owns the node and waits for its end.
-func (r *replica) do(ctx context.Context, f func(n *consensus.Node) error) error {
+func (r *Replica) do(ctx context.Context, f func(n *consensus.Node) error) error {
 	done := make(chan error, 1)
 	request := func() {
 		if ctx.Err() != nil {
@@ -35,7 +35,7 @@
 }
 
 // Propose implements Log.
-func (r *replica) Propose(ctx context.Context, data []byte) (position consensus.Position, err error) {
+func (r *Replica) Propose(ctx context.Context, data []byte) (position consensus.Position, err error) {
 	proposed := make(chan consensus.Position, 1)
 	err = r.do(ctx, func(n *consensus.Node) error {
 		p, err := n.Propose(data)
@@ -49,7 +49,7 @@
 }
 
 // ReadBarrier implements Log. The question or the answer can get lost, so it is asked again.
-func (r *replica) ReadBarrier(ctx context.Context) (uint64, error) {
+func (r *Replica) ReadBarrier(ctx context.Context) (uint64, error) {
 	for {
 		limited, cancel := context.WithTimeout(ctx, readRetry)
 		index, err := r.readOnce(limited)
@@ -64,7 +64,7 @@
 	}
 }
 
-func (r *replica) readOnce(ctx context.Context) (uint64, error) {
+func (r *Replica) readOnce(ctx context.Context) (uint64, error) {
 	answer := make(chan consensus.ReadState, 1)
 	id := uint64(0)
 	err := r.do(ctx, func(n *consensus.Node) error {
@@ -93,7 +93,7 @@
 }
 
 // Step implements Log.
-func (r *replica) Step(_ context.Context, messages []consensus.Message) error {
+func (r *Replica) Step(_ context.Context, messages []consensus.Message) error {
 	for _, m := range messages {
 		select {
 		case r.messages <- m:
@@ -105,7 +105,7 @@
 }
 
 // ChangeMember implements Log.
-func (r *replica) ChangeMember(ctx context.Context, change consensus.MemberChange) error {
+func (r *Replica) ChangeMember(ctx context.Context, change consensus.MemberChange) error {
 	proposed := make(chan consensus.Position, 1)
 	err := r.do(ctx, func(n *consensus.Node) error {
 		p, err := n.ProposeMemberChange(change)
@@ -130,7 +130,7 @@
 }
 
 // Transfer implements Log. It waits until another member leads.
-func (r *replica) Transfer(ctx context.Context) error {
+func (r *Replica) Transfer(ctx context.Context) error {
 	if err := r.do(ctx, func(n *consensus.Node) error { return n.TransferLeadership(0) }); err != nil {
 		return err
 	}
@@ -143,30 +143,37 @@
 	return result.New(result.DeadlineExceeded, "no other member took over in time")
 }
 
+// neverHeard is the ContactAge of a member that the leader has not heard from in its term.
+const neverHeard = time.Hour
+
 // Status implements Log.
-func (r *replica) Status() LogStatus {
+func (r *Replica) Status() Status {
 	p := r.status.Load()
 	now := r.now()
-	s := LogStatus{
-		Leader: r.directory.nameOf(p.Leader), IsLeader: p.Role == consensus.Leader, Term: p.Term, Commit: p.Commit,
+	s := Status{
+		Leader: r.directory.NameOf(p.Leader), IsLeader: p.Role == consensus.Leader, Term: p.Term, Commit: p.Commit,
 		Contact: p.contact, QuorumAge: now,
 	}
 	if p.contact {
 		s.QuorumAge = now - p.at + p.age
 	}
 	for _, id := range slices.Concat(p.Members.Voters, p.Members.Learners) {
-		name, address := r.directory.find(id)
-		m := operator.Member{Name: name, Address: address, Learner: p.Members.IsLearner(id), Leader: id == p.Leader}
+		name, address := r.directory.Find(id)
+		m := Member{Name: name, Address: address, Learner: p.Members.IsLearner(id), Leader: id == p.Leader}
 		if id == p.ID {
 			m.Match = p.Last
 		}
 		for _, peer := range p.Peers {
 			if peer.ID == id {
 				m.Match = peer.Match
+				m.ContactAge = neverHeard
+				if peer.ContactKnown {
+					m.ContactAge = peer.ContactAge
+				}
 			}
 		}
 		s.Members = append(s.Members, m)
 	}
-	slices.SortFunc(s.Members, func(a, b operator.Member) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return s
 }
--- /dev/null
+++ b/internal/roster/registry.go
@@ -0,0 +1,138 @@
+package roster
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/greengagelock/greengagelock/internal/hop"
+)
+
+// Registry is the list of a controller. It has no clock; time is the duration since the start of the
+// process.
+type Registry struct {
+	nodes  map[hop.IP]*node
+	list   []Target // by relay address
+	digest uint64
+	stale  bool // list and digest must be built again
+}
+
+type node struct {
+	Announcement
+	heard time.Duration
+}
+
+// NewRegistry returns an empty list.
+func NewRegistry() *Registry { return &Registry{nodes: map[hop.IP]*node{}} }
+
+// Announce records an announcement. It reports whether the list of targets has changed.
+func (r *Registry) Announce(now time.Duration, from hop.IP, a *Announcement) bool {
+	n := r.nodes[from]
+	if n == nil {
+		n = &node{}
+		r.nodes[from] = n
+	}
+	changed := !sameTarget(n.Target, a.Target)
+	n.Announcement, n.heard = *a, now
+	r.stale = r.stale || changed
+	return changed
+}
+
+func sameTarget(a, b *Target) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
+// Expire forgets processes whose lease has ended. It reports whether the list has changed.
+func (r *Registry) Expire(now time.Duration) bool {
+	changed := false
+	for ip, n := range r.nodes {
+		if now-n.heard <= Lease {
+			continue
+		}
+		delete(r.nodes, ip)
+		changed = changed || n.Target != nil
+	}
+	r.stale = r.stale || changed
+	return changed
+}
+
+// Nodes returns the addresses of the processes with a role.
+func (r *Registry) Nodes(role Role) []hop.IP {
+	var ips []hop.IP
+	for ip, n := range r.nodes {
+		if n.Role == role {
+			ips = append(ips, ip)
+		}
+	}
+	slices.SortFunc(ips, func(a, b hop.IP) int { return bytes.Compare(a[:], b[:]) })
+	return ips
+}
+
+// Behind returns the names of processes that have an older configuration than version in force.
+func (r *Registry) Behind(version uint64) []string {
+	var names []string
+	for _, n := range r.nodes {
+		if n.Role == RoleEntry && n.Version < version {
+			names = append(names, n.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Targets returns the list, which must not be changed, and its digest.
+func (r *Registry) Targets() ([]Target, uint64) {
+	if !r.stale {
+		return r.list, r.digest
+	}
+	r.stale = false
+	list := make([]Target, 0, len(r.nodes))
+	for ip, n := range r.nodes {
+		if n.Target != nil {
+			t := *n.Target
+			t.Relay = ip
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b Target) int { return bytes.Compare(a.Relay[:], b.Relay[:]) })
+	encoded, err := cbor.Marshal(list)
+	if err != nil {
+		panic(errors.Wrap(err, "encode the list of targets")) // plain values always encode
+	}
+	r.list, r.digest = list, max(xxhash.Sum64(encoded), 1)
+	return r.list, r.digest
+}
+
+// Answers fills in the list for a process that holds the list with the given digest: its loads, or
+// all parts if it holds another one.
+func (r *Registry) Answers(base Answer, role Role, digest uint64) []Answer {
+	list, own := r.Targets()
+	base.Digest = own
+	switch {
+	case role != RoleEntry:
+		base.Digest = 0
+		return []Answer{base}
+	case digest == own:
+		base.Loads = make([]hop.Load, len(list))
+		for i := range list {
+			base.Loads[i] = r.nodes[list[i].Relay].Load
+		}
+		return []Answer{base}
+	}
+	parts := max((len(list)+targetsPerPart-1)/targetsPerPart, 1)
+	answers := make([]Answer, 0, parts)
+	for part := range parts {
+		a := base
+		a.Part, a.Parts = uint16(part), uint16(parts)
+		a.Targets = list[part*targetsPerPart : min((part+1)*targetsPerPart, len(list))]
+		answers = append(answers, a)
+	}
+	return answers
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -26,6 +26,7 @@
 	Role        model.Role // of the server
 	Name        string     // of the server; empty for any
 	Credentials *Credentials
+	Plain       bool // as in ServerConfig; Role and Name are not checked
 	DialTimeout time.Duration
 	CallTimeout time.Duration // upper bound for every call
 	IdleTimeout time.Duration
@@ -110,10 +111,14 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", c.cfg.Address), ErrUnreachable)
 	}
-	conn := tls.Client(raw, c.cfg.Credentials.ClientTLS(c.cfg.Role, c.cfg.Name))
-	if err := conn.HandshakeContext(ctx); err != nil {
-		_ = raw.Close()
-		return nil, errors.Mark(errors.Wrapf(err, "TLS handshake with %s", c.cfg.Address), ErrUnreachable)
+	conn := raw
+	if !c.cfg.Plain {
+		secure := tls.Client(raw, c.cfg.Credentials.ClientTLS(c.cfg.Role, c.cfg.Name))
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, errors.Mark(errors.Wrapf(err, "TLS handshake with %s", c.cfg.Address), ErrUnreachable)
+		}
+		conn = secure
 	}
 	l := limits{idle: c.cfg.IdleTimeout, io: c.cfg.IOTimeout, maxMessage: c.cfg.MaxMessage}
 	c.codec = &clientCodec{wire: newWire(conn, l)}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -53,7 +53,10 @@
 
 // ServerConfig configures a Server. Zero values mean the defaults.
 type ServerConfig struct {
-	Credentials      *Credentials
+	Credentials *Credentials
+	// Plain accepts connections without TLS, for a network that only the system's own VMs reach. The
+	// name of a peer is then its IP address and its role is empty.
+	Plain            bool
 	Services         Services
 	HandshakeTimeout time.Duration
 	IdleTimeout      time.Duration
@@ -170,11 +173,10 @@
 func (s *Server) serve(ctx context.Context, raw net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn := tls.Server(raw, s.cfg.Credentials.ServerTLS())
-	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
-	peer, err := s.handshake(ctx, conn)
+	conn, peer, err := s.identify(ctx, raw)
+	defer func() { _ = conn.Close() }()
 	if err != nil {
 		s.metrics.Refused.WithLabelValues("handshake").Inc()
 		return
@@ -192,6 +194,17 @@
 	})
 }
 
+// identify returns the connection to talk on and the other end of it.
+func (s *Server) identify(ctx context.Context, raw net.Conn) (net.Conn, *Peer, error) {
+	if s.cfg.Plain {
+		host, _, err := net.SplitHostPort(raw.RemoteAddr().String())
+		return raw, &Peer{Identity: Identity{Name: host}, Context: ctx}, err
+	}
+	conn := tls.Server(raw, s.cfg.Credentials.ServerTLS())
+	peer, err := s.handshake(ctx, conn)
+	return conn, peer, err
+}
+
 func (s *Server) handshake(ctx context.Context, conn *tls.Conn) (*Peer, error) {
 	limited, cancel := context.WithTimeout(ctx, s.cfg.HandshakeTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/uplink/uplink.go
@@ -0,0 +1,241 @@
+// Package uplink is the datagram side of a process towards all controllers of the store: it announces
+// the process to each of them, follows their list of members, and fetches new configurations.
+package uplink
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/greengagelock/greengagelock/internal/confstore"
+	"github.com/greengagelock/greengagelock/internal/ctxtime"
+	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/roster"
+	"github.com/greengagelock/greengagelock/internal/routing"
+)
+
+const (
+	// maxControllers bounds the controllers that are announced to: 7 members and as many that replace
+	// them.
+	maxControllers = 14
+	// fetchPause is the time after a fetch that failed.
+	fetchPause = 100 * time.Millisecond
+	// lostAfter is the time without an answer after which a controller counts as lost. It has then missed
+	// four announcements.
+	lostAfter = 4 * roster.AnnounceInterval
+)
+
+// Config configures an Uplink.
+type Config struct {
+	Port  uint16 // of all controllers
+	Seeds []netip.Addr
+	// Send sends a datagram to a controller.
+	Send func(to netip.AddrPort, datagram []byte)
+	// Announce returns what to announce to a controller now.
+	Announce func(to hop.IP) roster.Announcement
+	// Parse reads a configuration, and InForce puts it in force. Without them none is fetched.
+	Parse   func(body []byte) (*routing.Document, error)
+	InForce func(*routing.Table)
+	Logger  *log.Logger
+}
+
+// Uplink holds the contact with the controllers.
+type Uplink struct {
+	cfg  Config
+	wake chan struct{}
+
+	mu          sync.Mutex
+	seeds       []hop.IP
+	members     []hop.IP // of the last answer of a controller in contact with a majority
+	controllers map[hop.IP]*controller
+	version     uint64 // in force
+	wanted      uint64 // newest version heard of
+	current     bool   // a controller in contact with a majority has answered
+}
+
+type controller struct {
+	version uint64
+	heard   time.Time
+	lost    bool
+}
+
+// New returns an Uplink.
+func New(cfg Config) *Uplink {
+	u := &Uplink{cfg: cfg, wake: make(chan struct{}, 1), controllers: map[hop.IP]*controller{}}
+	u.SetSeeds(cfg.Seeds)
+	return u
+}
+
+// SetSeeds replaces the seeds after a change of the settings.
+func (u *Uplink) SetSeeds(seeds []netip.Addr) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.seeds = nil
+	for _, ip := range seeds {
+		if ip.Is4() {
+			u.seeds = append(u.seeds, ip.As4())
+		}
+	}
+}
+
+// Run announces the process and fetches configurations until ctx is done.
+func (u *Uplink) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	if u.cfg.Parse != nil {
+		wg.Go(func() { u.fetchAll(ctx) })
+	}
+	for {
+		u.Announce()
+		if !ctxtime.Sleep(ctx, roster.AnnounceInterval) {
+			wg.Wait()
+			return nil
+		}
+	}
+}
+
+// Announce sends an announcement to every controller now.
+func (u *Uplink) Announce() {
+	for _, ip := range u.targets() {
+		a := u.cfg.Announce(ip)
+		datagram, err := a.Encode()
+		if err != nil {
+			u.cfg.Logger.Error().Err(err).Msg("an announcement could not be encoded")
+			return
+		}
+		u.cfg.Send(netip.AddrPortFrom(netip.AddrFrom4(ip), u.cfg.Port), datagram)
+	}
+}
+
+// targets returns the controllers to announce to, and notes which are lost.
+func (u *Uplink) targets() []hop.IP {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	list := slices.Clone(u.members)
+	for _, ip := range u.seeds {
+		if !slices.Contains(list, ip) {
+			list = append(list, ip)
+		}
+	}
+	list = list[:min(len(list), maxControllers)]
+	for ip, c := range u.controllers {
+		if !c.lost && time.Since(c.heard) > lostAfter {
+			c.lost = true
+			u.cfg.Logger.Warn().Str("controller", netip.AddrFrom4(ip).String()).Msg("a controller does not answer")
+		}
+		if !slices.Contains(list, ip) {
+			delete(u.controllers, ip)
+		}
+	}
+	return list
+}
+
+// Answer takes in the answer of a controller.
+func (u *Uplink) Answer(from hop.IP, a *roster.Answer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c := u.controllers[from]
+	if c == nil {
+		c = &controller{}
+		u.controllers[from] = c
+	} else if c.lost {
+		u.cfg.Logger.Info().Str("controller", netip.AddrFrom4(from).String()).Msg("a controller answers again")
+	}
+	c.version, c.heard, c.lost = a.Version, time.Now(), false
+	if a.Current {
+		u.current = true
+		u.members = slices.Clone(a.Controllers)
+	}
+	if a.Version > u.wanted {
+		u.wanted = a.Version
+		select {
+		case u.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// fetchAll fetches every newer configuration.
+func (u *Uplink) fetchAll(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-u.wake:
+		}
+		for ctx.Err() == nil {
+			from, above, ok := u.source()
+			if !ok {
+				break
+			}
+			if !u.fetch(ctx, from, above) {
+				ctxtime.Sleep(ctx, fetchPause)
+			}
+		}
+	}
+}
+
+// source returns a controller that has a newer configuration, the one heard from last.
+func (u *Uplink) source() (from hop.IP, above uint64, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var best *controller
+	for ip, c := range u.controllers {
+		if c.version <= u.version || c.version < u.wanted && best != nil {
+			continue
+		}
+		if best == nil || c.version > best.version || c.heard.After(best.heard) {
+			from, best = ip, c
+		}
+	}
+	return from, u.version, best != nil
+}
+
+func (u *Uplink) fetch(ctx context.Context, from hop.IP, above uint64) bool {
+	address := netip.AddrPortFrom(netip.AddrFrom4(from), u.cfg.Port)
+	logger := u.cfg.Logger
+	content, err := confstore.Fetch(ctx, address, above)
+	if err != nil || content == nil {
+		logger.Warn().Str("controller", address.String()).Uint64("above", above).Err(err).Msg("no configuration was fetched")
+		u.distrust(from)
+		return false
+	}
+	body, err := content.Body()
+	var document *routing.Document
+	if err == nil {
+		document, err = u.cfg.Parse(body)
+	}
+	if err != nil {
+		logger.Error().Uint64("version", content.Version).Err(err).Msg("a configuration cannot be put in force")
+		u.distrust(from)
+		return false
+	}
+	u.cfg.InForce(routing.NewTable(document))
+	u.mu.Lock()
+	u.version = max(u.version, content.Version)
+	u.mu.Unlock()
+	logger.Info().Uint64("version", content.Version).Int("routes", len(document.Routes)).
+		Str("controller", address.String()).Msg("configuration in force")
+	return true
+}
+
+// distrust forgets the version of a controller until it answers again.
+func (u *Uplink) distrust(ip hop.IP) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c := u.controllers[ip]; c != nil {
+		c.version = 0
+	}
+	u.wanted = u.version
+}
+
+// CaughtUp reports whether a controller in contact with a majority has answered and the newest
+// version heard of is in force.
+func (u *Uplink) CaughtUp() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.current && u.version > 0 && u.version >= u.wanted
+}
