Shorten the recovery after the loss of all machines

Cause: after power returned, service waited for an announcement interval of 400 ms, an election of up to 1.2 s and a search that gave up at the first returned probe, so that flows lost with their targets were never reset and their callers waited until their deadlines.

Change: announce every 40 ms while no controller answers; a member that has just started asks for an election after 150 to 300 ms; packets that arrive before the first configuration wait; a search waits for all probes.

--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -11,14 +11,19 @@
 	"github.com/greengagelock/greengagelock/internal/roster"
 )
 
-// expireInterval is the time between two looks for leases that have ended.
-const expireInterval = 200 * time.Millisecond
+const (
+	// expireInterval is the time between two looks for leases that have ended.
+	expireInterval = 200 * time.Millisecond
+	// tellDelay collects changes of the list before it is sent to all entry VMs.
+	tellDelay = 15 * time.Millisecond
+)
 
 // serveAnnouncements answers the announcements of all processes.
 func (c *Controller) serveAnnouncements(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = c.udp.Close() })
 	defer stop()
 	go c.expire(ctx)
+	go c.tellChanges(ctx)
 	return packet.Receive(ctx, c.udp, c.tel.Logger, func(from netip.AddrPort, b []byte) {
 		a, err := roster.DecodeAnnouncement(b)
 		addr, ok := packet.AddrOf(from)
@@ -41,7 +46,29 @@
 	}
 	if changed {
 		t := a.Target
-		c.tel.Logger.Info().Str("target", t.ID).Str("relay", a.Name).Str("state", t.State.String()).Msg("a target changed")
+		c.tel.Logger.Info().Str("target", t.ID).Str("relay", a.Name).Str("state", t.State.String()).
+			Bool("cold", t.Cold).Msg("a target changed")
+		c.listChanged()
+	}
+}
+
+// listChanged lets the entry VMs be told of the list soon.
+func (c *Controller) listChanged() {
+	select {
+	case c.tell <- struct{}{}:
+	default:
+	}
+}
+
+// tellChanges sends the list to the entry VMs after it has changed.
+func (c *Controller) tellChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.tell:
+		}
+		ctxtime.Sleep(ctx, tellDelay)
 		c.tellEntries()
 	}
 }
@@ -69,7 +96,7 @@
 		c.mu.Unlock()
 		if changed {
 			c.tel.Logger.Info().Msg("a target's relay stopped announcing itself")
-			c.tellEntries()
+			c.listChanged()
 		}
 	}
 }
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -81,6 +81,7 @@
 	server    *rpc.Server
 	tcp       net.Listener
 	udp       *net.UDPConn
+	tell      chan struct{} // the list of targets has changed
 
 	mu       sync.Mutex
 	seeds    []netip.Addr
@@ -96,7 +97,7 @@
 	c := &Controller{
 		cfg: cfg, tel: t, state: newState(), seeds: cfg.Seeds, joining: map[string]time.Time{},
 		registry: roster.NewRegistry(), start: time.Now(), peerNames: map[string]string{},
-		directory: replica.NewDirectory(nil),
+		directory: replica.NewDirectory(nil), tell: make(chan struct{}, 1),
 	}
 	founders := c.founders()
 	var err error
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -87,8 +87,10 @@
 	if c.Rand == nil {
 		return result.New(result.SettingsInvalid, "member %d has no source of randomness", c.ID)
 	}
-	if len(c.Members) > MaxVoters {
-		return result.New(result.SettingsInvalid, "%d members given, want at most %d", len(c.Members), MaxVoters)
+	switch len(c.Members) {
+	case 0, 1, 3, 5, 7:
+	default:
+		return result.New(result.SettingsInvalid, "%d members given, want 1, 3, 5 or 7", len(c.Members))
 	}
 	ids := Members{Voters: c.Members, Learners: c.Learners}.all()
 	if len(slices.Compact(slices.Clone(ids))) != len(ids) || slices.Contains(ids, 0) {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -8,6 +8,14 @@
 	n.electionDeadline = n.now + n.cfg.ElectionTimeout + n.spread(n.cfg.ElectionTimeout)
 }
 
+// startElectionTimer lets a member that has just started ask for an election sooner: after the loss of
+// all members nobody leads, and if somebody does, the pre-vote changes nothing. A leader reaches a
+// member that starts within a few heartbeats.
+func (n *Node) startElectionTimer() {
+	quarter := n.cfg.ElectionTimeout / 4
+	n.electionDeadline = n.now + quarter + n.spread(quarter)
+}
+
 // resetRetryTimer lets an unsuccessful candidate try again sooner than a follower would start.
 func (n *Node) resetRetryTimer() {
 	half := n.cfg.ElectionTimeout / 2
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -81,7 +81,7 @@
 	}
 	n.saved = n.hardState()
 	n.softSaved = n.softState()
-	n.resetElectionTimer()
+	n.startElectionTimer()
 	return n, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,7 +25,7 @@
 	maxRounds = 4
 	// findTimeout is the time after which relays that did not answer are asked again.
 	findTimeout = 25 * time.Millisecond
-	// findRounds bounds the questions. After the last one, relays that are not sure get the packet.
+	// findRounds bounds the questions. Then the relays that are not sure get the packet.
 	findRounds = 3
 	// findPause is the time after a search without a result in which the flow is not searched again.
 	// Both ends repeat their packets, the first time after 200 ms.
@@ -34,6 +34,14 @@
 	probeTimeout = 40 * time.Millisecond
 	// maxHeld bounds the packets of a flow that wait for its owner; an end has at most 16 in flight.
 	maxHeld = 16
+	// maxEarly bounds the packets that wait for the first configuration and the first list of targets,
+	// earlyPatience the time that they wait. Callers repeat a SYN after 200 ms, so older ones come again.
+	maxEarly      = 512
+	earlyPatience = 250 * time.Millisecond
+	// settleTime is the time from the first target that is known until flows are placed. Relays find a
+	// controller that has just started within that time; placing at once would pile the flows of all
+	// callers on the first target.
+	settleTime = 70 * time.Millisecond
 	// maxFlows bounds the memory of the flow cache to about 8 MB.
 	maxFlows = 65536
 	// flowLifetime is the time without packets after which a flow leaves the cache.
@@ -61,8 +69,11 @@
 	View   *roster.View
 	Stats  Stats
 
-	table *routing.Table
-	flows map[packet.Key]*flow
+	table     *routing.Table
+	firstList time.Duration // time of the first list of targets, negative before
+	settled   bool
+	early     []earlyPacket
+	flows     map[packet.Key]*flow
 	// waiting are the flows with a timer, in no particular order.
 	waiting map[packet.Key]*flow
 	soonest time.Duration // earliest timer set since the last look, negative if none
@@ -82,6 +93,12 @@
 	HeldDropped, FlowsDropped, Returned uint64
 }
 
+// earlyPacket is a packet that arrived before anything was known.
+type earlyPacket struct {
+	raw []byte
+	at  time.Duration
+}
+
 type flowState uint8
 
 const (
@@ -111,13 +128,14 @@
 	asked   []hop.IP
 	unsure  []hop.IP
 	notHere []hop.IP
+	probing bool // the packet is at the targets of unsure relays
 }
 
 // New returns an entry VM without configuration and targets.
 func New(cfg Config, picker *place.Picker, ports Ports) *Entry {
 	return &Entry{
 		cfg: cfg, ports: ports, picker: picker, View: roster.NewView(),
-		flows: map[packet.Key]*flow{}, waiting: map[packet.Key]*flow{}, soonest: -1,
+		flows: map[packet.Key]*flow{}, waiting: map[packet.Key]*flow{}, soonest: -1, firstList: -1,
 	}
 }
 
@@ -147,16 +165,65 @@
 		e.Stats.Malformed++
 		return
 	}
+	if !e.knows(now) {
+		e.keepEarly(now, raw)
+		return
+	}
+	e.handle(now, &v, raw)
+}
+
+// knows reports whether packets can be handled: a configuration is in force and the targets are known.
+func (e *Entry) knows(now time.Duration) bool {
+	if e.settled {
+		return true
+	}
+	if e.firstList < 0 && e.View.Len() > 0 {
+		e.firstList = now
+	}
+	e.settled = e.table != nil && e.firstList >= 0 && now-e.firstList >= settleTime
+	return e.settled
+}
+
+// keepEarly keeps a packet until the first configuration and the first targets are known.
+func (e *Entry) keepEarly(now time.Duration, raw []byte) {
+	if len(e.early) >= maxEarly {
+		e.Stats.HeldDropped++
+		return
+	}
+	e.early = append(e.early, earlyPacket{raw: slices.Clone(raw), at: now})
+}
+
+// Settle handles the packets that waited, once that is possible. It reports whether it has to be
+// called again.
+func (e *Entry) Settle(now time.Duration) bool {
+	if !e.knows(now) {
+		return true
+	}
+	early := e.early
+	e.early = nil
+	for _, p := range early {
+		if now-p.at > earlyPatience {
+			e.Stats.HeldDropped++
+			continue
+		}
+		if v, err := e.cfg.Codec.Parse(p.raw); err == nil {
+			e.handle(now, &v, p.raw)
+		}
+	}
+	return false
+}
+
+func (e *Entry) handle(now time.Duration, v *packet.View, raw []byte) {
 	key := v.FromCaller()
 	if !e.table.Has(v.Destination) {
-		e.noRoute(key, &v)
+		e.noRoute(key, v)
 		return
 	}
 	if v.Opens() {
-		e.open(now, key, &v, raw)
+		e.open(now, key, v, raw)
 		return
 	}
-	e.forward(now, key, &v, raw)
+	e.forward(now, key, v, raw)
 }
 
 // noRoute ends a flow for whose address there is no route, or no longer one.
@@ -164,8 +231,8 @@
 	e.Stats.NoRoute++
 	delete(e.flows, key)
 	delete(e.waiting, key)
-	if e.table == nil || v.Flags.Has(packet.RST) {
-		return // nothing is known yet; the caller asks again
+	if v.Flags.Has(packet.RST) {
+		return
 	}
 	e.reset(key, v.Ack)
 }
@@ -293,53 +360,73 @@
 	e.conclude(now, key, f)
 }
 
-// conclude ends a search once every relay has answered.
-func (e *Entry) conclude(now time.Duration, key packet.Key, f *flow) {
+// unanswered returns the number of relays that have not said whether they have the flow.
+func (f *flow) unanswered() int {
 	open := 0
 	for _, ip := range f.asked {
 		if !slices.Contains(f.notHere, ip) && !slices.Contains(f.unsure, ip) {
 			open++
 		}
 	}
-	if open > 0 && f.round <= findRounds {
-		return
-	}
-	if len(f.unsure) > 0 {
+	return open
+}
+
+// conclude goes on with a search once every relay has answered.
+func (e *Entry) conclude(now time.Duration, key packet.Key, f *flow) {
+	switch {
+	case f.unanswered() > 0:
+	case len(f.unsure) > 0:
 		e.probe(now, key, f)
-		return
+	case len(f.asked) > 0:
+		e.nobody(key, f)
 	}
-	delete(e.waiting, key)
-	held := f.held
-	f.held = nil
-	f.state, f.due = unowned, now+findPause
-	if open > 0 || len(f.asked) == 0 {
-		e.Stats.FindsFailed++
-		return
+}
+
+// searchDue goes on with a search at its timer.
+func (e *Entry) searchDue(now time.Duration, key packet.Key, f *flow) {
+	switch {
+	case f.probing:
+		e.giveUp(now, key, f)
+	case f.round < findRounds:
+		e.ask(now, key, f)
+	case len(f.unsure) > 0:
+		e.probe(now, key, f)
+	default:
+		e.giveUp(now, key, f)
 	}
+}
+
+// nobody ends a search when every relay knows that it does not have the flow.
+func (e *Entry) nobody(key packet.Key, f *flow) {
 	e.Stats.FoundNone++
-	if v, err := e.cfg.Codec.Parse(held[0]); err == nil && !v.Flags.Has(packet.RST) {
+	delete(e.waiting, key)
+	delete(e.flows, key)
+	if v, err := e.cfg.Codec.Parse(f.held[0]); err == nil && !v.Flags.Has(packet.RST) {
 		e.Stats.ResetUnowned++
 		e.reset(key, f.ack)
 	}
-	delete(e.flows, key)
+}
+
+// giveUp ends a search without a result. The flow may be at a target that cannot be reached now, so it
+// is not reset.
+func (e *Entry) giveUp(now time.Duration, key packet.Key, f *flow) {
+	e.Stats.FindsFailed++
+	delete(e.waiting, key)
+	f.held, f.unsure = nil, nil
+	f.state, f.due = unowned, now+findPause
 }
 
 // probe hands the first packet to the targets whose relays are not sure. The one that has the flow
 // answers it, the others return it.
 func (e *Entry) probe(now time.Duration, key packet.Key, f *flow) {
 	e.Stats.Probed++
-	for _, ip := range f.unsure {
-		e.send(ip, f.service, f.held[0])
-	}
+	f.probing = true
+	unsure := f.unsure
 	f.unsure = nil
 	e.wait(key, f, now+probeTimeout)
-	if f.round > findRounds+1 {
-		delete(e.waiting, key)
-		f.held, f.state = nil, unowned
-		e.Stats.FindsFailed++
-		return
+	for _, ip := range unsure {
+		e.send(ip, f.service, f.held[0])
 	}
-	f.round = max(f.round, findRounds+1)
 }
 
 // FromNode takes in a datagram of a relay.
@@ -481,7 +568,7 @@
 
 func (e *Entry) step(now time.Duration, key packet.Key, f *flow) {
 	if f.state == searching {
-		e.ask(now, key, f)
+		e.searchDue(now, key, f)
 		return
 	}
 	// The candidate that the SYN was sent to is gone, or the chain behind it broke.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -21,8 +21,12 @@
 	"github.com/greengagelock/greengagelock/internal/uplink"
 )
 
-// sweepInterval is the time between two sweeps of the flow cache.
-const sweepInterval = 5 * time.Second
+const (
+	// sweepInterval is the time between two sweeps of the flow cache.
+	sweepInterval = 5 * time.Second
+	// settleInterval is the time between two looks whether the first configuration and targets are there.
+	settleInterval = 10 * time.Millisecond
+)
 
 // ProcessConfig configures a Process.
 type ProcessConfig struct {
@@ -99,6 +103,7 @@
 	group.Go(func() error { return packet.Receive(running, p.nodes, p.tel.Logger, p.fromNode) })
 	group.Go(func() error { return p.uplink.Run(running) })
 	group.Go(func() error { p.sweep(running); return nil })
+	group.Go(func() error { p.settle(running); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -160,6 +165,14 @@
 	p.arm(p.entry.Tick(p.now()))
 }
 
+// settle lets the entry handle what waits for the first configuration and targets.
+func (p *Process) settle(ctx context.Context) {
+	again := true
+	for again && ctxtime.Sleep(ctx, settleInterval) {
+		p.locked(func(now time.Duration) { again = p.entry.Settle(now) })
+	}
+}
+
 func (p *Process) sweep(ctx context.Context) {
 	for ctxtime.Sleep(ctx, sweepInterval) {
 		p.mu.Lock()
@@ -209,15 +222,15 @@
 // Ready returns the reason for which the fabric should not send packets here, or nil.
 func (p *Process) Ready() error {
 	p.mu.Lock()
-	stopping, targets := p.stopping, p.entry.View.Len()
+	stopping, settled := p.stopping, p.entry.settled
 	p.mu.Unlock()
 	switch {
 	case stopping:
 		return result.New(result.TargetDraining, "the process is stopping")
 	case !p.uplink.CaughtUp():
 		return result.New(result.StaleGeneration, "the newest configuration is not in force")
-	case targets == 0:
-		return result.New(result.NoTarget, "no target is known")
+	case !settled:
+		return result.New(result.NoTarget, "the targets are not known")
 	}
 	return nil
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -41,6 +41,9 @@
 	gcPercent = 50
 )
 
+// processStart is taken before main runs.
+var processStart = time.Now()
+
 // Protocol is how callers, targets and operators speak.
 type Protocol struct {
 	Codec        packet.Codec
@@ -246,7 +249,8 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			p.tel.Logger.Info().Str("role", string(s.Role)).Str("ip", s.IP.String()).Str("zone", s.Zone).
-				Bool("first_start", s.FirstStart).Int("controllers", len(s.Controllers)).Msg("started")
+				Bool("first_start", s.FirstStart).Int("controllers", len(s.Controllers)).
+				Dur("startup_ms", time.Since(processStart)).Msg("started")
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -22,6 +22,8 @@
 	// maxControllers bounds the controllers that are announced to: 7 members and as many that replace
 	// them.
 	maxControllers = 14
+	// searchInterval is the time between two announcements while no controller answers.
+	searchInterval = 40 * time.Millisecond
 	// fetchPause is the time after a fetch that failed.
 	fetchPause = 100 * time.Millisecond
 	// lostAfter is the time without an answer after which a controller counts as lost. It has then missed
@@ -90,13 +92,26 @@
 	}
 	for {
 		u.Announce()
-		if !ctxtime.Sleep(ctx, roster.AnnounceInterval) {
+		if !ctxtime.Sleep(ctx, u.interval()) {
 			wg.Wait()
 			return nil
 		}
 	}
 }
 
+// interval returns the time until the next announcement. Until a controller has answered, and while
+// none answers, it is short, so that service resumes as soon as controllers are back.
+func (u *Uplink) interval() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.controllers {
+		if time.Since(c.heard) <= lostAfter {
+			return roster.AnnounceInterval
+		}
+	}
+	return searchInterval
+}
+
 // Announce sends an announcement to every controller now.
 func (u *Uplink) Announce() {
 	for _, ip := range u.targets() {
