Keep flow searches within a share of the link

A restarted entry VM asked all 54 relays about each flow it did not know, three times 25 ms apart, and offered each SYN again after 50 ms: 400 KB for 80 flows, on a link of 650 KB/s that was then too slow for the answers, which led to more questions.

Ruled out: the processor (13% of its share used) and the relays.

Change: a flow is offered to the least loaded of the first six targets of its rendezvous ranking, so an entry VM that does not know a flow asks nine relays. All relays are asked only after that, 64 flows a datagram, within a fifth of the link. Repeated offers wait for four times the usual time to admission and have a budget of a fifth of all offers. Controllers send what changed in the list of targets, not the whole list. A flow whose relay no controller hears is reset, so that its caller can go on.

--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -101,12 +101,12 @@
 	}
 }
 
-// tellEntries sends the list to all entry VMs at once, without waiting for their announcements.
+// tellEntries sends what has changed in the list to all entry VMs.
 func (c *Controller) tellEntries() {
 	base := c.baseAnswer()
 	c.mu.Lock()
 	entries := c.registry.Nodes(roster.RoleEntry)
-	answers := c.registry.Answers(base, roster.RoleEntry, 0)
+	answers := c.registry.Change(base)
 	c.mu.Unlock()
 	for _, ip := range entries {
 		for i := range answers {
--- /dev/null
+++ b/internal/entry/offer.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/packet"
+)
+
+const (
+	// minAdmitTimeout and maxAdmitTimeout bound the time after which a SYN that nobody has accepted is
+	// offered to others. A chain of four relays and the answer of the target take below 10 ms between
+	// availability zones; the caller repeats the SYN after 200 ms.
+	minAdmitTimeout = 50 * time.Millisecond
+	maxAdmitTimeout = 400 * time.Millisecond
+	// admitFactor is the timeout as a multiple of the usual time to admission.
+	admitFactor = 4
+	// callerPatience is the time after which a caller gives up a SYN.
+	callerPatience = 1400 * time.Millisecond
+	// maxRounds bounds the chains that one SYN is offered to.
+	maxRounds = 4
+	// retryShare and retryBurst are the budget of offers that are repeated because nobody answered: a
+	// share of all offers, so that a choked link is not choked further, and a burst for the loss of a VM.
+	retryShare = 0.2
+	retryBurst = 32
+)
+
+// pacer adapts the repetition of offers to how long admissions take and to how many are needed.
+type pacer struct {
+	usual  time.Duration // moving average of the time to admission
+	budget float64
+	known  bool
+}
+
+// admitted records the time from an offer to its admission.
+func (p *pacer) admitted(took time.Duration) {
+	if !p.known {
+		p.usual, p.known = took, true
+		return
+	}
+	p.usual += (took - p.usual) / 8
+}
+
+func (p *pacer) timeout() time.Duration {
+	return min(max(p.usual*admitFactor, minAdmitTimeout), maxAdmitTimeout)
+}
+
+// offered adds to the budget.
+func (p *pacer) offered() {
+	if !p.known && p.budget == 0 {
+		p.budget = retryBurst
+	}
+	p.budget = min(p.budget+retryShare, retryBurst)
+}
+
+// repeat takes one repetition from the budget, and reports false if there is none.
+func (p *pacer) repeat() bool {
+	if p.budget < 1 {
+		return false
+	}
+	p.budget--
+	return true
+}
+
+// open handles a SYN.
+func (e *Entry) open(now time.Duration, key packet.Key, v *packet.View, raw []byte) {
+	if f := e.flows[key]; f != nil && f.isn == v.Seq && f.syn != nil {
+		f.seen = now
+		switch {
+		case f.state == owned:
+			e.send(f.owner, f.service, raw)
+		case f.state == offering && now >= f.due:
+			// The budget did not allow to repeat the offer; the caller's own copy may.
+			e.offer(now, key, f)
+		}
+		return
+	}
+	if len(e.flows) >= maxFlows {
+		e.Stats.FlowsDropped++
+		return
+	}
+	_, service, _ := e.table.Lookup(v.Destination, key.Hash())
+	f := &flow{state: offering, seen: now, began: now, isn: v.Seq, service: service, syn: slices.Clone(raw)}
+	e.flows[key] = f
+	delete(e.waiting, key)
+	e.offers.offered()
+	e.offer(now, key, f)
+}
+
+// offer sends the SYN to the next candidates, or refuses it if there are none.
+func (e *Entry) offer(now time.Duration, key packet.Key, f *flow) {
+	e.chain = e.picker.Candidates(now, e.View, f.service, key.Hash(), f.tried, e.chain)
+	if len(e.chain) == 0 || f.round >= maxRounds {
+		e.refuse(key)
+		return
+	}
+	e.Stats.Offered++
+	f.round++
+	f.owner = e.chain[0]
+	f.tried = append(f.tried, e.chain[0])
+	e.wait(key, f, now+e.offers.timeout())
+	e.picker.Offered(now, e.chain[0])
+	e.toNode(e.chain[0], &hop.Message{
+		Kind: hop.Forward, Service: uint64(f.service), Entry: e.cfg.Self, Candidates: e.chain, Packet: f.syn,
+	})
+}
+
+// refuse tells the caller at once that the flow will not open.
+func (e *Entry) refuse(key packet.Key) {
+	e.Stats.NoTarget++
+	e.drop(key)
+	e.reset(key, 0)
+}
+
+// offerDue handles an offer that nobody has answered: the candidate that the SYN was sent to is gone,
+// the chain behind it broke, or the link is slow.
+func (e *Entry) offerDue(now time.Duration, key packet.Key, f *flow) {
+	if now-f.began > callerPatience {
+		e.drop(key)
+		return
+	}
+	if !e.offers.repeat() {
+		e.Stats.OffersHeld++
+		delete(e.waiting, key) // the caller's copy of the SYN is the next try
+		return
+	}
+	e.picker.Suspect(now, f.owner)
+	e.Stats.OfferedAgain++
+	e.offer(now, key, f)
+}
+
+func (e *Entry) admitted(now time.Duration, from hop.IP, m *hop.Message) {
+	e.View.SetLoad(from, m.Load)
+	e.picker.Answered(from)
+	f := e.flows[m.Key]
+	if f == nil || f.isn != m.Seq || f.state != offering {
+		return // a second target has accepted a copy; the caller's next packet tells who has the flow
+	}
+	e.Stats.Admitted++
+	if f.round == 1 {
+		e.offers.admitted(now - f.began)
+	}
+	delete(e.waiting, m.Key)
+	f.state, f.owner, f.tried = owned, from, nil
+	f.syn = f.syn[:0] // not nil: copies of the SYN go to the owner
+}
+
+func (e *Entry) refused(now time.Duration, m *hop.Message) {
+	v, err := e.cfg.Codec.Parse(m.Packet)
+	if err != nil {
+		e.Stats.Malformed++
+		return
+	}
+	key := v.FromCaller()
+	f := e.flows[key]
+	if f == nil || f.state != offering || f.isn != v.Seq {
+		return
+	}
+	e.Stats.Refused++
+	for _, c := range m.Candidates {
+		if !slices.Contains(f.tried, c) {
+			f.tried = append(f.tried, c)
+		}
+	}
+	e.offer(now, key, f)
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -41,6 +41,8 @@
 	Port  uint16
 	Seeds []netip.Addr
 	Parse func(body []byte) (*routing.Document, error)
+	// LinkBytes is the bandwidth of the VM in bytes a second; zero for no limit.
+	LinkBytes float64
 	// Linger is the time for which a process that is stopping still forwards, so that the fabric can
 	// take it out first.
 	Linger time.Duration
@@ -65,7 +67,7 @@
 // NewProcess opens the sockets.
 func NewProcess(cfg ProcessConfig, picker *place.Picker, t telemetry.Handle) (*Process, error) {
 	p := &Process{cfg: cfg, tel: t, start: time.Now(), armed: -1}
-	p.entry = New(Config{Codec: cfg.Codec, Self: cfg.IP.As4()}, picker, p)
+	p.entry = New(Config{Codec: cfg.Codec, Self: cfg.IP.As4(), LinkBytes: cfg.LinkBytes}, picker, p)
 	p.timer = time.AfterFunc(time.Hour, p.tick)
 	p.timer.Stop()
 	var err error
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -155,6 +155,7 @@
 	e, err := entry.NewProcess(entry.ProcessConfig{
 		Codec: protocol.Codec, Name: s.Name, Zone: s.Zone, Callers: s.Callers, IP: s.IP, Port: s.Port,
 		Seeds: s.ControllerIPs(), Parse: protocol.ParseConfig, Linger: DefaultLinger,
+		LinkBytes: s.linkBytes(),
 	}, picker, p.tel)
 	if err != nil {
 		return err
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -45,6 +45,8 @@
 	FirstStart bool   `json:"first_start"`
 	DataDir    string `json:"data_dir"`
 	MemoryMB   int    `json:"memory_mb"` // of the VM
+	// LinkMbps is the bandwidth of the VM; zero for no limit.
+	LinkMbps float64 `json:"link_mbps"`
 
 	// Callers receives packets of callers (entry) or tells their port (relay).
 	Callers netip.AddrPort `json:"callers"`
@@ -127,5 +129,8 @@
 	return ips
 }
 
+// linkBytes returns the bandwidth of the VM in bytes a second.
+func (s *Settings) linkBytes() float64 { return s.LinkMbps * 1e6 / 8 }
+
 // memoryLimit returns the soft limit of the Go runtime in bytes, zero for none.
 func (s *Settings) memoryLimit() int64 { return int64(float64(s.MemoryMB<<20) * memoryShare) }
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -28,8 +28,20 @@
 	Find
 	// Found answers Find.
 	Found
+	// FindMany asks for several flows, and FoundMany answers it.
+	FindMany
+	FoundMany
 )
 
+// MaxQuestions bounds the flows in one FindMany, whose size stays below the MTU.
+const MaxQuestions = 64
+
+// Question asks for the owner of a flow.
+type Question struct {
+	Key packet.Key
+	Ack uint32
+}
+
 // Answer is the content of Found.
 type Answer uint8
 
@@ -72,6 +84,12 @@
 	Best     uint8
 	BestLoad uint8
 
+	// Batch numbers a FindMany, Questions are its flows and Answers, in the same order, what FoundMany
+	// says.
+	Batch     uint32
+	Questions []Question
+	Answers   []Answer
+
 	// Packet is the packet of the flow; it shares memory with the datagram.
 	Packet []byte
 }
@@ -91,6 +109,8 @@
 	forwardBytes = headBytes + 8 + 4
 	admittedSize = headBytes + packet.KeyBytes + 4 + 6
 	findSize     = headBytes + packet.KeyBytes + 4
+	manyBytes    = headBytes + 4
+	questionSize = packet.KeyBytes + 4
 	finalBit     = 1
 )
 
@@ -117,6 +137,18 @@
 		b = binary.BigEndian.AppendUint16(b, m.Load.Busy)
 		b = binary.BigEndian.AppendUint16(b, m.Load.Mean)
 		return binary.BigEndian.AppendUint16(b, m.Load.Flows)
+	case FindMany:
+		b = binary.BigEndian.AppendUint32(b, m.Batch)
+		for _, q := range m.Questions {
+			b = binary.BigEndian.AppendUint32(q.Key.Append(b), q.Ack)
+		}
+		return b
+	case FoundMany:
+		b = binary.BigEndian.AppendUint32(b, m.Batch)
+		for _, a := range m.Answers {
+			b = append(b, byte(a))
+		}
+		return b
 	default:
 		b = m.Key.Append(b)
 		return binary.BigEndian.AppendUint32(b, m.Ack)
@@ -169,7 +201,35 @@
 		m.Ack = binary.BigEndian.Uint32(b[headBytes+packet.KeyBytes:])
 		return nil
 	}
-	return result.New(result.PacketInvalid, "message of unknown kind %d", b[0])
+	return m.parseMany(b)
+}
+
+// parseMany decodes FindMany and FoundMany.
+func (m *Message) parseMany(b []byte) error {
+	if m.Kind != FindMany && m.Kind != FoundMany {
+		return result.New(result.PacketInvalid, "message of unknown kind %d", b[0])
+	}
+	if len(b) < manyBytes {
+		return truncated(b)
+	}
+	m.Batch = binary.BigEndian.Uint32(b[headBytes:])
+	rest := b[manyBytes:]
+	if m.Kind == FoundMany {
+		if len(rest) > MaxQuestions {
+			return result.New(result.PacketInvalid, "%d answers, want at most %d", len(rest), MaxQuestions)
+		}
+		for _, a := range rest {
+			m.Answers = append(m.Answers, Answer(a))
+		}
+		return nil
+	}
+	if len(rest)%questionSize != 0 || len(rest) > MaxQuestions*questionSize {
+		return truncated(b)
+	}
+	for ; len(rest) > 0; rest = rest[questionSize:] {
+		m.Questions = append(m.Questions, Question{Key: packet.ParseKey(rest), Ack: binary.BigEndian.Uint32(rest[packet.KeyBytes:])})
+	}
+	return nil
 }
 
 func truncated(b []byte) error {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -4,10 +4,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
@@ -26,6 +29,13 @@
 	// pendingDecay is the time after which a flow offered by this process shows in the load that its
 	// target reports.
 	pendingDecay = 500 * time.Millisecond
+	// choices is the number of targets at the front of a flow's ranking that its load decides between. The
+	// least loaded of six is within a few percent of the least loaded of all, and a lost owner is
+	// found again with as few questions.
+	choices = 6
+	// likely is the number of admitting targets that are asked first for a flow of unknown owner. A flow
+	// lives for a minute, in which few targets join.
+	likely = 9
 	// SuspectTime is how long a target that did not answer a SYN is passed over if others can serve.
 	// A process that was killed is back within that time.
 	SuspectTime = 1500 * time.Millisecond
@@ -37,6 +47,13 @@
 	rand    *rand.Rand
 	recent  map[hop.IP]*recent
 	scratch []scored
+	ranked  []ranked
+	order   []*roster.Known
+}
+
+type ranked struct {
+	target *roster.Known
+	hash   uint64
 }
 
 type recent struct {
@@ -55,18 +72,59 @@
 	return &Picker{zone: zone, rand: random, recent: map[hop.IP]*recent{}}
 }
 
+// Ranking returns the targets of a service in the order of their rendezvous hash with a flow. A target
+// that joins or leaves moves no two others relative to each other, so the target that owns a flow
+// stays near the front.
+func (p *Picker) Ranking(view *roster.View, service routing.ServiceID, flow uint64) []*roster.Known {
+	p.ranked = p.ranked[:0]
+	for _, k := range view.Targets(service) {
+		p.ranked = append(p.ranked, ranked{target: k, hash: rendezvous(flow, k.Relay)})
+	}
+	slices.SortFunc(p.ranked, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	p.order = p.order[:0]
+	for _, r := range p.ranked {
+		p.order = append(p.order, r.target)
+	}
+	return p.order
+}
+
+func rendezvous(flow uint64, relay hop.IP) uint64 {
+	var buf [12]byte
+	binary.LittleEndian.PutUint64(buf[:], flow)
+	copy(buf[8:], relay[:])
+	return xxhash.Sum64(buf[:])
+}
+
+// Likely returns the relays that most likely own a flow: the front of its ranking, long enough to hold
+// everything that Candidates may have chosen while the targets were about the same.
+func (p *Picker) Likely(view *roster.View, service routing.ServiceID, flow uint64, out []hop.IP) []hop.IP {
+	admitting := 0
+	for _, k := range p.Ranking(view, service, flow) {
+		out = append(out, k.Relay)
+		if k.Admits() {
+			admitting++
+		}
+		if admitting >= likely {
+			break
+		}
+	}
+	return out
+}
+
 // Candidates returns up to hop.MaxCandidates targets of a service in the order in which a new flow is
-// offered to them. Targets in tried are left out. The result is valid until the next call.
-func (p *Picker) Candidates(now time.Duration, view *roster.View, service routing.ServiceID, tried []hop.IP, out []hop.IP) []hop.IP {
+// offered to them: the first ones of its ranking, by load. Targets in tried are left out. The result is
+// valid until the next call.
+func (p *Picker) Candidates(now time.Duration, view *roster.View, service routing.ServiceID, flow uint64, tried []hop.IP, out []hop.IP) []hop.IP {
 	p.scratch = p.scratch[:0]
-	view.Each(func(k *roster.Known) {
-		if k.Service != service || !admits(k) || slices.Contains(tried, k.Relay) {
-			return
+	for _, k := range p.Ranking(view, service, flow) {
+		if !admits(k) || slices.Contains(tried, k.Relay) {
+			continue
 		}
 		p.scratch = append(p.scratch, scored{relay: k.Relay, score: p.score(now, k)})
-	})
-	// The order of the view is random; a random part of the score would also spread the flows of
-	// entry VMs with the same information.
+		if len(p.scratch) >= choices {
+			break
+		}
+	}
 	slices.SortFunc(p.scratch, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
 	out = out[:0]
 	for _, s := range p.scratch[:min(len(p.scratch), hop.MaxCandidates)] {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -126,6 +126,8 @@
 		r.forward(now, m)
 	case hop.Find:
 		r.find(now, from, m)
+	case hop.FindMany:
+		r.findMany(now, from, m)
 	default:
 		r.Stats.Malformed++
 	}
@@ -437,19 +439,31 @@
 
 // find answers the question of an entry VM for the owner of a flow.
 func (r *Relay) find(now time.Duration, from hop.IP, m *hop.Message) {
+	a := hop.Message{Kind: hop.Found, Key: m.Key, Ack: m.Ack, Answer: r.owns(now, m.Key, m.Ack)}
+	r.toNode(from, &a)
+}
+
+func (r *Relay) findMany(now time.Duration, from hop.IP, m *hop.Message) {
+	a := hop.Message{Kind: hop.FoundMany, Batch: m.Batch}
+	for _, q := range m.Questions {
+		a.Answers = append(a.Answers, r.owns(now, q.Key, q.Ack))
+	}
+	r.toNode(from, &a)
+}
+
+func (r *Relay) owns(now time.Duration, key packet.Key, ack uint32) hop.Answer {
 	r.Stats.FindsAnswered++
-	a := hop.Message{Kind: hop.Found, Key: m.Key, Ack: m.Ack, Answer: hop.NotOwned}
-	f := r.flows[m.Key]
+	f := r.flows[key]
 	switch {
 	case f == nil && !r.complete && !r.target.gone():
-		a.Answer = hop.Unsure
+		return hop.Unsure
 	case f == nil || f.state == foreign || f.state == halfOpen:
-	case f.state == accepted && m.Ack-f.targetISN > 1:
-	default:
-		a.Answer = hop.Owned
-		f.seen = now
+		return hop.NotOwned
+	case f.state == accepted && ack-f.targetISN > 1:
+		return hop.NotOwned
 	}
-	r.toNode(from, &a)
+	f.seen = now
+	return hop.Owned
 }
 
 // Load returns how busy the target is.
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -87,6 +87,8 @@
 	Digest uint64
 	Target *Target // of a relay
 	Load   hop.Load
+	// Process is a random number of the sending process, which tells its lives apart.
+	Process uint64
 }
 
 // Answer is sent by a controller for every announcement, and at once when a configuration was
@@ -104,6 +106,12 @@
 	Parts   uint16
 	Targets []Target
 	Loads   []hop.Load
+	// Base is the digest of the list that Targets and Removed change, zero for a whole list.
+	Base    uint64
+	Removed []hop.IP
+	// Previous is, in the answer to a relay, the ID of the target that an earlier process of the relay
+	// announced last; empty if the controller does not know.
+	Previous string
 }
 
 // Kinds of datagrams; those of package hop are below.
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -19,8 +19,21 @@
 	list   []Target // by relay address
 	digest uint64
 	stale  bool // list and digest must be built again
+	// told is the list of the last Change, history the lists before the current one, newest last.
+	told    version
+	history []version
 }
 
+// version is a list with its digest.
+type version struct {
+	digest uint64
+	list   []Target
+}
+
+// maxHistory is the number of earlier lists that a process may be brought up to date from. During a
+// rolling release the list changes several times within an announcement interval.
+const maxHistory = 12
+
 type node struct {
 	Announcement
 	heard time.Duration
@@ -101,15 +114,55 @@
 			list = append(list, t)
 		}
 	}
-	slices.SortFunc(list, func(a, b Target) int { return bytes.Compare(a.Relay[:], b.Relay[:]) })
+	sortTargets(list)
 	encoded, err := cbor.Marshal(list)
 	if err != nil {
 		panic(errors.Wrap(err, "encode the list of targets")) // plain values always encode
 	}
+	if r.digest != 0 {
+		r.history = append(r.history, version{r.digest, r.list})
+		r.history = r.history[max(len(r.history)-maxHistory, 0):]
+	}
 	r.list, r.digest = list, max(xxhash.Sum64(encoded), 1)
 	return r.list, r.digest
 }
 
+// Change returns the answers that tell entry VMs what has changed in the list since the last call. It
+// is nil if nothing has.
+func (r *Registry) Change(base Answer) []Answer {
+	list, digest := r.Targets()
+	old := r.told
+	r.told = version{digest, list}
+	if digest == old.digest {
+		return nil
+	}
+	base.Digest = digest
+	if a, small := difference(base, old, r.told); small && old.digest != 0 {
+		return []Answer{a}
+	}
+	return whole(base, list)
+}
+
+// difference returns the answer that turns one list into another. It is not small if it does not fit
+// into one datagram.
+func difference(base Answer, from, to version) (a Answer, small bool) {
+	base.Base = from.digest
+	before := map[hop.IP]Target{}
+	for _, t := range from.list {
+		before[t.Relay] = t
+	}
+	for _, t := range to.list {
+		if b, ok := before[t.Relay]; !ok || b != t {
+			base.Targets = append(base.Targets, t)
+		}
+		delete(before, t.Relay)
+	}
+	for relay := range before {
+		base.Removed = append(base.Removed, relay)
+	}
+	return base, len(base.Targets)+len(base.Removed)/8 <= targetsPerPart
+}
+
 // Answers fills in the list for a process that holds the list with the given digest: its loads, or
 // all parts if it holds another one.
 func (r *Registry) Answers(base Answer, role Role, digest uint64) []Answer {
@@ -126,6 +179,18 @@
 		}
 		return []Answer{base}
 	}
+	for _, old := range r.history {
+		if old.digest == digest {
+			if a, small := difference(base, old, version{own, list}); small {
+				return []Answer{a}
+			}
+		}
+	}
+	return whole(base, list)
+}
+
+// whole returns all parts of a list.
+func whole(base Answer, list []Target) []Answer {
 	parts := max((len(list)+targetsPerPart-1)/targetsPerPart, 1)
 	answers := make([]Answer, 0, parts)
 	for part := range parts {
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -1,9 +1,12 @@
 package roster
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/routing"
 )
 
 const (
@@ -19,25 +22,28 @@
 type Known struct {
 	Target
 	Load hop.Load
-	// LoadAt is the time of the newest load.
-	LoadAt time.Duration
 	// Listed is the last time at which a controller listed the target.
 	Listed time.Duration
 	// Lost is set while controllers answer and none lists the target.
 	Lost bool
 }
 
+// Admits reports whether the target may be offered flows.
+func (k *Known) Admits() bool { return !k.Lost && (k.State == Ready || k.State == Unknown) }
+
 // View merges the lists of all controllers. A target is listed if any controller lists it, since a
 // controller that has just started or is cut off knows fewer. Without any controller the view stays
 // as it is.
 type View struct {
 	sources map[hop.IP]*source
 	targets map[hop.IP]*Known
+	// services holds the targets of each service, by relay; it is built again after a change.
+	services map[routing.ServiceID][]*Known
 }
 
 type source struct {
 	digest   uint64
-	list     []Target
+	list     []Target // by relay
 	heard    time.Duration
 	building uint64 // digest of the list that arrives in parts
 	parts    [][]Target
@@ -57,7 +63,7 @@
 	return 0
 }
 
-// Answer takes in an answer of a controller. It reports whether the set of targets has changed.
+// Answer takes in an answer of a controller. It reports whether the targets have changed.
 func (v *View) Answer(now time.Duration, from hop.IP, a *Answer) bool {
 	s := v.sources[from]
 	if s == nil {
@@ -65,24 +71,33 @@
 		v.sources[from] = s
 	}
 	switch {
+	case a.Base != 0:
+		if a.Base != s.digest {
+			return false // the whole list comes with the answer to the next announcement
+		}
+		s.change(a)
 	case a.Parts > 0:
 		if !s.add(a) {
 			return false
 		}
 	case a.Digest != s.digest:
-		return false // the parts of the new list come with the answer to the next announcement
+		return false
 	}
 	s.heard = now
 	changed := false
 	for i := range s.list {
 		changed = v.list(now, &s.list[i]) || changed
 	}
-	if a.Parts == 0 && len(a.Loads) == len(s.list) {
+	if len(a.Loads) == len(s.list) {
 		for i := range s.list {
-			v.SetLoad(now, s.list[i].Relay, a.Loads[i])
+			v.SetLoad(s.list[i].Relay, a.Loads[i])
 		}
 	}
-	return v.expire(now) || changed
+	changed = v.expire(now) || changed
+	if changed {
+		v.services = nil
+	}
+	return changed
 }
 
 // add takes in a part and reports whether the list is complete.
@@ -105,8 +120,28 @@
 	return true
 }
 
-// list records that a controller lists a target. Of two controllers the one with the later start of
-// the target is right; with equal starts a state of leaving is.
+// change applies the difference to the list that the answer is based on.
+func (s *source) change(a *Answer) {
+	next := make([]Target, 0, len(s.list)+len(a.Targets))
+	for _, t := range s.list {
+		if !slices.Contains(a.Removed, t.Relay) && !containsRelay(a.Targets, t.Relay) {
+			next = append(next, t)
+		}
+	}
+	next = append(next, a.Targets...)
+	sortTargets(next)
+	s.list, s.digest = next, a.Digest
+}
+
+func containsRelay(list []Target, relay hop.IP) bool {
+	return slices.ContainsFunc(list, func(t Target) bool { return t.Relay == relay })
+}
+
+func sortTargets(list []Target) {
+	slices.SortFunc(list, func(a, b Target) int { return bytes.Compare(a.Relay[:], b.Relay[:]) })
+}
+
+// list records that a controller lists a target.
 func (v *View) list(now time.Duration, t *Target) bool {
 	k := v.targets[t.Relay]
 	if k == nil {
@@ -115,7 +150,7 @@
 	}
 	changed := k.Lost
 	k.Lost = false
-	if k.Target != *t && (t.Born > k.Born || (t.Born == k.Born && v.newer(now, k, t))) {
+	if k.Target != *t && newer(&k.Target, t) {
 		k.Target = *t
 		changed = true
 	}
@@ -123,10 +158,13 @@
 	return changed
 }
 
-// newer decides between two states of one incarnation: a drain never ends, every other state is
-// taken as it comes.
-func (v *View) newer(_ time.Duration, k *Known, t *Target) bool {
-	return k.State != Draining || t.State == Draining || t.State == Down
+// newer decides between two lists of one relay: the later start of the target is right if both say
+// it. Within one incarnation a drain never ends; every other state is taken as it comes.
+func newer(old, t *Target) bool {
+	if old.Born != t.Born && old.Born != 0 && t.Born != 0 {
+		return t.Born > old.Born
+	}
+	return old.ID != t.ID || old.State != Draining || t.State == Draining || t.State == Down
 }
 
 // expire marks targets that no controller lists.
@@ -157,15 +195,21 @@
 }
 
 // SetLoad records the load of a target.
-func (v *View) SetLoad(now time.Duration, relay hop.IP, load hop.Load) {
+func (v *View) SetLoad(relay hop.IP, load hop.Load) {
 	if k := v.targets[relay]; k != nil {
-		k.Load, k.LoadAt = load, now
+		k.Load = load
 	}
 }
 
 // Get returns the target behind a relay, or nil.
 func (v *View) Get(relay hop.IP) *Known { return v.targets[relay] }
 
+// Lost reports whether the relay is known to be lost.
+func (v *View) Lost(relay hop.IP) bool {
+	k := v.targets[relay]
+	return k == nil || k.Lost
+}
+
 // Each calls f for every target, lost ones included, in no particular order.
 func (v *View) Each(f func(*Known)) {
 	for _, k := range v.targets {
@@ -173,5 +217,19 @@
 	}
 }
 
+// Targets returns the targets of a service, lost ones included. The result must not be changed.
+func (v *View) Targets(service routing.ServiceID) []*Known {
+	if v.services == nil {
+		v.services = map[routing.ServiceID][]*Known{}
+		for _, k := range v.targets {
+			v.services[k.Service] = append(v.services[k.Service], k)
+		}
+		for _, list := range v.services {
+			slices.SortFunc(list, func(a, b *Known) int { return bytes.Compare(a.Relay[:], b.Relay[:]) })
+		}
+	}
+	return v.services[service]
+}
+
 // Len returns the number of targets, lost ones included.
 func (v *View) Len() int { return len(v.targets) }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -185,6 +185,18 @@
 	return nil, 0, false
 }
 
+// Services returns the services that take flows to an address.
+func (t *Table) Services(to packet.Addr) []ServiceID {
+	if t == nil || t.routes[to] == nil {
+		return nil
+	}
+	var ids []ServiceID
+	for _, s := range t.routes[to].shares {
+		ids = append(ids, s.service)
+	}
+	return ids
+}
+
 // Has reports whether there is a route for the address.
 func (t *Table) Has(to packet.Addr) bool { return t != nil && t.routes[to] != nil }
 
