Test the datagram path; batch and pace all questions; tell relays whether their target is new

Cause: a test of 1,500 unknown flows at one entry VM showed 808 KB/s of questions on a link of 650 KB/s: only the questions to all relays were paced. After a loss of power, relays could not tell a new target from one with flows, so that flows of targets that were gone were searched by handing packets to every target.

Change: questions to likely owners and to all relays share batches and one budget, a quarter of the link. Timers are a heap. Controllers keep on disk which target each relay had last; a relay that hears from a majority that it was another one answers for sure.

--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -24,6 +24,7 @@
 	defer stop()
 	go c.expire(ctx)
 	go c.tellChanges(ctx)
+	go c.incarnations.save(ctx, c.tel.Logger)
 	return packet.Receive(ctx, c.udp, c.tel.Logger, func(from netip.AddrPort, b []byte) {
 		a, err := roster.DecodeAnnouncement(b)
 		addr, ok := packet.AddrOf(from)
@@ -39,6 +40,9 @@
 	base := c.baseAnswer()
 	c.mu.Lock()
 	changed := c.registry.Announce(time.Since(c.start), from, a)
+	if a.Role == roster.RoleRelay && a.Target != nil {
+		base.Previous = c.incarnations.note(from, a.Process, a.Target.ID)
+	}
 	answers := c.registry.Answers(base, a.Role, a.Digest)
 	c.mu.Unlock()
 	for i := range answers {
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -87,7 +87,9 @@
 	seeds    []netip.Addr
 	joining  map[string]time.Time
 	registry *roster.Registry
-	start    time.Time
+
+	incarnations *incarnations
+	start        time.Time
 	// peerNames are the latest names by address.
 	peerNames map[string]string
 }
@@ -98,6 +100,7 @@
 		cfg: cfg, tel: t, state: newState(), seeds: cfg.Seeds, joining: map[string]time.Time{},
 		registry: roster.NewRegistry(), start: time.Now(), peerNames: map[string]string{},
 		directory: replica.NewDirectory(nil), tell: make(chan struct{}, 1),
+		incarnations: loadIncarnations(cfg.DataDir, t.Logger),
 	}
 	founders := c.founders()
 	var err error
--- /dev/null
+++ b/internal/confstore/incarnations.go
@@ -0,0 +1,103 @@
+package confstore
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/phuslu/log"
+
+	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/replica"
+)
+
+const (
+	// incarnationsFile holds which target each relay had last.
+	incarnationsFile = "targets.cbor"
+	// maxIncarnations bounds the file to about 1 MB, twice the targets of the target size.
+	maxIncarnations = 8192
+)
+
+// incarnations remembers on disk which target each relay had last. A relay that has just started learns
+// from it whether its target has started since its own predecessor ran: only then does it know that
+// the target has no flows of before. The file is a hint of this controller and not replicated; a relay
+// asks a majority.
+type incarnations struct {
+	folder string
+	dirty  chan struct{}
+
+	mu     sync.Mutex
+	relays map[hop.IP]incarnation
+}
+
+// incarnation is what a relay has announced.
+type incarnation struct {
+	_       struct{} `cbor:",toarray"`
+	Process uint64   // of the relay
+	Target  string   // ID of the target that the relay announced last
+	// Previous is the target that an earlier process of the relay announced last.
+	Previous string
+}
+
+// loadIncarnations reads the file. Without one nothing is known, which is safe.
+func loadIncarnations(folder string, logger *log.Logger) *incarnations {
+	n := &incarnations{folder: folder, dirty: make(chan struct{}, 1), relays: map[hop.IP]incarnation{}}
+	data, err := os.ReadFile(filepath.Join(folder, incarnationsFile))
+	if err == nil {
+		err = cbor.Unmarshal(data, &n.relays)
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		logger.Warn().Err(err).Msg("the last targets of the relays are not known")
+		n.relays = map[hop.IP]incarnation{}
+	}
+	return n
+}
+
+// note records an announcement and returns the target that an earlier process of the relay announced
+// last, empty if that is not known.
+func (n *incarnations) note(relay hop.IP, process uint64, target string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	was := n.relays[relay]
+	is := was
+	if is.Process != process {
+		is.Process, is.Previous = process, is.Target
+	}
+	if target != "" {
+		is.Target = target
+	}
+	if is != was {
+		if len(n.relays) >= maxIncarnations {
+			clear(n.relays)
+		}
+		n.relays[relay] = is
+		select {
+		case n.dirty <- struct{}{}:
+		default:
+		}
+	}
+	return is.Previous
+}
+
+// save writes the file after each change.
+func (n *incarnations) save(ctx context.Context, logger *log.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.dirty:
+		}
+		n.mu.Lock()
+		data, err := cbor.Marshal(n.relays)
+		n.mu.Unlock()
+		if err == nil {
+			err = replica.WriteDurable(n.folder, incarnationsFile, data)
+		}
+		if err != nil {
+			logger.Warn().Err(err).Msg("the last targets of the relays were not saved")
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,13 +60,12 @@
 	settled   bool
 	early     []earlyPacket
 
-	flows map[packet.Key]*flow
-	// waiting are the flows with a timer, in no particular order.
-	waiting map[packet.Key]*flow
-	soonest time.Duration // earliest timer set since the last look, negative if none
+	flows   map[packet.Key]*flow
+	timers  timerQueue
+	soonest time.Duration // earliest time set since the last look, negative if none
 
-	offers pacer
-	sweep  sweeper
+	offers    pacer
+	questions questions
 
 	message hop.Message // scratch
 	out     []byte
@@ -75,13 +74,13 @@
 
 // Stats counts what the entry VM has done. All counters only grow.
 type Stats struct {
-	Packets, Malformed, NoRoute           uint64
-	Offered, Admitted, OfferedAgain       uint64
-	Refused, NoTarget, OffersHeld         uint64
-	Forwarded, Finds, Found, FoundNone    uint64
-	Swept, FindsFailed, Resets, Probed    uint64
-	HeldDropped, FlowsDropped, Returned   uint64
-	LostOwners, SweepsSent, EarlyReplayed uint64
+	Packets, Malformed, NoRoute          uint64
+	Offered, Admitted, OfferedAgain      uint64
+	Refused, NoTarget, OffersHeld        uint64
+	Forwarded, Finds, Found, FoundNone   uint64
+	Swept, FindsFailed, Resets, Probed   uint64
+	HeldDropped, FlowsDropped, Returned  uint64
+	LostOwners, Questions, EarlyReplayed uint64
 }
 
 // earlyPacket is a packet that arrived before anything was known.
@@ -106,6 +105,7 @@
 	owner hop.IP
 	seen  time.Duration
 	due   time.Duration // next step of offering or searching
+	waits bool          // the timer for due is set
 	began time.Duration
 	round int
 
@@ -127,8 +127,8 @@
 func New(cfg Config, picker *place.Picker, ports Ports) *Entry {
 	return &Entry{
 		cfg: cfg, ports: ports, picker: picker, View: roster.NewView(),
-		flows: map[packet.Key]*flow{}, waiting: map[packet.Key]*flow{}, soonest: -1, firstList: -1,
-		sweep: newSweeper(cfg.LinkBytes),
+		flows: map[packet.Key]*flow{}, soonest: -1, firstList: -1,
+		questions: newQuestions(cfg.LinkBytes),
 	}
 }
 
@@ -232,7 +232,6 @@
 // drop forgets a flow.
 func (e *Entry) drop(key packet.Key) {
 	delete(e.flows, key)
-	delete(e.waiting, key)
 }
 
 func (e *Entry) reset(key packet.Key, ack uint32) {
@@ -311,10 +310,6 @@
 		e.refused(now, m)
 	case hop.Returned:
 		e.returned(now, from, m)
-	case hop.Found:
-		if f := e.flows[m.Key]; f != nil && f.state == searching {
-			e.found(now, m.Key, f, from, m.Answer)
-		}
 	case hop.FoundMany:
 		e.foundMany(now, from, m)
 	default:
@@ -322,21 +317,8 @@
 	}
 }
 
-// wait sets the timer of a flow.
-func (e *Entry) wait(key packet.Key, f *flow, due time.Duration) {
-	f.due = due
-	e.waiting[key] = f
-	e.due(due)
-}
-
-func (e *Entry) due(due time.Duration) {
-	if e.soonest < 0 || due < e.soonest {
-		e.soonest = due
-	}
-}
-
-// NextDue returns the time at which Tick has something to do, negative if nothing waits. It looks at
-// the earliest timer that was set since the last Tick only, so that a packet costs no scan.
+// NextDue returns the time at which Tick has something to do, negative if nothing waits. It looks only
+// at the times that were set since the last call.
 func (e *Entry) NextDue() time.Duration {
 	due := e.soonest
 	e.soonest = -1
@@ -345,14 +327,16 @@
 
 // Tick does what is due. It returns the time of the next call, or a negative one if nothing waits.
 func (e *Entry) Tick(now time.Duration) time.Duration {
-	e.flushSweep(now)
-	for key, f := range e.waiting {
-		if f.due <= now {
-			e.step(now, key, f)
+	e.sendQuestions(now)
+	for len(e.timers) > 0 && e.timers[0].due <= now {
+		t := e.timers.pop()
+		if f := e.flows[t.key]; f == t.flow && f.waits && f.due == t.due {
+			f.waits = false
+			e.step(now, t.key, f)
 		}
 	}
-	for _, f := range e.waiting {
-		e.due(f.due)
+	if len(e.timers) > 0 {
+		e.due(e.timers[0].due)
 	}
 	return e.NextDue()
 }
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -83,7 +83,6 @@
 	_, service, _ := e.table.Lookup(v.Destination, key.Hash())
 	f := &flow{state: offering, seen: now, began: now, isn: v.Seq, service: service, syn: slices.Clone(raw)}
 	e.flows[key] = f
-	delete(e.waiting, key)
 	e.offers.offered()
 	e.offer(now, key, f)
 }
@@ -122,7 +121,7 @@
 	}
 	if !e.offers.repeat() {
 		e.Stats.OffersHeld++
-		delete(e.waiting, key) // the caller's copy of the SYN is the next try
+		f.waits = false // the caller's copy of the SYN is the next try
 		return
 	}
 	e.picker.Suspect(now, f.owner)
@@ -141,7 +140,7 @@
 	if f.round == 1 {
 		e.offers.admitted(now - f.began)
 	}
-	delete(e.waiting, m.Key)
+	f.waits = false
 	f.state, f.owner, f.tried = owned, from, nil
 	f.syn = f.syn[:0] // not nil: copies of the SYN go to the owner
 }
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -6,7 +6,6 @@
 
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
-	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
 )
 
@@ -22,14 +21,18 @@
 	// findPause is the time after a search without a result in which the flow is not searched again.
 	// Both ends repeat their packets, the first time after 200 ms.
 	findPause = 300 * time.Millisecond
-	// sweepDelay collects the flows of one question to all relays.
-	sweepDelay = 10 * time.Millisecond
-	// sweepShare is the part of the VM's link that questions to all relays may take, and sweepBurst the
-	// time whose share they may take at once. More would delay the packets of callers.
-	sweepShare = 0.2
-	sweepBurst = 250 * time.Millisecond
-	// maxSweeping bounds the flows that wait for a question to all relays.
-	maxSweeping = 4096
+	// askDelay collects the flows of one question, retryDelay is the time after which questions that were
+	// not allowed are looked at again.
+	askDelay   = 4 * time.Millisecond
+	retryDelay = 10 * time.Millisecond
+	// askShare is the part of the VM's link that questions may take, and askBurst the time whose share
+	// they may take at once. More would delay the packets of callers.
+	askShare = 0.25
+	askBurst = 250 * time.Millisecond
+	// maxWaiting bounds the flows that wait for a question.
+	maxWaiting = 4096
+	// maxBatches bounds the questions whose answers are awaited.
+	maxBatches = 2048
 	// datagramOverhead is the size of the headers of IP and UDP in bytes.
 	datagramOverhead = 28
 )
@@ -56,17 +59,20 @@
 // force tells.
 func (e *Entry) services(to packet.Addr) []routing.ServiceID { return e.table.Services(to) }
 
-// ask sends the question to the likely owners that have not answered.
+// ask lets the likely owners that have not answered be asked with the next questions.
 func (e *Entry) ask(now time.Duration, key packet.Key, f *flow) {
+	if e.questions.waiting >= maxWaiting {
+		e.giveUp(now, key, f)
+		return
+	}
 	f.round++
-	e.wait(key, f, now+findTimeout*time.Duration(f.round))
-	m := hop.Message{Kind: hop.Find, Key: key, Ack: f.ack}
-	e.out = m.Append(e.out[:0])
+	e.wait(key, f, now+callerPatience) // until the question is sent
 	for _, ip := range f.asked {
-		if !f.answeredBy(ip) {
-			e.ports.ToNode(ip, e.out)
+		if !f.answeredBy(ip) && !e.View.Lost(ip) {
+			e.questions.add(now, ip, key)
 		}
 	}
+	e.due(e.questions.due)
 	e.conclude(now, key, f)
 }
 
@@ -100,7 +106,7 @@
 		}
 		e.nobody(key, f)
 	case probing:
-		e.sweepLater(now, key, f)
+		e.askAll(now, key, f)
 	}
 }
 
@@ -111,7 +117,7 @@
 		e.probe(now, key, f)
 		return
 	}
-	e.sweepLater(now, key, f)
+	e.askAll(now, key, f)
 }
 
 // searchDue goes on with a search at its timer.
@@ -152,7 +158,7 @@
 // is not reset.
 func (e *Entry) giveUp(now time.Duration, key packet.Key, f *flow) {
 	e.Stats.FindsFailed++
-	delete(e.waiting, key)
+	f.waits = false
 	f.held, f.unsure, f.asked, f.notHere = nil, nil, nil, nil
 	f.state, f.due = unowned, now+findPause
 }
@@ -162,7 +168,7 @@
 	switch answer {
 	case hop.Owned:
 		e.Stats.Found++
-		delete(e.waiting, key)
+		f.waits = false
 		held := f.held
 		f.state, f.owner = owned, from
 		f.held, f.asked, f.unsure, f.notHere = nil, nil, nil, nil
@@ -202,117 +208,3 @@
 		e.search(now, key, &v, m.Packet, []hop.IP{from})
 	}
 }
-
-// sweeper batches the questions to all relays and keeps them within their share of the link.
-type sweeper struct {
-	keys   []packet.Key
-	due    time.Duration
-	rate   float64 // bytes a second, zero for no limit
-	tokens float64
-	at     time.Duration
-	batch  uint32
-	sent   map[uint32][]packet.Key
-}
-
-func newSweeper(linkBytes float64) sweeper {
-	rate := linkBytes * sweepShare
-	return sweeper{rate: rate, tokens: rate * sweepBurst.Seconds(), sent: map[uint32][]packet.Key{}}
-}
-
-// allow reports whether a question of a size may be sent, and takes it from the budget.
-func (s *sweeper) allow(now time.Duration, size float64) bool {
-	if s.rate == 0 {
-		return true
-	}
-	limit := s.rate * sweepBurst.Seconds()
-	s.tokens = min(s.tokens+s.rate*(now-s.at).Seconds(), limit)
-	s.at = now
-	if s.tokens < min(size, limit) {
-		return false
-	}
-	s.tokens -= size
-	return true
-}
-
-// sweepLater lets all relays be asked for a flow with the next batch.
-func (e *Entry) sweepLater(now time.Duration, key packet.Key, f *flow) {
-	if len(e.sweep.keys) >= maxSweeping {
-		e.giveUp(now, key, f)
-		return
-	}
-	e.Stats.Swept++
-	f.state = sweeping
-	if len(e.sweep.keys) == 0 {
-		e.sweep.due = now + sweepDelay
-	}
-	e.sweep.keys = append(e.sweep.keys, key)
-	e.wait(key, f, now+callerPatience)
-	e.due(e.sweep.due)
-}
-
-// flushSweep sends the questions that wait, as far as the budget allows.
-func (e *Entry) flushSweep(now time.Duration) {
-	s := &e.sweep
-	for len(s.keys) > 0 && now >= s.due {
-		count := min(len(s.keys), hop.MaxQuestions)
-		size := float64(e.View.Len() * (datagramOverhead + 12 + 16*count))
-		if !s.allow(now, size) {
-			s.due = now + sweepDelay
-			break
-		}
-		e.sendSweep(now, s.keys[:count])
-		s.keys = s.keys[count:]
-	}
-	if len(s.keys) > 0 {
-		e.due(s.due)
-	} else {
-		s.keys = nil
-	}
-}
-
-func (e *Entry) sendSweep(now time.Duration, keys []packet.Key) {
-	e.Stats.SweepsSent++
-	s := &e.sweep
-	s.batch++
-	m := hop.Message{Kind: hop.FindMany, Batch: s.batch}
-	var asked []packet.Key
-	for _, key := range keys {
-		f := e.flows[key]
-		if f == nil || f.state != sweeping {
-			continue
-		}
-		asked = append(asked, key)
-		m.Questions = append(m.Questions, hop.Question{Key: key, Ack: f.ack})
-		e.wait(key, f, now+sweepTimeout)
-	}
-	if len(asked) == 0 {
-		return
-	}
-	s.sent[s.batch] = asked
-	delete(s.sent, s.batch-maxBatches)
-	e.out = m.Append(e.out[:0])
-	e.View.Each(func(k *roster.Known) {
-		if k.Lost {
-			return
-		}
-		for _, key := range asked {
-			f := e.flows[key]
-			if !slices.Contains(f.asked, k.Relay) {
-				f.asked = append(f.asked, k.Relay)
-			}
-		}
-		e.ports.ToNode(k.Relay, e.out)
-	})
-}
-
-// maxBatches bounds the batches whose answers are awaited.
-const maxBatches = 256
-
-func (e *Entry) foundMany(now time.Duration, from hop.IP, m *hop.Message) {
-	keys := e.sweep.sent[m.Batch]
-	for i, answer := range m.Answers[:min(len(m.Answers), len(keys))] {
-		if f := e.flows[keys[i]]; f != nil && f.state == sweeping {
-			e.found(now, keys[i], f, from, answer)
-		}
-	}
-}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -24,11 +24,7 @@
 	Refused
 	// Returned gives a packet back whose flow is not at the target of the relay.
 	Returned
-	// Find asks a relay whether its target owns a flow.
-	Find
-	// Found answers Find.
-	Found
-	// FindMany asks for several flows, and FoundMany answers it.
+	// FindMany asks a relay which of several flows its target owns, and FoundMany answers it.
 	FindMany
 	FoundMany
 )
@@ -42,10 +38,10 @@
 	Ack uint32
 }
 
-// Answer is the content of Found.
+// Answer is what a relay says of one flow.
 type Answer uint8
 
-// Answers to Find.
+// Answers to a Question.
 const (
 	// NotOwned means that the target does not have the flow.
 	NotOwned Answer = iota + 1
@@ -67,13 +63,10 @@
 	Kind    Kind
 	Service uint64 // ServiceID of the service that a SYN is for
 	Entry   IP     // entry VM that answers go to
-	// Key names the flow in Admitted, Find and Found.
-	Key packet.Key
-	// Seq is the sequence number of the SYN in Admitted, Ack the acknowledgement number of the packet
-	// that Find asks for.
-	Seq, Ack uint32
-	Answer   Answer
-	Load     Load
+	// Key names the flow in Admitted, Seq is the sequence number of its SYN.
+	Key  packet.Key
+	Seq  uint32
+	Load Load
 
 	// Candidates of a SYN in the order of preference, At the position of the receiver.
 	Candidates []IP
@@ -108,7 +101,6 @@
 	headBytes    = 8
 	forwardBytes = headBytes + 8 + 4
 	admittedSize = headBytes + packet.KeyBytes + 4 + 6
-	findSize     = headBytes + packet.KeyBytes + 4
 	manyBytes    = headBytes + 4
 	questionSize = packet.KeyBytes + 4
 	finalBit     = 1
@@ -116,13 +108,13 @@
 
 // Append appends the encoded message to b.
 //
-//	0 kind, 1 flags, 2 candidates, 3 position, 4 best, 5 load of best, 6 answer, 7 zero
+//	0 kind, 1 flags, 2 candidates, 3 position, 4 best, 5 load of best, 6 and 7 zero
 func (m *Message) Append(b []byte) []byte {
 	flags := byte(0)
 	if m.Final {
 		flags = finalBit
 	}
-	b = append(b, byte(m.Kind), flags, byte(len(m.Candidates)), m.At, m.Best, m.BestLoad, byte(m.Answer), 0)
+	b = append(b, byte(m.Kind), flags, byte(len(m.Candidates)), m.At, m.Best, m.BestLoad, 0, 0)
 	switch m.Kind {
 	case Forward, Refused, Returned:
 		b = binary.BigEndian.AppendUint64(b, m.Service)
@@ -143,18 +135,18 @@
 			b = binary.BigEndian.AppendUint32(q.Key.Append(b), q.Ack)
 		}
 		return b
-	case FoundMany:
+	default: // FoundMany
 		b = binary.BigEndian.AppendUint32(b, m.Batch)
 		for _, a := range m.Answers {
 			b = append(b, byte(a))
 		}
 		return b
-	default:
-		b = m.Key.Append(b)
-		return binary.BigEndian.AppendUint32(b, m.Ack)
 	}
 }
 
+// QuestionsSize returns the size of a FindMany with a number of questions.
+func QuestionsSize(count int) int { return manyBytes + count*questionSize }
+
 // Parse decodes a datagram. The candidates are stored in m.Candidates, whose memory is used again.
 func (m *Message) Parse(b []byte) error {
 	if len(b) < headBytes {
@@ -162,7 +154,7 @@
 	}
 	candidates := m.Candidates[:0]
 	*m = Message{
-		Kind: Kind(b[0]), Final: b[1]&finalBit != 0, At: b[3], Best: b[4], BestLoad: b[5], Answer: Answer(b[6]),
+		Kind: Kind(b[0]), Final: b[1]&finalBit != 0, At: b[3], Best: b[4], BestLoad: b[5],
 	}
 	count := int(b[2])
 	switch m.Kind {
@@ -193,13 +185,6 @@
 			Busy: binary.BigEndian.Uint16(rest[4:]), Mean: binary.BigEndian.Uint16(rest[6:]), Flows: binary.BigEndian.Uint16(rest[8:]),
 		}
 		return nil
-	case Find, Found:
-		if len(b) < findSize {
-			return truncated(b)
-		}
-		m.Key = packet.ParseKey(b[headBytes:])
-		m.Ack = binary.BigEndian.Uint32(b[headBytes+packet.KeyBytes:])
-		return nil
 	}
 	return m.parseMany(b)
 }
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -61,6 +62,7 @@
 	target *net.UDPConn
 	nodes  *net.UDPConn
 	uplink *uplink.Uplink
+	number uint64 // tells this process from earlier ones
 
 	mu    sync.Mutex
 	relay *Relay
@@ -69,7 +71,7 @@
 
 // NewProcess opens the sockets.
 func NewProcess(cfg ProcessConfig, t telemetry.Handle) (*Process, error) {
-	p := &Process{cfg: cfg, tel: t, start: time.Now()}
+	p := &Process{cfg: cfg, tel: t, start: time.Now(), number: rand.Uint64()}
 	p.relay = New(Config{Codec: cfg.Codec, Service: routing.IDOf(cfg.Service), Self: cfg.IP.As4()}, p)
 	var err error
 	if p.target, err = packet.Listen(cfg.FromTarget); err != nil {
@@ -140,6 +142,7 @@
 		return
 	}
 	p.uplink.Answer(addr.IP, a)
+	p.locked(func(time.Duration) { p.relay.Previous(addr.IP, a.Previous, len(a.Controllers)) })
 }
 
 // ToTarget implements Ports.
@@ -169,7 +172,7 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	t := p.relay.Announced(now, p.cfg.Zone)
-	return roster.Announcement{Role: roster.RoleRelay, Name: p.cfg.Name, Target: &t, Load: p.relay.Load(now)}
+	return roster.Announcement{Role: roster.RoleRelay, Name: p.cfg.Name, Target: &t, Load: p.relay.Load(now), Process: p.number}
 }
 
 // Heartbeat takes in a heartbeat of the target.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,7 +61,10 @@
 	stopping   bool
 	// complete is set when the flow table holds every flow of the target.
 	complete bool
-	started  time.Duration
+	// previous is what controllers know of the target of an earlier process, see Previous.
+	previous    map[hop.IP]string
+	controllers int
+	started     time.Duration
 
 	message hop.Message // scratch
 	out     []byte
@@ -111,7 +114,7 @@
 
 // New returns a relay.
 func New(cfg Config, ports Ports) *Relay {
-	return &Relay{cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, replaced: map[string]bool{}}
+	return &Relay{cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, replaced: map[string]bool{}, previous: map[hop.IP]string{}}
 }
 
 // FromNode takes in a datagram of an entry VM or another relay.
@@ -124,8 +127,6 @@
 	switch m.Kind {
 	case hop.Forward:
 		r.forward(now, m)
-	case hop.Find:
-		r.find(now, from, m)
 	case hop.FindMany:
 		r.findMany(now, from, m)
 	default:
@@ -437,12 +438,7 @@
 	r.giveBack(&m)
 }
 
-// find answers the question of an entry VM for the owner of a flow.
-func (r *Relay) find(now time.Duration, from hop.IP, m *hop.Message) {
-	a := hop.Message{Kind: hop.Found, Key: m.Key, Ack: m.Ack, Answer: r.owns(now, m.Key, m.Ack)}
-	r.toNode(from, &a)
-}
-
+// findMany answers the questions of an entry VM for the owners of flows.
 func (r *Relay) findMany(now time.Duration, from hop.IP, m *hop.Message) {
 	a := hop.Message{Kind: hop.FoundMany, Batch: m.Batch}
 	for _, q := range m.Questions {
@@ -451,6 +447,7 @@
 	r.toNode(from, &a)
 }
 
+// owns tells whether the target has a flow for which the caller has acknowledged ack.
 func (r *Relay) owns(now time.Duration, key packet.Key, ack uint32) hop.Answer {
 	r.Stats.FindsAnswered++
 	f := r.flows[key]
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
@@ -113,6 +114,31 @@
 	}
 	r.waiting = false
 	r.target = Target{Target: roster.Target{Service: h.Service, ID: h.ID, Born: h.Born, State: roster.Ready}}
+	r.judgePrevious()
+}
+
+// Previous takes in what a controller knows of the target that an earlier process of this relay had,
+// empty if nothing, and the number of controllers.
+func (r *Relay) Previous(from hop.IP, target string, controllers int) {
+	if r.complete || target == "" {
+		return
+	}
+	r.previous[from], r.controllers = target, controllers
+	r.judgePrevious()
+}
+
+// judgePrevious notes that the flow table is complete once a majority of the controllers knows that an
+// earlier process had another target: all flows of this one were opened through this process.
+func (r *Relay) judgePrevious() {
+	if r.complete || r.target.ID == "" || len(r.previous) <= r.controllers/2 {
+		return
+	}
+	for _, id := range r.previous {
+		if id == r.target.ID {
+			return
+		}
+	}
+	r.complete = true
 }
 
 // Leave takes in that the target ends. An error means that another incarnation has followed it.
--- /dev/null
+++ b/internal/repair/repair_test.go
@@ -0,0 +1,120 @@
+package repair
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	_ "github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+func voter(name string, age time.Duration) Member {
+	return Member{Name: name, Address: name[:1], Voter: true, Match: 10, ContactAge: age}
+}
+
+func learner(name string, match uint64) Member {
+	return Member{Name: name, Address: name[:1], Match: match}
+}
+
+// Guards against the loss of a disk that leaves the store without its tolerance: the emptied member
+// must come back as a new one, and only then may the old one go.
+func TestDecide(t *testing.T) {
+	g := NewWithT(t)
+	healthy := []Member{voter("a/1", 0), voter("b/1", 0), voter("c/1", 0)}
+	healthy[0].Self = true
+	lost := slices.Clone(healthy)
+	lost[2].ContactAge = LostAfter + 1
+	for name, c := range map[string]struct {
+		group Group
+		want  Change
+	}{
+		"nothing to do":              {Group{Members: healthy, Commit: 10}, Change{}},
+		"a lost voter stays":         {Group{Members: lost, Commit: 10}, Change{}},
+		"a new controller is added":  {Group{Members: healthy, Commit: 10, Joining: []Member{{Name: "d/1"}}}, Change{Kind: Add, Name: "d/1"}},
+		"a member does not join":     {Group{Members: healthy, Commit: 10, Joining: []Member{{Name: "b/1"}}}, Change{}},
+		"a learner catches up first": {Group{Members: append(slices.Clone(healthy), learner("d/1", 3)), Commit: 10}, Change{}},
+		"then it is promoted":        {Group{Members: append(slices.Clone(healthy), learner("d/1", 10)), Commit: 10}, Change{Kind: Promote, Name: "d/1"}},
+		"the lost voter makes room":  {Group{Members: append(slices.Clone(lost), learner("d/1", 10)), Commit: 10}, Change{Kind: Remove, Name: "c/1"}},
+		"the emptied disk makes room": {
+			Group{Members: append(slices.Clone(lost), learner("c/2", 10)), Commit: 10}, Change{Kind: Remove, Name: "c/1"},
+		},
+		"an even number shrinks": {Group{Members: append(slices.Clone(lost), voter("d/1", 0)), Commit: 10}, Change{Kind: Remove, Name: "c/1"}},
+		"a silent learner goes": {
+			Group{Members: append(slices.Clone(healthy), Member{Name: "d/1", ContactAge: LostAfter + 1}), Commit: 10}, Change{Kind: Remove, Name: "d/1"},
+		},
+	} {
+		got := Decide(c.group)
+		got.Reason = ""
+		g.Expect(got).To(Equal(c.want), name)
+	}
+}
+
+// Guards against changes that leave a group without a majority that answers, or that never end.
+func TestRepairKeepsAMajorityAndEnds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := Group{Commit: 10}
+		size := rapid.SampledFrom([]int{3, 5}).Draw(rt, "size")
+		lost := rapid.IntRange(0, (size-1)/2).Draw(rt, "lost")
+		for i := range size {
+			m := voter(fmt.Sprintf("%c/1", 'a'+i), 0)
+			m.Self = i == 0
+			if i >= size-lost {
+				m.ContactAge = time.Minute
+			}
+			g.Members = append(g.Members, m)
+		}
+		for i := range rapid.IntRange(0, 3).Draw(rt, "joining") {
+			g.Joining = append(g.Joining, Member{Name: fmt.Sprintf("%c/2", 'c'+i), Address: string(rune('c' + i))})
+		}
+		for step := 0; ; step++ {
+			if step > 40 {
+				rt.Fatalf("the changes do not end: %+v", g.Members)
+			}
+			c := Decide(g)
+			if c.Kind == None {
+				break
+			}
+			apply(&g, c)
+			if voters, alive := count(g); alive <= voters/2 {
+				rt.Fatalf("%d of %d voters answer after %+v", alive, voters, c)
+			}
+		}
+		voters, alive := count(g)
+		if voters-alive > lost || voters < 3 && len(g.Joining) > 0 {
+			rt.Fatalf("%d of %d voters answer at the end", alive, voters)
+		}
+	})
+}
+
+func apply(g *Group, c Change) {
+	i := slices.IndexFunc(g.Members, func(m Member) bool { return m.Name == c.Name })
+	switch c.Kind {
+	case Add:
+		for _, j := range g.Joining {
+			if j.Name == c.Name {
+				j.Match = g.Commit
+				g.Members = append(g.Members, j)
+			}
+		}
+	case Promote:
+		g.Members[i].Voter = true
+	case Remove:
+		g.Members = slices.Delete(g.Members, i, i+1)
+	}
+}
+
+func count(g Group) (voters, alive int) {
+	for i := range g.Members {
+		if m := &g.Members[i]; m.Voter {
+			voters++
+			if !m.lost() {
+				alive++
+			}
+		}
+	}
+	return voters, alive
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,137 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/greengagelock/greengagelock/internal/hop"
+	_ "github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+var (
+	controllerA = hop.IP{10, 0, 0, 1}
+	controllerB = hop.IP{10, 0, 0, 2}
+)
+
+func relayIP(n int) hop.IP { return hop.IP{10, 1, 0, byte(n)} }
+
+func announce(r *Registry, now time.Duration, n int, t Target) {
+	r.Announce(now, relayIP(n), &Announcement{Role: RoleRelay, Target: &t})
+}
+
+// sync hands the answers of a registry to a view, through their encoding, and reports whether the view
+// then has the list of the registry.
+func sync(t *rapid.T, now time.Duration, v *View, from hop.IP, answers []Answer) {
+	for i := range answers {
+		b, err := answers[i].Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := DecodeAnswer(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.Answer(now, from, a)
+	}
+}
+
+// Guards against an entry VM whose list of targets differs from that of its controller after changes
+// that were sent as differences, some of which got lost.
+func TestViewFollowsTheRegistry(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r, v := NewRegistry(), NewView()
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now += 50 * time.Millisecond
+			n := rapid.IntRange(0, 59).Draw(rt, "target")
+			announce(r, now, n, Target{
+				ID: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "id"), Service: 1,
+				State: rapid.SampledFrom([]State{Ready, Draining}).Draw(rt, "state"), Cold: rapid.Bool().Draw(rt, "cold"),
+			})
+			r.Expire(now)
+			if changes := r.Change(Answer{}); rapid.IntRange(0, 9).Draw(rt, "lost") > 2 {
+				sync(rt, now, v, controllerA, changes)
+			}
+			if rapid.IntRange(0, 3).Draw(rt, "announces") == 0 {
+				sync(rt, now, v, controllerA, r.Answers(Answer{}, RoleEntry, v.Digest(controllerA)))
+			}
+		}
+		sync(rt, now, v, controllerA, r.Answers(Answer{}, RoleEntry, v.Digest(controllerA)))
+		list, digest := r.Targets()
+		if v.Digest(controllerA) != digest {
+			rt.Fatalf("the view has the list %d, the registry %d", v.Digest(controllerA), digest)
+		}
+		for i := range list {
+			k := v.Get(list[i].Relay)
+			if k == nil || k.Lost {
+				rt.Fatalf("the target at %v is missing", list[i].Relay)
+			}
+		}
+	})
+}
+
+// Guards against targets that vanish because one controller has just started or is cut off, and
+// against targets that stay although no controller hears them.
+func TestViewMergesControllers(t *testing.T) {
+	g := NewWithT(t)
+	both, one := NewRegistry(), NewRegistry()
+	announce(both, 0, 1, Target{ID: "a", Service: 1, State: Ready})
+	announce(both, 0, 2, Target{ID: "b", Service: 1, State: Ready})
+	announce(one, 0, 1, Target{ID: "a", Service: 1, State: Ready})
+	v := NewView()
+	tell := func(now time.Duration, from hop.IP, r *Registry) {
+		for _, a := range r.Answers(Answer{}, RoleEntry, v.Digest(from)) {
+			v.Answer(now, from, &a)
+		}
+	}
+	tell(0, controllerA, both)
+	tell(0, controllerB, one)
+	g.Expect(v.Lost(relayIP(2))).To(BeFalse())
+	for now := time.Duration(0); now <= 3*time.Second; now += AnnounceInterval {
+		tell(now, controllerB, one)
+	}
+	g.Expect(v.Lost(relayIP(1))).To(BeFalse())
+	g.Expect(v.Lost(relayIP(2))).To(BeTrue())
+	g.Expect(v.Targets(1)).To(HaveLen(2), "a lost target is still asked for its flows")
+}
+
+// Guards against a view that is emptied when all controllers are down.
+func TestViewStaysWithoutControllers(t *testing.T) {
+	g := NewWithT(t)
+	r, v := NewRegistry(), NewView()
+	announce(r, 0, 1, Target{ID: "a", Service: 1, State: Ready})
+	for _, a := range r.Answers(Answer{}, RoleEntry, 0) {
+		v.Answer(0, controllerA, &a)
+	}
+	g.Expect(v.Lost(relayIP(1))).To(BeFalse())
+	g.Expect(v.Targets(1)[0].Admits()).To(BeTrue())
+}
+
+// Guards against a late list that gives a leaving target flows again, and an earlier incarnation that
+// takes the place of a later one.
+func TestNewerStateOfATarget(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(newer(&Target{ID: "a", State: Draining}, &Target{ID: "a", State: Ready})).To(BeFalse())
+	g.Expect(newer(&Target{ID: "a", State: Ready}, &Target{ID: "a", State: Draining})).To(BeTrue())
+	g.Expect(newer(&Target{ID: "a", State: Draining}, &Target{ID: "b", State: Ready})).To(BeTrue())
+	g.Expect(newer(&Target{ID: "a", Born: 5}, &Target{ID: "a", Born: 4})).To(BeFalse())
+	g.Expect(newer(&Target{ID: "a", Born: 5, State: Draining}, &Target{ID: "a", Born: 6, State: Ready})).To(BeTrue())
+}
+
+// Guards against a process that ends because of bytes that are no message.
+func FuzzDecodeAnswer(f *testing.F) {
+	a := Answer{Version: 1, Parts: 1, Digest: 2, Targets: []Target{{ID: "a"}}}
+	b, err := a.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if a, err := DecodeAnswer(b); err == nil {
+			NewView().Answer(0, controllerA, a)
+		}
+	})
+}
