Let a relay survey the others on behalf of an entry VM

Change: an entry VM sends one datagram with up to 40 flows to a relay, which asks the others, repeats what is not answered, and returns one answer. The targets of up to 12 unsure relays get the packet of the flow after that.

Conclusion: what is left there are requests that must not be repeated on flows whose targets are gone, and the first two seconds.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,6 +121,9 @@
 	asked   []hop.IP
 	unsure  []hop.IP
 	notHere []hop.IP
+	swept   bool // all relays have answered
+	sweeps  int  // surveys that were asked for
+	groups  int  // groups of relays whose survey has not been answered
 }
 
 // New returns an entry VM without configuration and targets.
@@ -312,6 +315,8 @@
 		e.returned(now, from, m)
 	case hop.FoundMany:
 		e.foundMany(now, from, m)
+	case hop.Surveyed:
+		e.surveyed(now, m)
 	default:
 		e.Stats.Malformed++
 	}
--- a/internal/entry/questions.go
+++ b/internal/entry/questions.go
@@ -17,6 +17,9 @@
 	all     []packet.Key
 	waiting int           // flows in byRelay, counted for each relay, and in all
 	due     time.Duration // of the next questions
+	// surveyDue is the time of the next survey, helper the number of the last one.
+	surveyDue time.Duration
+	helper    int
 
 	rate   float64 // bytes a second, zero for no limit
 	tokens float64
@@ -48,16 +51,18 @@
 
 func (q *questions) addAll(now time.Duration, key packet.Key) {
 	q.schedule(now)
+	if len(q.all) == 0 {
+		q.surveyDue = now + surveyDelay
+	}
 	q.all = append(q.all, key)
 }
 
-// allow reports whether count datagrams with some questions each may be sent, and takes them from the
-// budget.
+// allow reports whether count datagrams of a size may be sent, and takes them from the budget.
 func (q *questions) allow(now time.Duration, count, each int) bool {
 	if q.rate == 0 {
 		return true
 	}
-	size := float64(count * (datagramOverhead + hop.QuestionsSize(each)))
+	size := float64(count * (datagramOverhead + each))
 	limit := q.rate * askBurst.Seconds()
 	q.tokens = min(q.tokens+q.rate*(now-q.at).Seconds(), limit)
 	q.at = now
@@ -75,7 +80,8 @@
 		return
 	}
 	e.Stats.Swept++
-	f.state = sweeping
+	f.state, f.groups = sweeping, 0
+	f.sweeps++
 	e.wait(key, f, now+callerPatience) // until the question is sent
 	e.questions.addAll(now, key)
 	e.due(e.questions.due)
@@ -92,7 +98,10 @@
 		return
 	}
 	if !e.sendToRelays(now) || !e.sendToAll(now) {
-		q.due = now + retryDelay
+		q.due = max(now+retryDelay, min(q.surveyDue, now+surveyDelay))
+		if len(q.byRelay) > 0 {
+			q.due = now + retryDelay
+		}
 		e.due(q.due)
 	}
 }
@@ -108,7 +117,7 @@
 	for _, relay := range relays {
 		for len(q.byRelay[relay]) > 0 {
 			count := min(len(q.byRelay[relay]), hop.MaxQuestions)
-			if !q.allow(now, 1, count) {
+			if !q.allow(now, 1, hop.QuestionsSize(count)) {
 				return false
 			}
 			keys := q.byRelay[relay][:count]
@@ -123,37 +132,83 @@
 	return true
 }
 
-// sendToAll reports whether all questions to all relays were sent.
+// sendToAll lets helpers ask all relays, and reports whether all questions were sent.
 func (e *Entry) sendToAll(now time.Duration) bool {
 	q := &e.questions
+	if len(q.all) == 0 || now < q.surveyDue {
+		return len(q.all) == 0
+	}
+	groups := e.groups()
 	for len(q.all) > 0 {
-		count := min(len(q.all), hop.MaxQuestions)
-		if !q.allow(now, e.View.Len(), count) {
+		count := min(len(q.all), hop.MaxSurveyQuestions)
+		if !q.allow(now, len(groups), hop.SurveySize(hop.MaxSurveyed, count)) {
 			return false
 		}
-		m, flows := e.batch(now, q.all[:count], sweeping)
+		keys := q.all[:count]
 		q.all = q.all[count:]
 		q.waiting -= count
-		if m == nil {
-			continue
-		}
-		e.out = m.Append(e.out[:0])
-		e.View.Each(func(k *roster.Known) {
-			if k.Lost {
-				return
+		for _, group := range groups {
+			m, flows := e.batch(now, keys, sweeping)
+			if m == nil {
+				break
 			}
+			m.Kind, m.Relays = hop.Survey, group
 			for _, f := range flows {
-				if !slices.Contains(f.asked, k.Relay) {
-					f.asked = append(f.asked, k.Relay)
-				}
+				f.groups++
 			}
-			e.ports.ToNode(k.Relay, e.out)
-		})
+			q.helper++
+			e.toNode(group[q.helper%len(group)], m)
+		}
 	}
 	q.all = nil
 	return true
 }
 
+// groups returns all relays that are not lost, in groups of the size of a survey.
+func (e *Entry) groups() [][]hop.IP {
+	var relays []hop.IP
+	e.View.Each(func(k *roster.Known) {
+		if !k.Lost {
+			relays = append(relays, k.Relay)
+		}
+	})
+	slices.SortFunc(relays, func(a, b hop.IP) int { return bytes.Compare(a[:], b[:]) })
+	return slices.Collect(slices.Chunk(relays, hop.MaxSurveyed))
+}
+
+// surveyed takes in the answers that a helper has collected.
+func (e *Entry) surveyed(now time.Duration, m *hop.Message) {
+	keys := e.questions.sent[m.Batch]
+	if len(m.Answers) != len(keys) || len(m.Owners) != len(keys) {
+		return // some flows have ended since, which are not worth a search
+	}
+	delete(e.questions.sent, m.Batch)
+	for i, key := range keys {
+		f := e.flows[key]
+		if f == nil || f.state != sweeping {
+			continue
+		}
+		switch m.Answers[i] {
+		case hop.Owned:
+			e.found(now, key, f, m.Owners[i], hop.Owned)
+			continue
+		case hop.Unknown:
+			e.giveUp(now, key, f)
+			continue
+		case hop.Unsure:
+			for _, relay := range m.Relays {
+				if !f.answeredBy(relay) {
+					f.unsure = append(f.unsure, relay)
+				}
+			}
+		}
+		f.groups--
+		if f.groups <= 0 {
+			e.concludeSweep(now, key, f)
+		}
+	}
+}
+
 // batch returns the question for those of the flows that are still in a state, nil if there are none.
 func (e *Entry) batch(now time.Duration, keys []packet.Key, state flowState) (*hop.Message, []*flow) {
 	m := &hop.Message{Kind: hop.FindMany}
@@ -189,7 +244,7 @@
 	answers := m.Answers[:min(len(m.Answers), len(keys))]
 	for i, answer := range answers {
 		f := e.flows[keys[i]]
-		if f != nil && (f.state == searching || f.state == sweeping || (f.state == probing && answer == hop.Owned)) {
+		if f != nil && (f.state == searching || (f.state == probing && answer == hop.Owned)) {
 			e.found(now, keys[i], f, from, answer)
 		}
 	}
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -16,8 +16,15 @@
 	findRounds = 2
 	// probeTimeout is the time that the targets of unsure relays have for taking or returning a packet.
 	probeTimeout = 60 * time.Millisecond
-	// sweepTimeout is the time that all relays have for their answers.
-	sweepTimeout = 120 * time.Millisecond
+	// maxProbes bounds the targets that get a packet to tell whether they have its flow.
+	maxProbes = 12
+	// sweepTimeout is the time that a helper has for the answers of all relays: three rounds of 15 ms and
+	// the way there and back.
+	sweepTimeout = 100 * time.Millisecond
+	// sweepRounds bounds the helpers that are asked for one flow.
+	sweepRounds = 3
+	// surveyDelay collects the flows of one survey, which costs two datagrams for each relay.
+	surveyDelay = 20 * time.Millisecond
 	// findPause is the time after a search without a result in which the flow is not searched again.
 	// Both ends repeat their packets, the first time after 200 ms.
 	findPause = 300 * time.Millisecond
@@ -99,21 +106,33 @@
 	switch f.state {
 	case searching:
 		e.widen(now, key, f)
-	case sweeping:
-		if len(f.unsure) > 0 {
-			e.giveUp(now, key, f)
+	case probing:
+		if f.swept {
+			e.nobody(key, f)
 			return
 		}
-		e.nobody(key, f)
-	case probing:
 		e.askAll(now, key, f)
 	}
 }
 
+// concludeSweep ends a search after all relays have answered. The targets of a few unsure relays get
+// the packet; for many that would choke the link.
+func (e *Entry) concludeSweep(now time.Duration, key packet.Key, f *flow) {
+	f.swept = true
+	switch {
+	case len(f.unsure) == 0:
+		e.nobody(key, f)
+	case len(f.unsure) <= maxProbes:
+		e.probe(now, key, f)
+	default:
+		e.giveUp(now, key, f)
+	}
+}
+
 // widen goes on after the likely owners have answered: the targets of unsure relays get the packet, or
 // all other relays are asked.
 func (e *Entry) widen(now time.Duration, key packet.Key, f *flow) {
-	if len(f.unsure) > 0 {
+	if len(f.unsure) > 0 && len(f.unsure) <= maxProbes {
 		e.probe(now, key, f)
 		return
 	}
@@ -127,6 +146,8 @@
 		e.ask(now, key, f)
 	case f.state == searching:
 		e.widen(now, key, f)
+	case f.state == sweeping && f.sweeps < sweepRounds:
+		e.askAll(now, key, f)
 	default:
 		e.giveUp(now, key, f)
 	}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -262,6 +262,7 @@
 		}
 		if t := w.at(to); t != nil && t.relay != nil && !t.cut {
 			t.relay.FromNode(w.now, from, b)
+			t.arm()
 		}
 	})
 }
@@ -310,6 +311,17 @@
 	t.relay = relay.New(relay.Config{Codec: plainCodec{}, Service: t.service, Self: t.ip}, t)
 }
 
+func (t *targetVM) arm() {
+	of := t.relay
+	if due := of.Tick(t.w.now); due >= 0 {
+		t.w.after(max(due-t.w.now, 0), func() {
+			if t.relay == of {
+				t.arm()
+			}
+		})
+	}
+}
+
 func (t *targetVM) startTarget() {
 	t.alive, t.draining = true, false
 	t.life++
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -27,6 +27,16 @@
 	// FindMany asks a relay which of several flows its target owns, and FoundMany answers it.
 	FindMany
 	FoundMany
+	// Survey asks a relay to ask others for several flows, and Surveyed answers it.
+	Survey
+	Surveyed
+)
+
+// MaxSurveyed bounds the relays, and MaxSurveyQuestions the flows of one Survey, whose size stays below
+// the MTU.
+const (
+	MaxSurveyed        = 128
+	MaxSurveyQuestions = 40
 )
 
 // MaxQuestions bounds the flows in one FindMany, whose size stays below the MTU.
@@ -49,6 +59,8 @@
 	Owned
 	// Unsure means that the relay started after its target and has not seen the flow since.
 	Unsure
+	// Unknown means in Surveyed that a relay did not answer.
+	Unknown
 )
 
 // MaxCandidates bounds the candidates of a SYN. A chain of four meets a free slot with a probability
@@ -82,6 +94,10 @@
 	Batch     uint32
 	Questions []Question
 	Answers   []Answer
+	// Relays are those that a Survey is about, or the unsure ones in Surveyed. Owners are the relays that
+	// own the flows, in the order of the questions; the zero address for none.
+	Relays []IP
+	Owners []IP
 
 	// Packet is the packet of the flow; it shares memory with the datagram.
 	Packet []byte
@@ -135,6 +151,21 @@
 			b = binary.BigEndian.AppendUint32(q.Key.Append(b), q.Ack)
 		}
 		return b
+	case Survey:
+		b = binary.BigEndian.AppendUint32(b, m.Batch)
+		b = appendIPs(b, m.Relays)
+		for _, q := range m.Questions {
+			b = binary.BigEndian.AppendUint32(q.Key.Append(b), q.Ack)
+		}
+		return b
+	case Surveyed:
+		b = binary.BigEndian.AppendUint32(b, m.Batch)
+		b = appendIPs(b, m.Relays)
+		b = appendIPs(b, m.Owners)
+		for _, a := range m.Answers {
+			b = append(b, byte(a))
+		}
+		return b
 	default: // FoundMany
 		b = binary.BigEndian.AppendUint32(b, m.Batch)
 		for _, a := range m.Answers {
@@ -144,6 +175,29 @@
 	}
 }
 
+func appendIPs(b []byte, ips []IP) []byte {
+	b = append(b, byte(len(ips)))
+	for _, ip := range ips {
+		b = append(b, ip[:]...)
+	}
+	return b
+}
+
+func parseIPs(b []byte) (ips []IP, rest []byte, ok bool) {
+	if len(b) < 1 || int(b[0]) > MaxSurveyed || len(b) < 1+4*int(b[0]) {
+		return nil, nil, false
+	}
+	rest = b[1:]
+	for range b[0] {
+		ips = append(ips, IP(rest[:4]))
+		rest = rest[4:]
+	}
+	return ips, rest, true
+}
+
+// SurveySize returns the size of a Survey.
+func SurveySize(relays, questions int) int { return manyBytes + 1 + relays*4 + questions*questionSize }
+
 // QuestionsSize returns the size of a FindMany with a number of questions.
 func QuestionsSize(count int) int { return manyBytes + count*questionSize }
 
@@ -189,24 +243,28 @@
 	return m.parseMany(b)
 }
 
-// parseMany decodes FindMany and FoundMany.
+// parseMany decodes the messages about several flows.
 func (m *Message) parseMany(b []byte) error {
-	if m.Kind != FindMany && m.Kind != FoundMany {
+	if m.Kind < FindMany || m.Kind > Surveyed {
 		return result.New(result.PacketInvalid, "message of unknown kind %d", b[0])
 	}
 	if len(b) < manyBytes {
 		return truncated(b)
 	}
 	m.Batch = binary.BigEndian.Uint32(b[headBytes:])
-	rest := b[manyBytes:]
-	if m.Kind == FoundMany {
-		if len(rest) > MaxQuestions {
-			return result.New(result.PacketInvalid, "%d answers, want at most %d", len(rest), MaxQuestions)
+	rest, ok := b[manyBytes:], true
+	if m.Kind == Survey || m.Kind == Surveyed {
+		if m.Relays, rest, ok = parseIPs(rest); !ok {
+			return truncated(b)
 		}
-		for _, a := range rest {
-			m.Answers = append(m.Answers, Answer(a))
+	}
+	if m.Kind == Surveyed {
+		if m.Owners, rest, ok = parseIPs(rest); !ok || len(rest) != len(m.Owners) {
+			return truncated(b)
 		}
-		return nil
+	}
+	if m.Kind == FoundMany || m.Kind == Surveyed {
+		return m.parseAnswers(rest)
 	}
 	if len(rest)%questionSize != 0 || len(rest) > MaxQuestions*questionSize {
 		return truncated(b)
@@ -217,6 +275,16 @@
 	return nil
 }
 
+func (m *Message) parseAnswers(b []byte) error {
+	if len(b) > MaxQuestions {
+		return result.New(result.PacketInvalid, "%d answers, want at most %d", len(b), MaxQuestions)
+	}
+	for _, a := range b {
+		m.Answers = append(m.Answers, Answer(a))
+	}
+	return nil
+}
+
 func truncated(b []byte) error {
 	return result.New(result.PacketInvalid, "message of %d bytes is truncated", len(b))
 }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -15,7 +15,7 @@
 }
 
 func drawMessage(t *rapid.T) Message {
-	m := Message{Kind: rapid.SampledFrom([]Kind{Forward, Admitted, Refused, Returned, FindMany, FoundMany}).Draw(t, "kind")}
+	m := Message{Kind: rapid.SampledFrom([]Kind{Forward, Admitted, Refused, Returned, FindMany, FoundMany, Survey, Surveyed}).Draw(t, "kind")}
 	switch m.Kind {
 	case Admitted:
 		m.Key, m.Seq = drawKey(t), rapid.Uint32().Draw(t, "seq")
@@ -30,6 +30,12 @@
 		for range rapid.IntRange(1, MaxQuestions).Draw(t, "answers") {
 			m.Answers = append(m.Answers, Answer(rapid.IntRange(1, 3).Draw(t, "answer")))
 		}
+	case Survey:
+		m.Relays = []IP{{10, 0, 0, 1}, {10, 0, 0, 2}}
+		m.Questions = []Question{{drawKey(t), rapid.Uint32().Draw(t, "ack")}}
+	case Surveyed:
+		m.Relays = []IP{{10, 0, 0, 1}}
+		m.Owners, m.Answers = []IP{{}, {10, 0, 0, 2}}, []Answer{NotOwned, Owned}
 	default:
 		m.Service, m.Entry = rapid.Uint64().Draw(t, "service"), IP{10, 0, 0, 1}
 		for i := range rapid.IntRange(1, MaxCandidates).Draw(t, "candidates") {
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -66,6 +66,8 @@
 
 	mu    sync.Mutex
 	relay *Relay
+	timer *time.Timer
+	armed bool
 	state roster.State // as last announced
 }
 
@@ -73,6 +75,8 @@
 func NewProcess(cfg ProcessConfig, t telemetry.Handle) (*Process, error) {
 	p := &Process{cfg: cfg, tel: t, start: time.Now(), number: rand.Uint64()}
 	p.relay = New(Config{Codec: cfg.Codec, Service: routing.IDOf(cfg.Service), Self: cfg.IP.As4()}, p)
+	p.timer = time.AfterFunc(time.Hour, p.tick)
+	p.timer.Stop()
 	var err error
 	if p.target, err = packet.Listen(cfg.FromTarget); err != nil {
 		return nil, err
@@ -96,6 +100,7 @@
 	closeAll := context.AfterFunc(running, func() {
 		_ = p.target.Close()
 		_ = p.nodes.Close()
+		p.timer.Stop()
 	})
 	defer closeAll()
 	group.Go(func() error {
@@ -127,13 +132,35 @@
 	f(p.now())
 }
 
+// tick runs at the timer.
+func (p *Process) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.armed = false
+	p.arm()
+}
+
+// arm does what is due and sets the timer for the next time, unless it is set.
+func (p *Process) arm() {
+	if p.armed {
+		return
+	}
+	if due := p.relay.Tick(p.now()); due >= 0 {
+		p.armed = true
+		p.timer.Reset(max(due-p.now(), 0))
+	}
+}
+
 func (p *Process) fromNode(from netip.AddrPort, b []byte) {
 	addr, ok := packet.AddrOf(from)
 	if !ok {
 		return
 	}
 	if !roster.IsControl(b) {
-		p.locked(func(now time.Duration) { p.relay.FromNode(now, addr.IP, b) })
+		p.locked(func(now time.Duration) {
+			p.relay.FromNode(now, addr.IP, b)
+			p.arm()
+		})
 		return
 	}
 	a, err := roster.DecodeAnswer(b)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,9 @@
 	controllers int
 	started     time.Duration
 
+	surveys      map[uint32]*survey
+	surveyNumber uint32
+
 	message hop.Message // scratch
 	out     []byte
 }
@@ -74,7 +77,7 @@
 type Stats struct {
 	Admitted, Passed, Refused, Returned, Bounced, WrongService uint64
 	Delivered, ToCallers, Malformed, StaleAnswers              uint64
-	FlowsReset, Opened, FindsAnswered                          uint64
+	FlowsReset, Opened, FindsAnswered, Unsure, Surveys         uint64
 }
 
 // flowState is the state of a flow at the target.
@@ -114,7 +117,7 @@
 
 // New returns a relay.
 func New(cfg Config, ports Ports) *Relay {
-	return &Relay{cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, replaced: map[string]bool{}, previous: map[hop.IP]string{}}
+	return &Relay{cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, replaced: map[string]bool{}, previous: map[hop.IP]string{}, surveys: map[uint32]*survey{}}
 }
 
 // FromNode takes in a datagram of an entry VM or another relay.
@@ -129,6 +132,10 @@
 		r.forward(now, m)
 	case hop.FindMany:
 		r.findMany(now, from, m)
+	case hop.FoundMany:
+		r.surveyAnswer(from, m)
+	case hop.Survey:
+		r.survey(now, from, m)
 	default:
 		r.Stats.Malformed++
 	}
@@ -453,6 +460,7 @@
 	f := r.flows[key]
 	switch {
 	case f == nil && !r.complete && !r.target.gone():
+		r.Stats.Unsure++
 		return hop.Unsure
 	case f == nil || f.state == foreign || f.state == halfOpen:
 		return hop.NotOwned
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,7 +28,9 @@
 
 var service = routing.IDOf("service")
 
-func newRelay() *Relay { return New(Config{Codec: noCodec{}, Service: service, Self: hop.IP{10, 0, 0, 9}}, noPorts{}) }
+func newRelay() *Relay {
+	return New(Config{Codec: noCodec{}, Service: service, Self: hop.IP{10, 0, 0, 9}}, noPorts{})
+}
 
 func beat(r *Relay, now time.Duration, id string, born int64, sequence uint64) error {
 	return r.Heartbeat(now, &Heartbeat{ID: id, Born: born, Sequence: sequence, Service: service, Slots: 2})
