Log decisions on flows within a budget; export counters of the datagram path

Cause: engineers have only logs and metrics to explain a failed request; the datagram path had neither.

Change: one line for each decision on a flow, with its inputs, their age and a numbered result, through a ring with a budget a second for each kind (refusals and resets most); what is left out is counted and said.

--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -13,11 +13,15 @@
 
 	"github.com/greengagelock/greengagelock/internal/agent"
 	"github.com/greengagelock/greengagelock/internal/balancer"
+	"github.com/greengagelock/greengagelock/internal/confstore"
 	"github.com/greengagelock/greengagelock/internal/controller"
 	"github.com/greengagelock/greengagelock/internal/devcerts"
+	"github.com/greengagelock/greengagelock/internal/entry"
 	"github.com/greengagelock/greengagelock/internal/fabric"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/node"
+	"github.com/greengagelock/greengagelock/internal/place"
+	"github.com/greengagelock/greengagelock/internal/relay"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
 	"github.com/greengagelock/greengagelock/internal/wal"
@@ -91,6 +95,13 @@
 		HealthURL: "http://127.0.0.1:1/health", LoadURL: "http://127.0.0.1:1/load",
 	}, handle())
 	check(t, err)
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	_, err = entry.NewProcess(entry.ProcessConfig{Callers: loopback, IP: loopback.Addr()}, place.NewPicker("", nil), handle())
+	check(t, err)
+	_, err = relay.NewProcess(relay.ProcessConfig{FromTarget: loopback, IP: loopback.Addr()}, handle())
+	check(t, err)
+	_, err = confstore.New(confstore.Config{IP: loopback.Addr(), DataDir: t.TempDir()}, handle())
+	check(t, err)
 	_, err = node.New(node.Config{
 		Name: "one", Role: model.RoleBalancer, Controllers: []string{"127.0.0.1:1"}, TLS: files(model.RoleBalancer),
 	}, b, handle())
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -121,6 +121,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := c.registerMetrics(t.Metrics); err != nil {
+		return nil, err
+	}
 	c.server, err = rpc.NewServer(rpc.ServerConfig{Plain: true, Services: c.services}, t)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/confstore/metrics.go
@@ -0,0 +1,44 @@
+package confstore
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// registerMetrics exports the state of the controller. All values are read when they are asked for.
+func (c *Controller) registerMetrics(r prometheus.Registerer) error {
+	boolean := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	gauges := []struct {
+		name, help string
+		read       func() float64
+	}{
+		{"version", "Version of the newest committed configuration.", func() float64 { return float64(c.state.version()) }},
+		{"leader", "1 if this controller leads.", func() float64 { return boolean(c.log.Status().IsLeader) }},
+		{"current", "1 while the controller is in contact with a majority.", func() float64 { return boolean(c.Current()) }},
+		{"members", "Members of the store.", func() float64 { return float64(len(c.log.Status().Members)) }},
+		{"term", "Term of the replicated log.", func() float64 { return float64(c.log.Status().Term) }},
+		{"targets", "Targets that announce themselves.", func() float64 {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			list, _ := c.registry.Targets()
+			return float64(len(list))
+		}},
+		{"entries_behind", "Entry VMs with an older configuration in force.", func() float64 {
+			version := c.state.version()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return float64(len(c.registry.Behind(version)))
+		}},
+	}
+	var err error
+	for _, g := range gauges {
+		opts := prometheus.GaugeOpts{Name: "greengagelock_store_" + g.name, Help: g.help}
+		err = errors.CombineErrors(err, r.Register(prometheus.NewGaugeFunc(opts, g.read)))
+	}
+	return errors.Wrap(err, "register metrics")
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,9 +8,11 @@
 	"slices"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/place"
+	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
 )
@@ -44,6 +46,10 @@
 	Self  hop.IP
 	// LinkBytes is the bandwidth of the VM in bytes a second; zero for no limit.
 	LinkBytes float64
+	// Decisions takes the log lines of flows; nil for none.
+	Decisions *decision.Log
+	// Admission takes the time from the first packet of a flow to its admission; nil for nobody.
+	Admission func(took time.Duration)
 }
 
 // Entry is the decision logic. It has no clock, goroutine or socket; one goroutine at a time may use
@@ -213,7 +219,7 @@
 func (e *Entry) handle(now time.Duration, v *packet.View, raw []byte) {
 	key := v.FromCaller()
 	if !e.table.Has(v.Destination) {
-		e.noRoute(key, v)
+		e.noRoute(now, key, v)
 		return
 	}
 	if v.Opens() {
@@ -224,14 +230,27 @@
 }
 
 // noRoute ends a flow for whose address there is no route, or no longer one.
-func (e *Entry) noRoute(key packet.Key, v *packet.View) {
+func (e *Entry) noRoute(now time.Duration, key packet.Key, v *packet.View) {
 	e.Stats.NoRoute++
 	e.drop(key)
 	if !v.Flags.Has(packet.RST) {
+		e.note(now, decision.Decision{Kind: decision.Reset, Flow: key, Seq: v.Seq, Code: result.ServiceNotFound})
 		e.reset(key, v.Ack)
 	}
 }
 
+// note logs a decision with what it was based on.
+func (e *Entry) note(now time.Duration, d decision.Decision) {
+	if e.cfg.Decisions == nil {
+		return
+	}
+	d.Version, d.ListAge = e.Version(), e.View.Age(now)
+	if k := e.View.Get(d.Target); k != nil {
+		d.Busy, d.Slots = k.Load.Busy, k.Slots
+	}
+	e.cfg.Decisions.Note(now, d)
+}
+
 // drop forgets a flow.
 func (e *Entry) drop(key packet.Key) {
 	delete(e.flows, key)
@@ -270,7 +289,7 @@
 		}
 	case owned:
 		if e.View.Lost(f.owner) {
-			e.lostOwner(key, v)
+			e.lostOwner(now, key, v, f)
 			return
 		}
 		e.send(f.owner, f.service, raw)
@@ -283,10 +302,13 @@
 
 // lostOwner ends a flow whose relay no controller hears any more, so that its caller can go on with
 // another target instead of waiting for its deadline.
-func (e *Entry) lostOwner(key packet.Key, v *packet.View) {
+func (e *Entry) lostOwner(now time.Duration, key packet.Key, v *packet.View, f *flow) {
 	e.Stats.LostOwners++
 	e.drop(key)
 	if !v.Flags.Has(packet.RST) {
+		e.note(now, decision.Decision{
+			Kind: decision.Reset, Flow: key, Seq: f.isn, Target: f.owner, Took: now - f.began, Code: result.TargetNotFound,
+		})
 		e.reset(key, v.Ack)
 	}
 }
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -4,8 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/result"
 )
 
 const (
@@ -91,7 +93,7 @@
 func (e *Entry) offer(now time.Duration, key packet.Key, f *flow) {
 	e.chain = e.picker.Candidates(now, e.View, f.service, key.Hash(), f.tried, e.chain)
 	if len(e.chain) == 0 || f.round >= maxRounds {
-		e.refuse(key)
+		e.refuse(now, key, f)
 		return
 	}
 	e.Stats.Offered++
@@ -100,13 +102,17 @@
 	f.tried = append(f.tried, e.chain[0])
 	e.wait(key, f, now+e.offers.timeout())
 	e.picker.Offered(now, e.chain[0])
+	e.note(now, decision.Decision{Kind: decision.Offered, Flow: key, Seq: f.isn, Target: f.owner, Tries: f.round, Took: now - f.began})
 	e.toNode(e.chain[0], &hop.Message{
 		Kind: hop.Forward, Service: uint64(f.service), Entry: e.cfg.Self, Candidates: e.chain, Packet: f.syn,
 	})
 }
 
 // refuse tells the caller at once that the flow will not open.
-func (e *Entry) refuse(key packet.Key) {
+func (e *Entry) refuse(now time.Duration, key packet.Key, f *flow) {
+	e.note(now, decision.Decision{
+		Kind: decision.Refused, Flow: key, Seq: f.isn, Tries: f.round, Took: now - f.began, Code: result.NoTarget,
+	})
 	e.Stats.NoTarget++
 	e.drop(key)
 	e.reset(key, 0)
@@ -137,6 +143,10 @@
 		return // a second target has accepted a copy; the caller's next packet tells who has the flow
 	}
 	e.Stats.Admitted++
+	if e.cfg.Admission != nil {
+		e.cfg.Admission(now - f.began)
+	}
+	e.note(now, decision.Decision{Kind: decision.Admitted, Flow: m.Key, Seq: f.isn, Target: from, Tries: f.round, Took: now - f.began})
 	if f.round == 1 {
 		e.offers.admitted(now - f.began)
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/place"
@@ -57,6 +58,8 @@
 	nodes   *net.UDPConn
 	uplink  *uplink.Uplink
 
+	decisions *decision.Log
+
 	mu       sync.Mutex
 	entry    *Entry
 	timer    *time.Timer
@@ -66,11 +69,17 @@
 
 // NewProcess opens the sockets.
 func NewProcess(cfg ProcessConfig, picker *place.Picker, t telemetry.Handle) (*Process, error) {
-	p := &Process{cfg: cfg, tel: t, start: time.Now(), armed: -1}
-	p.entry = New(Config{Codec: cfg.Codec, Self: cfg.IP.As4(), LinkBytes: cfg.LinkBytes}, picker, p)
+	p := &Process{cfg: cfg, tel: t, start: time.Now(), armed: -1, decisions: decision.New(t.Logger)}
+	metrics, err := newMetrics(t.Metrics, p)
+	if err != nil {
+		return nil, err
+	}
+	p.entry = New(Config{
+		Codec: cfg.Codec, Self: cfg.IP.As4(), LinkBytes: cfg.LinkBytes, Decisions: p.decisions,
+		Admission: func(took time.Duration) { metrics.admission.Observe(took.Seconds()) },
+	}, picker, p)
 	p.timer = time.AfterFunc(time.Hour, p.tick)
 	p.timer.Stop()
-	var err error
 	if p.callers, err = packet.Listen(cfg.Callers); err != nil {
 		return nil, err
 	}
@@ -104,6 +113,7 @@
 	})
 	group.Go(func() error { return packet.Receive(running, p.nodes, p.tel.Logger, p.fromNode) })
 	group.Go(func() error { return p.uplink.Run(running) })
+	group.Go(func() error { return p.decisions.Run(running) })
 	group.Go(func() error { p.sweep(running); return nil })
 	group.Go(func() error { p.settle(running); return nil })
 	group.Go(func() error {
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -4,8 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/routing"
 )
 
@@ -108,7 +110,7 @@
 		e.widen(now, key, f)
 	case probing:
 		if f.swept {
-			e.nobody(key, f)
+			e.nobody(now, key, f)
 			return
 		}
 		e.askAll(now, key, f)
@@ -121,7 +123,7 @@
 	f.swept = true
 	switch {
 	case len(f.unsure) == 0:
-		e.nobody(key, f)
+		e.nobody(now, key, f)
 	case len(f.unsure) <= maxProbes:
 		e.probe(now, key, f)
 	default:
@@ -167,10 +169,13 @@
 }
 
 // nobody ends a search when every relay knows that it does not have the flow.
-func (e *Entry) nobody(key packet.Key, f *flow) {
+func (e *Entry) nobody(now time.Duration, key packet.Key, f *flow) {
 	e.Stats.FoundNone++
 	e.drop(key)
 	if v, err := e.cfg.Codec.Parse(f.held[0]); err == nil && !v.Flags.Has(packet.RST) {
+		e.note(now, decision.Decision{
+			Kind: decision.Reset, Flow: key, Seq: v.Seq, Tries: f.round + f.sweeps, Took: now - f.began, Code: result.FlowUnknown,
+		})
 		e.reset(key, f.ack)
 	}
 }
@@ -179,6 +184,9 @@
 // is not reset.
 func (e *Entry) giveUp(now time.Duration, key packet.Key, f *flow) {
 	e.Stats.FindsFailed++
+	e.note(now, decision.Decision{
+		Kind: decision.SearchFailed, Flow: key, Tries: f.round + f.sweeps, Took: now - f.began, Code: result.DeadlineExceeded,
+	})
 	f.waits = false
 	f.held, f.unsure, f.asked, f.notHere = nil, nil, nil, nil
 	f.state, f.due = unowned, now+findPause
@@ -189,6 +197,7 @@
 	switch answer {
 	case hop.Owned:
 		e.Stats.Found++
+		e.note(now, decision.Decision{Kind: decision.Found, Flow: key, Target: from, Tries: f.round + f.sweeps, Took: now - f.began})
 		f.waits = false
 		held := f.held
 		f.state, f.owner = owned, from
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -13,10 +13,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
+	"github.com/greengagelock/greengagelock/internal/stats"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
 	"github.com/greengagelock/greengagelock/internal/uplink"
 )
@@ -64,6 +66,8 @@
 	uplink *uplink.Uplink
 	number uint64 // tells this process from earlier ones
 
+	decisions *decision.Log
+
 	mu    sync.Mutex
 	relay *Relay
 	timer *time.Timer
@@ -73,8 +77,13 @@
 
 // NewProcess opens the sockets.
 func NewProcess(cfg ProcessConfig, t telemetry.Handle) (*Process, error) {
-	p := &Process{cfg: cfg, tel: t, start: time.Now(), number: rand.Uint64()}
-	p.relay = New(Config{Codec: cfg.Codec, Service: routing.IDOf(cfg.Service), Self: cfg.IP.As4()}, p)
+	p := &Process{cfg: cfg, tel: t, start: time.Now(), number: rand.Uint64(), decisions: decision.New(t.Logger)}
+	p.relay = New(Config{
+		Codec: cfg.Codec, Service: routing.IDOf(cfg.Service), Self: cfg.IP.As4(), Decisions: p.decisions,
+	}, p)
+	if err := stats.Register(t.Metrics, "greengagelock_relay", p.StatsNow); err != nil {
+		return nil, err
+	}
 	p.timer = time.AfterFunc(time.Hour, p.tick)
 	p.timer.Stop()
 	var err error
@@ -110,6 +119,7 @@
 	})
 	group.Go(func() error { return packet.Receive(running, p.nodes, p.tel.Logger, p.fromNode) })
 	group.Go(func() error { return p.uplink.Run(running) })
+	group.Go(func() error { return p.decisions.Run(running) })
 	group.Go(func() error { p.sweep(running); return nil })
 	group.Go(func() error { p.watch(running); return nil })
 	group.Go(func() error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,8 +6,10 @@
 import (
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
 )
@@ -40,6 +42,8 @@
 	Codec   packet.Codec
 	Service routing.ServiceID // of the target beside the relay
 	Self    hop.IP
+	// Decisions takes the log lines of flows; nil for none.
+	Decisions *decision.Log
 }
 
 // Relay is the decision logic. It has no clock, goroutine or socket; one goroutine at a time may use
@@ -165,6 +169,7 @@
 		return
 	}
 	if !r.admits(now, m) {
+		r.note(now, decision.Passed, key, v.Seq, int(m.At), r.passCode())
 		r.pass(m)
 		return
 	}
@@ -175,12 +180,34 @@
 		r.pass(m)
 		return
 	}
+	r.note(now, decision.Taken, key, v.Seq, int(m.At), result.OK)
 	r.flows[key] = &flow{
 		state: halfOpen, callerISN: v.Seq, next: v.Seq + 1, entry: m.Entry, began: now, seen: now,
 	}
 	r.toTarget(now, m, true)
 }
 
+// note logs a decision on a flow with the load of the target.
+func (r *Relay) note(now time.Duration, kind decision.Kind, key packet.Key, seq uint32, tries int, code result.Code) {
+	if r.cfg.Decisions == nil {
+		return
+	}
+	r.cfg.Decisions.Note(now, decision.Decision{
+		Kind: kind, Flow: key, Seq: seq, Target: r.cfg.Self, Busy: uint16(r.busy(now)), Slots: r.target.Slots, Tries: tries, Code: code,
+	})
+}
+
+// passCode tells why a SYN is passed on.
+func (r *Relay) passCode() result.Code {
+	switch {
+	case r.target.State == roster.Draining || r.stopping:
+		return result.TargetDraining
+	case r.target.State == roster.Ready:
+		return result.NoFreeSlot
+	}
+	return result.AdmissionSuspended
+}
+
 // admits reports whether the target is offered a SYN. A target without a free slot takes it only if
 // all other candidates were asked.
 func (r *Relay) admits(now time.Duration, m *hop.Message) bool {
@@ -248,6 +275,7 @@
 	f := r.flows[key]
 	switch {
 	case f == nil && (r.complete || r.target.gone()):
+		r.note(now, decision.Returned, key, v.Seq, 0, result.FlowUnknown)
 		r.giveBack(m)
 		return
 	case f == nil:
@@ -267,7 +295,7 @@
 		f.state = open
 		r.Stats.Opened++
 	}
-	r.note(now, f, v, m.Entry)
+	r.record(now, f, v, m.Entry)
 	r.toTarget(now, m, v.DataBytes > 0)
 }
 
@@ -289,8 +317,8 @@
 	}
 }
 
-// note records a packet of the caller.
-func (r *Relay) note(now time.Duration, f *flow, v *packet.View, entry hop.IP) {
+// record keeps what a packet of the caller tells of its flow.
+func (r *Relay) record(now time.Duration, f *flow, v *packet.View, entry hop.IP) {
 	f.seen, f.entry = now, entry
 	if v.Flags.Has(packet.ACK) {
 		f.callerAck = v.Ack
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -37,6 +37,7 @@
 	RetryBudgetSpent   Code = 2006
 	HandshakeFailed    Code = 2007
 	AdmissionSuspended Code = 2008
+	FlowUnknown        Code = 2010
 	TargetJoining      Code = 2009
 
 	// 3xxx: control.
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -231,5 +231,14 @@
 	return v.services[service]
 }
 
+// Age returns the time since a controller last confirmed its list.
+func (v *View) Age(now time.Duration) time.Duration {
+	age := now
+	for _, s := range v.sources {
+		age = min(age, now-s.heard)
+	}
+	return age
+}
+
 // Len returns the number of targets, lost ones included.
 func (v *View) Len() int { return len(v.targets) }
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,62 @@
+// Package stats exports the counters of a struct as metrics.
+package stats
+
+import (
+	"reflect"
+	"strings"
+	"unicode"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// collector reads a struct whose fields are counters.
+type collector[S any] struct {
+	read   func() S
+	descs  []*prometheus.Desc
+	fields []int
+}
+
+// Register exports every uint64 field of the struct that read returns as a counter with the name
+// PREFIX_FIELD_total.
+func Register[S any](r prometheus.Registerer, prefix string, read func() S) error {
+	c := &collector[S]{read: read}
+	t := reflect.TypeFor[S]()
+	for i := range t.NumField() {
+		if t.Field(i).Type.Kind() != reflect.Uint64 {
+			continue
+		}
+		name := prefix + "_" + snake(t.Field(i).Name) + "_total"
+		c.descs = append(c.descs, prometheus.NewDesc(name, "See docs/metrics.md.", nil, nil))
+		c.fields = append(c.fields, i)
+	}
+	return errors.Wrap(r.Register(c), "register metrics")
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector[S]) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range c.descs {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector[S]) Collect(out chan<- prometheus.Metric) {
+	v := reflect.ValueOf(c.read())
+	for i, field := range c.fields {
+		out <- prometheus.MustNewConstMetric(c.descs[i], prometheus.CounterValue, float64(v.Field(field).Uint()))
+	}
+}
+
+// snake turns FindsFailed into finds_failed.
+func snake(name string) string {
+	var b strings.Builder
+	runes := []rune(name)
+	for i, r := range runes {
+		if unicode.IsUpper(r) && i > 0 && !unicode.IsUpper(runes[i-1]) {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
