--- a/cmd/demo/trial.go
+++ b/cmd/demo/trial.go
@@ -157,7 +157,7 @@
 		ctl + " targets",
 		fmt.Sprintf("%s explain %s %s", ctl, example.last.Load().LocalAddr(), example.Address),
 		ctl + " drain notice-2 --wait", "",
-		"docs/operations.md goes on from here. The files are in " + d.folder + ".",
+		"docs/OPERATIONS.md goes on from here. The files are in " + d.folder + ".",
 		"Ctrl-C stops the system. A line follows whenever a count has changed.", "", "",
 	}
 	fmt.Fprint(d.out, strings.Join(lines, "\n"))
--- a/cmd/demo/trial_test.go
+++ b/cmd/demo/trial_test.go
@@ -31,7 +31,7 @@
 }
 
 var _ = Describe("the trial system", func() {
-	// Guards against steps of docs/operations.md that fail or break flows on a running system.
+	// Guards against steps of docs/OPERATIONS.md that fail or break flows on a running system.
 	It("goes through the changes of the operations page", func(ctx SpecContext) {
 		w := startTrial(ctx)
 		w.refuseWrongEdit(ctx)
--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -128,7 +128,7 @@
 			t.Errorf("metrics.md lacks `%s`", name)
 		}
 	}
-	for _, file := range []string{"metrics.md", "operations.md"} {
+	for _, file := range []string{"metrics.md", "OPERATIONS.md"} {
 		text, err := os.ReadFile(file)
 		check(t, err)
 		for _, name := range metricName.FindAllString(string(text), -1) {
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -14,6 +14,7 @@
 	"github.com/greengagelock/greengagelock/internal/repair"
 	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
 
@@ -64,6 +65,21 @@
 // FetchReply holds the configuration in force, or nothing if it is not above the version asked for.
 type FetchReply struct{ Content *Content }
 
+// StatusRequest asks for the state of a controller.
+type StatusRequest struct{}
+
+// Status is the state of a controller.
+type Status struct {
+	Name    string
+	Leader  string // empty if unknown
+	Version uint64 // of the newest committed configuration, zero before the first
+	Current bool   // in contact with a majority
+	Members []replica.Member
+	Targets []roster.Target // that announce themselves
+	// Behind are the entry VMs with an older configuration in force.
+	Behind []string
+}
+
 // Peer serves the calls of one connection.
 type Peer struct {
 	c    *Controller
@@ -115,6 +131,18 @@
 	return nil
 }
 
+// Status returns the state of the controller.
+func (p *Peer) Status(_ *StatusRequest, reply *Status) error {
+	c := p.c
+	log := c.log.Status()
+	*reply = Status{Name: c.name, Leader: log.Leader, Version: c.state.version(), Current: c.Current(), Members: log.Members}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply.Targets, _ = c.registry.Targets()
+	reply.Behind = c.registry.Behind(reply.Version)
+	return nil
+}
+
 // meet records the name of a controller that has called.
 func (c *Controller) meet(name string) {
 	c.mu.Lock()
@@ -265,6 +293,13 @@
 	return reply.Content, nil
 }
 
+// StatusOf returns the state of the controller at an address.
+func StatusOf(ctx context.Context, address netip.AddrPort) (*Status, error) {
+	client := dial(address.String(), fetchTimeout)
+	defer client.Close()
+	return rpc.Call[Status](ctx, client, peerService+".Status", &StatusRequest{})
+}
+
 // joinMembers asks to become a member while this controller hears no leader: it may be new, or have
 // been removed while it was cut off.
 func (c *Controller) joinMembers(ctx context.Context) {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -166,7 +166,8 @@
 		return nil
 	}
 	root.AddCommand(a.settingsCommand(), a.configCommand(), a.statusCommand(), a.targetsCommand(), a.servicesCommand(),
-		a.drainCommand(), a.undrainCommand(), a.membersCommand(), a.explainCommand(), a.errorsCommand(), a.trialCommand())
+		a.drainCommand(), a.undrainCommand(), a.membersCommand(), a.explainCommand(), a.storeCommand(), a.errorsCommand(),
+		a.trialCommand())
 	return root
 }
 
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -44,7 +44,7 @@
 	{StaleGeneration, "StaleGeneration", "The controller offered a state older than the node's.", "Nothing; the node asks another controller."},
 	{MemberChangeBusy, "MemberChangeBusy", "Another change of members is not finished. The command did not run.", "Run `members` and repeat when it has finished."},
 	{OutcomeUnknown, "OutcomeUnknown", "The connection or the leader was lost before the outcome was known.", "Repeat the command with the same identifier; it runs at most once."},
-	{StorageCorrupt, "StorageCorrupt", "A file in the data folder is damaged; the message names file and offset.", "Replace the member as docs/operations.md describes. Do not edit the file."},
+	{StorageCorrupt, "StorageCorrupt", "A file in the data folder is damaged; the message names file and offset.", "Replace the member as docs/OPERATIONS.md describes. Do not edit the file."},
 	{StorageFull, "StorageFull", "The disk is full. Nothing was written.", "Free space; the member catches up by itself."},
 	{StorageFailed, "StorageFailed", "Writing or syncing failed; the member writes no more.", "Check the disk and restart the member, or replace it."},
 	{PacketInvalid, "PacketInvalid", "A packet could not be decoded.", "Look at the drop counters by reason."},
