Do not count abandoned requests as load

Relays showed 50 to 200 requests in progress at idle targets: data that arrives behind the end of its flow, whose caller had given up, counted as a request that never ended.

Change: after a FIN or reset of the caller no request begins; a request without an answer for 2 s does not count.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,10 @@
 	handshakeTimeout = 2 * time.Second
 	// tokenCount bounds the packets that are at the target at the same time and may come back.
 	tokenCount = 4096
+	// staleRequest is the time after which a request without an answer no longer counts: its caller has
+	// given up without a word, or its target has lost it. Work and queue of the users' targets take
+	// below a second.
+	staleRequest = 2 * time.Second
 	// closedLinger is how long a flow that was reset or closed is remembered.
 	closedLinger = 10 * time.Second
 	// maxFlows bounds the memory of the flow table to about 4 MB.
@@ -98,6 +102,7 @@
 type flow struct {
 	state     flowState
 	busy      bool // a request is in progress
+	finished  bool // the caller sends no more requests
 	callerISN uint32
 	targetISN uint32
 	next      uint32 // end of the caller's data seen so far
@@ -339,7 +344,7 @@
 	end := v.Seq + uint32(v.DataBytes)
 	if v.DataBytes > 0 && int32(end-f.next) > 0 {
 		f.next = end
-		if !f.busy {
+		if !f.busy && !f.finished {
 			f.busy, f.asked = true, now
 			f.waited = r.load.busy >= int(r.target.Slots)
 			r.load.begin(now)
@@ -347,6 +352,10 @@
 	}
 	if v.Flags.Has(packet.RST) {
 		f.state = closed
+	}
+	if v.Flags&(packet.RST|packet.FIN) != 0 {
+		// The caller does not wait for an answer any more. Data that it sent before may still arrive.
+		f.finished = true
 		r.finish(now, f)
 	}
 }
@@ -539,6 +548,9 @@
 		case closed, foreign:
 			limit = closedLinger
 		}
+		if f.busy && now-f.asked > staleRequest {
+			r.finish(now, f)
+		}
 		if now-f.seen > limit {
 			r.finish(now, f)
 			delete(r.flows, key)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -127,3 +127,22 @@
 	r.Checked(5*time.Second, NoAnswer, interval)
 	g.Expect(r.State()).To(Equal(roster.Silent))
 }
+
+// Guards against a load that only grows: a request whose caller has given up, with data that arrives
+// behind the end of the flow, counted as in progress for ever, and new flows were held because of it.
+func TestAbandonedRequestsDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	r := newRelay()
+	f := &flow{state: open}
+	r.flows[packet.Key{}] = f
+	r.record(0, f, &packet.View{Flags: packet.ACK | packet.FIN, Seq: 101}, hop.IP{})
+	r.record(0, f, &packet.View{Flags: packet.ACK, Seq: 1, DataBytes: 100}, hop.IP{})
+	g.Expect(r.busy(0)).To(BeZero())
+
+	f = &flow{state: open}
+	r.flows[packet.Key{}] = f
+	r.record(time.Second, f, &packet.View{Flags: packet.ACK, Seq: 1, DataBytes: 100}, hop.IP{})
+	g.Expect(r.busy(time.Second)).To(Equal(1))
+	r.Sweep(time.Second + staleRequest + 1)
+	g.Expect(r.busy(time.Second + staleRequest + 1)).To(BeZero())
+}
