--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -26,6 +26,8 @@
 	// memoryShare is the part of the VM's memory that the Go runtime may use before it collects more
 	// often. Sockets and stacks need the rest.
 	memoryShare = 0.5
+	// transportPlain is TCP and UDP without TLS.
+	transportPlain = "plain"
 	// DefaultLinger is the time for which a stopping process still serves. The fabric takes it out after
 	// two misses half a second apart.
 	DefaultLinger = 2500 * time.Millisecond
@@ -39,6 +41,9 @@
 	Zone string     `json:"zone"` // availability zone
 	// Port is that of all processes of the system for each other.
 	Port uint16 `json:"port"`
+	// Transport between the processes. The only one is "plain", which has to be chosen by name: it is for
+	// a network that only the VMs of the system reach.
+	Transport string `json:"transport"`
 	// Controllers are addresses of some controllers; their ports are not used.
 	Controllers []netip.AddrPort `json:"controllers"`
 	// FirstStart is set when the whole system starts for the first time.
@@ -98,6 +103,7 @@
 	require("name", s.Name != "", "a name")
 	require("ip", s.IP.Is4(), "an IPv4 address")
 	require("port", s.Port != 0, "a port")
+	require("transport", s.Transport == transportPlain, "plain, for a network that only the system's VMs reach")
 	require("controllers", len(s.Controllers) > 0, "the address of at least one controller")
 	switch s.Role {
 	case RoleEntry:
--- /dev/null
+++ b/internal/fleet/settings_test.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/greengagelock/greengagelock/internal/result"
+	_ "github.com/greengagelock/greengagelock/internal/testseed"
+)
+
+const good = `{
+  // An entry VM.
+  "name": "e1", "role": "entry", "ip": "10.0.0.1", "zone": "z", "port": 7700, "transport": "plain",
+  "controllers": ["10.0.0.2:80", "10.0.0.3:80", "10.0.0.2:81"],
+  "callers": "10.0.0.1:8000", "readiness": "10.0.0.1:8001",
+}`
+
+// Guards against settings that are taken although a part of them cannot be right, and against a problem
+// that does not name its place.
+func TestSettings(t *testing.T) {
+	g := NewWithT(t)
+	s, err := Parse("settings.jsonc", []byte(good))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ControllerIPs()).To(HaveLen(2))
+	for name, c := range map[string]struct{ old, replacement, want string }{
+		"unknown key":     {`"zone": "z"`, `"zome": "z"`, `3:`},
+		"unknown role":    {`"role": "entry"`, `"role": "exit"`, "entry, relay or store"},
+		"no address":      {`"ip": "10.0.0.1", `, ``, "ip"},
+		"no controllers":  {`["10.0.0.2:80", "10.0.0.3:80", "10.0.0.2:81"]`, `[]`, "at least one controller"},
+		"bad address":     {`"10.0.0.1:8001"`, `"nowhere"`, `"nowhere"`},
+		"other transport": {`"plain"`, `"tls"`, "plain"},
+		"store on a VM without a disk": {
+			`"role": "entry"`, `"role": "store"`, "data folder",
+		},
+	} {
+		text := strings.Replace(good, c.old, c.replacement, 1)
+		_, err := Parse("settings.jsonc", []byte(text))
+		g.Expect(result.CodeOf(err)).To(Equal(result.SettingsInvalid), name)
+		g.Expect(err.Error()).To(ContainSubstring(c.want), name)
+	}
+}
