--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -87,9 +87,7 @@
 		c.tel.Logger.Error().Err(err).Msg("an answer could not be encoded")
 		return
 	}
-	if _, err := c.udp.WriteToUDPAddrPort(datagram, to); err != nil {
-		c.tel.Logger.Debug().Str("to", to.String()).Err(err).Msg("an answer could not be sent")
-	}
+	packet.Send(c.udp, to, datagram, c.tel.Logger)
 }
 
 // expire forgets processes that do not announce themselves any more.
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -115,7 +115,7 @@
 	c.state.onContent = c.committed
 	c.transport = newTransport(c.name, c.directory, t.Logger)
 	c.log, err = replica.New(replica.Config{
-		Name: c.name, Folder: cfg.DataDir, Members: founders, Directory: c.directory, Send: c.transport.send,
+		Name: c.name, Folder: cfg.DataDir, Members: founders, Directory: c.directory, Send: c.transport.Send,
 		CompactEvery: compactEvery, KeptEntries: keptEntries,
 	}, t)
 	if err != nil {
--- /dev/null
+++ b/internal/confstore/transport.go
@@ -0,0 +1,70 @@
+package confstore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/replica"
+	"github.com/greengagelock/greengagelock/internal/rpc"
+)
+
+// transport sends messages of the log and single calls to other controllers.
+type transport struct {
+	*replica.Transport
+	directory *replica.Directory
+
+	mu      sync.Mutex
+	clients map[string]*rpc.Client // by address, for single calls
+}
+
+func newTransport(name string, d *replica.Directory, logger *log.Logger) *transport {
+	return &transport{directory: d, clients: map[string]*rpc.Client{}, Transport: replica.NewTransport(replica.TransportConfig{
+		Directory: d,
+		Dial:      func(_, address string) *rpc.Client { return dial(address, stepTimeout) },
+		Step: func(ctx context.Context, client *rpc.Client, messages []consensus.Message) error {
+			_, err := rpc.Call[StepReply](ctx, client, peerService+".Step", &StepRequest{Name: name, Messages: messages})
+			return err
+		},
+		Contact: func(member string, err error) {
+			logger.Info().Str("member", member).Bool("reached", err == nil).Err(err).Msg("contact with a member changed")
+		},
+	})}
+}
+
+// run lets messages flow until ctx is done.
+func (t *transport) run(ctx context.Context) {
+	t.Run(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, client := range t.clients {
+		client.Close()
+	}
+}
+
+func dial(address string, timeout time.Duration) *rpc.Client {
+	return rpc.NewClient(rpc.ClientConfig{Address: address, Plain: true, DialTimeout: timeout, CallTimeout: timeout})
+}
+
+// client returns the client for single calls to a member, or nil if its address is not known.
+func (t *transport) client(name string) *rpc.Client {
+	_, address := t.directory.Find(replica.MemberID(name))
+	if address == "" {
+		return nil
+	}
+	return t.clientAt(address)
+}
+
+func (t *transport) clientAt(address string) *rpc.Client {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	client := t.clients[address]
+	if client == nil {
+		client = dial(address, replaceTimeout)
+		t.clients[address] = client
+	}
+	return client
+}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/testkit"
 )
@@ -97,7 +98,7 @@
 	c.folders["c1"] = h.t.TempDir()
 	c.start("c1", nil, c.members)
 	testkit.Eventually(t, "refusal of c1", func() bool {
-		return c.running["c2"].members.admit("c1", c.running["c1"].transport.folder) != nil
+		return c.running["c2"].members.admit("c1", c.running["c1"].log.(*replica.Replica).FolderName()) != nil
 	})
 	apply(t, ctl, 1, document(2, 1, ""))
 	c.stop("c2")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -62,7 +62,7 @@
 	leader    *leader
 	barrier   *barrier
 	directory *replica.Directory
-	transport *transport
+	transport *replica.Transport
 	members   *members
 	edits     chan struct{}
 	kick      chan struct{} // wakes the reporter
@@ -91,7 +91,7 @@
 	r, err := replica.New(replica.Config{
 		Name: cfg.Name, Folder: cfg.DataDir, Members: replica.FirstMembers(cfg.Name, cfg.Members),
 		Directory: c.directory, FS: cfg.FS,
-		Send: func(messages []consensus.Message) { c.transport.send(messages) },
+		Send: func(messages []consensus.Message) { c.transport.Send(messages) },
 	}, t)
 	if err != nil {
 		return nil, err
@@ -157,7 +157,7 @@
 	group, running := errgroup.WithContext(inner)
 	group.Go(func() error { return c.log.Run(running, c.state) })
 	group.Go(func() error { return c.server.Serve(running, listener) })
-	group.Go(func() error { c.transport.run(running); return nil })
+	group.Go(func() error { c.transport.Run(running); return nil })
 	group.Go(func() error { c.barrier.run(running); return nil })
 	group.Go(func() error { c.reportSessions(running); return nil })
 	group.Go(func() error { c.lead(running); return nil })
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -55,7 +55,7 @@
 	tel     telemetry.Handle
 	start   time.Time
 	callers *net.UDPConn
-	nodes   *net.UDPConn
+	nodes   *uplink.Port
 	uplink  *uplink.Uplink
 
 	decisions *decision.Log
@@ -83,12 +83,12 @@
 	if p.callers, err = packet.Listen(cfg.Callers); err != nil {
 		return nil, err
 	}
-	if p.nodes, err = packet.Listen(netip.AddrPortFrom(cfg.IP, cfg.Port)); err != nil {
+	if p.nodes, err = uplink.OpenPort(cfg.IP, cfg.Port, t.Logger); err != nil {
 		return nil, errors.CombineErrors(err, p.callers.Close())
 	}
 	p.uplink = uplink.New(uplink.Config{
 		Port: cfg.Port, Seeds: cfg.Seeds, Logger: t.Logger, Parse: cfg.Parse,
-		Send: p.sendNode, Announce: p.announcement, InForce: p.setTable,
+		Send: p.nodes.Send, Announce: p.announcement, InForce: p.setTable,
 	})
 	return p, nil
 }
@@ -111,7 +111,7 @@
 			p.locked(func(now time.Duration) { p.entry.FromCaller(now, b) })
 		})
 	})
-	group.Go(func() error { return packet.Receive(running, p.nodes, p.tel.Logger, p.fromNode) })
+	group.Go(func() error { return p.nodes.Receive(running, p.fromNode, p.fromController) })
 	group.Go(func() error { return p.uplink.Run(running) })
 	group.Go(func() error { return p.decisions.Run(running) })
 	group.Go(func() error { p.sweep(running); return nil })
@@ -143,22 +143,13 @@
 	p.arm(p.entry.NextDue())
 }
 
-func (p *Process) fromNode(from netip.AddrPort, b []byte) {
-	addr, ok := packet.AddrOf(from)
-	if !ok {
-		return
-	}
-	if !roster.IsControl(b) {
-		p.locked(func(now time.Duration) { p.entry.FromNode(now, addr.IP, b) })
-		return
-	}
-	a, err := roster.DecodeAnswer(b)
-	if err != nil {
-		p.tel.Logger.Debug().Str("from", from.String()).Err(err).Msg("a datagram was no answer of a controller")
-		return
-	}
-	p.uplink.Answer(addr.IP, a)
-	p.locked(func(now time.Duration) { p.entry.View.Answer(now, addr.IP, a) })
+func (p *Process) fromNode(from hop.IP, b []byte) {
+	p.locked(func(now time.Duration) { p.entry.FromNode(now, from, b) })
+}
+
+func (p *Process) fromController(from hop.IP, a *roster.Answer) {
+	p.uplink.Answer(from, a)
+	p.locked(func(now time.Duration) { p.entry.View.Answer(now, from, a) })
 }
 
 // arm lets the timer run at the given time, unless it runs earlier.
@@ -197,22 +188,11 @@
 
 // ToCaller implements Ports.
 func (p *Process) ToCaller(to packet.Addr, raw []byte) {
-	p.write(p.callers, netip.AddrPortFrom(netip.AddrFrom4(to.IP), p.cfg.Callers.Port()), raw)
+	packet.Send(p.callers, netip.AddrPortFrom(netip.AddrFrom4(to.IP), p.cfg.Callers.Port()), raw, p.tel.Logger)
 }
 
 // ToNode implements Ports.
-func (p *Process) ToNode(to hop.IP, datagram []byte) {
-	p.sendNode(netip.AddrPortFrom(netip.AddrFrom4(to), p.cfg.Port), datagram)
-}
-
-func (p *Process) sendNode(to netip.AddrPort, datagram []byte) { p.write(p.nodes, to, datagram) }
-
-// write sends a datagram. A lost one is repeated by its ends.
-func (p *Process) write(conn *net.UDPConn, to netip.AddrPort, b []byte) {
-	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
-		p.tel.Logger.Debug().Str("to", to.String()).Err(err).Msg("a packet could not be sent")
-	}
-}
+func (p *Process) ToNode(to hop.IP, datagram []byte) { p.nodes.ToNode(to, datagram) }
 
 func (p *Process) announcement(to hop.IP) roster.Announcement {
 	p.mu.Lock()
--- a/internal/packet/udp.go
+++ b/internal/packet/udp.go
@@ -50,3 +50,10 @@
 		handle(from, buffer[:n])
 	}
 }
+
+// Send sends a packet. A lost one is repeated by the ends of its flow.
+func Send(conn *net.UDPConn, to netip.AddrPort, raw []byte, logger *log.Logger) {
+	if _, err := conn.WriteToUDPAddrPort(raw, to); err != nil {
+		logger.Debug().Str("to", to.String()).Err(err).Msg("a packet could not be sent")
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -117,7 +117,7 @@
 func (p *Picker) Candidates(now time.Duration, view *roster.View, service routing.ServiceID, flow uint64, tried []hop.IP, out []hop.IP) []hop.IP {
 	p.scratch = p.scratch[:0]
 	for _, k := range p.Ranking(view, service, flow) {
-		if !admits(k) || slices.Contains(tried, k.Relay) {
+		if !offerable(k) || slices.Contains(tried, k.Relay) {
 			continue
 		}
 		p.scratch = append(p.scratch, scored{relay: k.Relay, score: p.score(now, k)})
@@ -133,7 +133,9 @@
 	return out
 }
 
-func admits(k *roster.Known) bool {
+// offerable reports whether a target may be offered a flow at all. A lost one comes last, but the lists
+// may be wrong and it may be the only one.
+func offerable(k *roster.Known) bool {
 	return k.State == roster.Ready || (k.State == roster.Unknown && !k.Lost)
 }
 
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -62,7 +62,7 @@
 	tel    telemetry.Handle
 	start  time.Time
 	target *net.UDPConn
-	nodes  *net.UDPConn
+	nodes  *uplink.Port
 	uplink *uplink.Uplink
 	number uint64 // tells this process from earlier ones
 
@@ -90,11 +90,11 @@
 	if p.target, err = packet.Listen(cfg.FromTarget); err != nil {
 		return nil, err
 	}
-	if p.nodes, err = packet.Listen(netip.AddrPortFrom(cfg.IP, cfg.Port)); err != nil {
+	if p.nodes, err = uplink.OpenPort(cfg.IP, cfg.Port, t.Logger); err != nil {
 		return nil, errors.CombineErrors(err, p.target.Close())
 	}
 	p.uplink = uplink.New(uplink.Config{
-		Port: cfg.Port, Seeds: cfg.Seeds, Logger: t.Logger, Send: p.sendNode, Announce: p.announcement,
+		Port: cfg.Port, Seeds: cfg.Seeds, Logger: t.Logger, Send: p.nodes.Send, Announce: p.announcement,
 	})
 	return p, nil
 }
@@ -117,7 +117,7 @@
 			p.locked(func(now time.Duration) { p.relay.FromTarget(now, b) })
 		})
 	})
-	group.Go(func() error { return packet.Receive(running, p.nodes, p.tel.Logger, p.fromNode) })
+	group.Go(func() error { return p.nodes.Receive(running, p.fromNode, p.fromController) })
 	group.Go(func() error { return p.uplink.Run(running) })
 	group.Go(func() error { return p.decisions.Run(running) })
 	group.Go(func() error { p.sweep(running); return nil })
@@ -161,48 +161,28 @@
 	}
 }
 
-func (p *Process) fromNode(from netip.AddrPort, b []byte) {
-	addr, ok := packet.AddrOf(from)
-	if !ok {
-		return
-	}
-	if !roster.IsControl(b) {
-		p.locked(func(now time.Duration) {
-			p.relay.FromNode(now, addr.IP, b)
-			p.arm()
-		})
-		return
-	}
-	a, err := roster.DecodeAnswer(b)
-	if err != nil {
-		p.tel.Logger.Debug().Str("from", from.String()).Err(err).Msg("a datagram was no answer of a controller")
-		return
-	}
-	p.uplink.Answer(addr.IP, a)
-	p.locked(func(time.Duration) { p.relay.Previous(addr.IP, a.Previous, len(a.Controllers)) })
+func (p *Process) fromNode(from hop.IP, b []byte) {
+	p.locked(func(now time.Duration) {
+		p.relay.FromNode(now, from, b)
+		p.arm()
+	})
+}
+
+func (p *Process) fromController(from hop.IP, a *roster.Answer) {
+	p.uplink.Answer(from, a)
+	p.locked(func(time.Duration) { p.relay.Previous(from, a.Previous, len(a.Controllers)) })
 }
 
 // ToTarget implements Ports.
-func (p *Process) ToTarget(raw []byte) { p.write(p.target, p.cfg.Target, raw) }
+func (p *Process) ToTarget(raw []byte) { packet.Send(p.target, p.cfg.Target, raw, p.tel.Logger) }
 
 // ToCaller implements Ports.
 func (p *Process) ToCaller(to packet.Addr, raw []byte) {
-	p.write(p.target, netip.AddrPortFrom(netip.AddrFrom4(to.IP), p.cfg.CallerPort), raw)
+	packet.Send(p.target, netip.AddrPortFrom(netip.AddrFrom4(to.IP), p.cfg.CallerPort), raw, p.tel.Logger)
 }
 
 // ToNode implements Ports.
-func (p *Process) ToNode(to hop.IP, datagram []byte) {
-	p.sendNode(netip.AddrPortFrom(netip.AddrFrom4(to), p.cfg.Port), datagram)
-}
-
-func (p *Process) sendNode(to netip.AddrPort, datagram []byte) { p.write(p.nodes, to, datagram) }
-
-// write sends a datagram. A lost one is repeated by its ends.
-func (p *Process) write(conn *net.UDPConn, to netip.AddrPort, b []byte) {
-	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
-		p.tel.Logger.Debug().Str("to", to.String()).Err(err).Msg("a packet could not be sent")
-	}
-}
+func (p *Process) ToNode(to hop.IP, datagram []byte) { p.nodes.ToNode(to, datagram) }
 
 func (p *Process) announcement(hop.IP) roster.Announcement {
 	p.mu.Lock()
