Find flows of former services, probe fewer targets, send fewer loads

A probe handed the packet to nine targets, which gave it back whole over the link of the entry VM.

Change: likely owners of every service are asked if there are at most three; probes go to three targets at a time, best first, and are answered by the key of the flow; one controller a round is asked for loads, one number a target.

Ruled out: a directory of flows, which would be lost in the same moment.

A test loses all processes after a route change; it fails with the old search.

--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -43,7 +43,7 @@
 	if a.Role == roster.RoleRelay && a.Target != nil {
 		base.Previous = c.incarnations.note(from, a.Process, a.Target.ID)
 	}
-	answers := c.registry.Answers(base, a.Role, a.Digest)
+	answers := c.registry.Answers(base, a.Role, a.Digest, a.Loads)
 	c.mu.Unlock()
 	for i := range answers {
 		c.sendAnswer(to, &answers[i])
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -248,7 +248,7 @@
 	}
 	d.Version, d.ListAge = e.Version(), e.View.Age(now)
 	if k := e.View.Get(d.Target); k != nil {
-		d.Busy, d.Slots = k.Load.Busy, k.Slots
+		d.Busy, d.Slots = k.Load/16, k.Slots
 	}
 	e.cfg.Decisions.Note(now, d)
 }
@@ -339,6 +339,8 @@
 		e.returned(now, from, m)
 	case hop.FoundMany:
 		e.foundMany(now, from, m)
+	case hop.Owns, hop.Disowned:
+		e.probed(now, from, m)
 	case hop.Surveyed:
 		e.surveyed(now, m)
 	default:
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -135,6 +135,33 @@
 	g.Expect(c.target).To(Equal(other))
 }
 
+// Guards against flows that are not found after the loss of all processes because their route has
+// changed to another service since they were opened.
+func TestFlowsOfAFormerServiceAreFoundAfterTheLossOfAllProcesses(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(9, 2, 12)
+	for range 12 {
+		w.addTarget(routing.IDOf("other"))
+	}
+	w.run(time.Second)
+	for range 40 {
+		w.call()
+	}
+	w.run(5 * time.Second)
+	w.setService("other")
+	for _, v := range w.targets {
+		v.startRelay()
+	}
+	for _, e := range w.entries {
+		e.start()
+	}
+	w.run(2 * time.Second)
+	g.Expect(w.broken).To(BeEmpty())
+	before := w.served()
+	w.run(2 * time.Second)
+	g.Expect(w.served() - before).To(BeNumerically(">=", 40*4))
+}
+
 // Guards against a SYN that waits for the caller's own copy when the VM of its first candidate is lost.
 func TestSYNIsOfferedAgainWhenACandidateIsLost(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -184,7 +184,7 @@
 }
 
 func (e *Entry) admitted(now time.Duration, from hop.IP, m *hop.Message) {
-	e.View.SetLoad(from, m.Load)
+	e.View.SetLoad(from, m.Load.Expected())
 	e.picker.Answered(from)
 	f := e.flows[m.Key]
 	if f == nil || f.isn != m.Seq || f.state != offering {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -65,6 +65,8 @@
 	timer    *time.Timer
 	armed    time.Duration // of timer, negative if it does not run
 	stopping bool
+	// loadsAsked is the time at which a controller was last asked for the loads of all targets.
+	loadsAsked time.Duration
 }
 
 // NewProcess opens the sockets.
@@ -197,8 +199,14 @@
 func (p *Process) announcement(to hop.IP) roster.Announcement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// One controller a round is asked for the loads, which are the bulk of its answer.
+	now := p.now()
+	loads := p.entry.View.Heard(now, to) && now-p.loadsAsked >= roster.AnnounceInterval/2
+	if loads {
+		p.loadsAsked = now
+	}
 	return roster.Announcement{
-		Role: roster.RoleEntry, Name: p.cfg.Name, Version: p.entry.Version(), Digest: p.entry.View.Digest(to),
+		Loads: loads, Role: roster.RoleEntry, Name: p.cfg.Name, Version: p.entry.Version(), Digest: p.entry.View.Digest(to),
 	}
 }
 
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -18,8 +18,13 @@
 	findRounds = 2
 	// probeTimeout is the time that the targets of unsure relays have for taking or returning a packet.
 	probeTimeout = 60 * time.Millisecond
+	// probesAtOnce is the number of targets that get a packet at the same time. Half of the flows are at the
+	// first three of their ranking.
+	probesAtOnce = 3
 	// maxProbes bounds the targets that get a packet to tell whether they have its flow.
-	maxProbes = 12
+	maxProbes = 24
+	// maxServicesAsked bounds the services whose likely owners are asked besides those of the route.
+	maxServicesAsked = 3
 	// sweepTimeout is the time that a helper has for the answers of all relays: three rounds of 15 ms and
 	// the way there and back.
 	sweepTimeout = 100 * time.Millisecond
@@ -64,9 +69,20 @@
 	e.ask(now, key, f)
 }
 
-// services returns the services that flows to an address may be at, as far as the configuration in
-// force tells.
-func (e *Entry) services(to packet.Addr) []routing.ServiceID { return e.table.Services(to) }
+// services returns the services that flows to an address may be at, the likeliest first. A flow stays
+// where it is when its route changes to another service, and a process that has just started does not
+// know the former one, so all services are asked if there are few.
+func (e *Entry) services(to packet.Addr) []routing.ServiceID {
+	ids := e.table.Services(to)
+	if all := e.table.AllServices(); len(all) <= maxServicesAsked {
+		for _, id := range all {
+			if !slices.Contains(ids, id) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
 
 // ask lets the likely owners that have not answered be asked with the next questions.
 func (e *Entry) ask(now time.Duration, key packet.Key, f *flow) {
@@ -109,6 +125,10 @@
 	case searching:
 		e.widen(now, key, f)
 	case probing:
+		if len(f.unsure) > 0 {
+			e.probe(now, key, f)
+			return
+		}
 		if f.swept {
 			e.nobody(now, key, f)
 			return
@@ -148,6 +168,8 @@
 		e.ask(now, key, f)
 	case f.state == searching:
 		e.widen(now, key, f)
+	case f.state == probing && len(f.unsure) > 0:
+		e.probe(now, key, f)
 	case f.state == sweeping && f.sweeps < sweepRounds:
 		e.askAll(now, key, f)
 	default:
@@ -160,12 +182,32 @@
 func (e *Entry) probe(now time.Duration, key packet.Key, f *flow) {
 	e.Stats.Probed++
 	f.state = probing
-	unsure := f.unsure
-	f.unsure = nil
+	// Those at the front of the ranking have the flow most often.
+	slices.SortFunc(f.unsure, func(a, b hop.IP) int { return slices.Index(f.asked, a) - slices.Index(f.asked, b) })
+	count := min(len(f.unsure), probesAtOnce)
+	next := f.unsure[:count]
+	f.unsure = f.unsure[count:]
 	e.wait(key, f, now+probeTimeout)
-	for _, ip := range unsure {
-		e.send(ip, f.service, f.held[0])
+	m := hop.Message{Kind: hop.Forward, Service: uint64(f.service), Entry: e.cfg.Self, Packet: f.held[0], Probe: true}
+	for _, ip := range next {
+		e.toNode(ip, &m)
+	}
+}
+
+// probed takes in whether a target has the flow of a packet that it was handed.
+func (e *Entry) probed(now time.Duration, from hop.IP, m *hop.Message) {
+	f := e.flows[m.Key]
+	if f == nil || (f.state != probing && f.state != searching && f.state != sweeping) {
+		return
+	}
+	if m.Kind == hop.Disowned {
+		e.found(now, m.Key, f, from, hop.NotOwned)
+		return
+	}
+	if f.state == probing {
+		f.held = f.held[1:] // its target has the first packet
 	}
+	e.found(now, m.Key, f, from, hop.Owned)
 }
 
 // nobody ends a search when every relay knows that it does not have the flow.
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -152,7 +152,7 @@
 	w.table = routing.NewTable(&routing.Document{
 		Version:  version,
 		Routes:   []routing.Route{{Name: "r", Address: serviceAddr.AddrPort(), Timeout: 2 * time.Second, Objective: 6 * workTime, Shares: []routing.Share{{Service: name, Weight: 1}}}},
-		Services: []routing.Service{{Name: name}},
+		Services: []routing.Service{{Name: "service"}, {Name: "other"}},
 	})
 	for _, e := range w.entries {
 		e.entry.SetTable(w.table)
@@ -181,9 +181,9 @@
 // tellRoster gives all entry VMs the list, again and again.
 func (w *world) tellRoster() {
 	list := w.list()
-	loads := make([]hop.Load, len(list))
+	loads := make([]uint16, len(list))
 	for i, t := range list {
-		loads[i] = w.at(t.Relay).relay.Load(w.now)
+		loads[i] = w.at(t.Relay).relay.Load(w.now).Expected()
 	}
 	a := roster.Answer{Version: w.table.Version, Current: true, Parts: 1, Digest: uint64(w.now) + 1, Targets: list, Loads: loads}
 	for _, e := range w.entries {
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -27,6 +27,9 @@
 	// FindMany asks a relay which of several flows its target owns, and FoundMany answers it.
 	FindMany
 	FoundMany
+	// Owns and Disowned tell the entry VM whether the target has the flow of a Forward with Probe.
+	Owns
+	Disowned
 	// Survey asks a relay to ask others for several flows, and Surveyed answers it.
 	Survey
 	Surveyed
@@ -99,6 +102,8 @@
 	Relays []IP
 	Owners []IP
 
+	// Probe is set in Forward if the entry VM keeps the packet and wants to know who has its flow.
+	Probe bool
 	// MaxWait is the time in ms that a request of a SYN may wait at a target; zero for any. Busy is set in
 	// Refused if the least loaded target would have let it wait longer.
 	MaxWait uint16
@@ -118,6 +123,10 @@
 	Flows uint16
 }
 
+// Expected returns the requests that a new one would find, in sixteenths: the mean of those in progress
+// now and lately.
+func (l Load) Expected() uint16 { return uint16(min((int(l.Busy)*16+int(l.Mean))/2, 65535)) }
+
 const (
 	headBytes    = 8
 	forwardBytes = headBytes + 8 + 4
@@ -126,6 +135,7 @@
 	questionSize = packet.KeyBytes + 4
 	finalBit     = 1
 	busyBit      = 2
+	probeBit     = 4
 )
 
 // Append appends the encoded message to b.
@@ -139,6 +149,9 @@
 	if m.Busy {
 		flags |= busyBit
 	}
+	if m.Probe {
+		flags |= probeBit
+	}
 	b = append(b, byte(m.Kind), flags, byte(len(m.Candidates)), m.At, m.Best, m.BestLoad)
 	b = binary.BigEndian.AppendUint16(b, m.MaxWait)
 	switch m.Kind {
@@ -155,6 +168,8 @@
 		b = binary.BigEndian.AppendUint16(b, m.Load.Busy)
 		b = binary.BigEndian.AppendUint16(b, m.Load.Mean)
 		return binary.BigEndian.AppendUint16(b, m.Load.Flows)
+	case Owns, Disowned:
+		return m.Key.Append(b)
 	case FindMany:
 		b = binary.BigEndian.AppendUint32(b, m.Batch)
 		for _, q := range m.Questions {
@@ -219,7 +234,7 @@
 	candidates := m.Candidates[:0]
 	*m = Message{
 		Kind: Kind(b[0]), Final: b[1]&finalBit != 0, At: b[3], Best: b[4], BestLoad: b[5],
-		Busy: b[1]&busyBit != 0, MaxWait: binary.BigEndian.Uint16(b[6:]),
+		Busy: b[1]&busyBit != 0, Probe: b[1]&probeBit != 0, MaxWait: binary.BigEndian.Uint16(b[6:]),
 	}
 	count := int(b[2])
 	switch m.Kind {
@@ -251,6 +266,13 @@
 		}
 		return nil
 	}
+	if m.Kind == Owns || m.Kind == Disowned {
+		if len(b) < headBytes+packet.KeyBytes {
+			return truncated(b)
+		}
+		m.Key = packet.ParseKey(b[headBytes:])
+		return nil
+	}
 	return m.parseMany(b)
 }
 
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -15,7 +15,7 @@
 }
 
 func drawMessage(t *rapid.T) Message {
-	m := Message{Kind: rapid.SampledFrom([]Kind{Forward, Admitted, Refused, Returned, FindMany, FoundMany, Survey, Surveyed}).Draw(t, "kind")}
+	m := Message{Kind: rapid.SampledFrom([]Kind{Forward, Admitted, Refused, Returned, FindMany, FoundMany, Survey, Surveyed, Owns, Disowned}).Draw(t, "kind")}
 	switch m.Kind {
 	case Admitted:
 		m.Key, m.Seq = drawKey(t), rapid.Uint32().Draw(t, "seq")
@@ -30,6 +30,8 @@
 		for range rapid.IntRange(1, MaxQuestions).Draw(t, "answers") {
 			m.Answers = append(m.Answers, Answer(rapid.IntRange(1, 3).Draw(t, "answer")))
 		}
+	case Owns, Disowned:
+		m.Key = drawKey(t)
 	case Survey:
 		m.Relays = []IP{{10, 0, 0, 1}, {10, 0, 0, 2}}
 		m.Questions = []Question{{drawKey(t), rapid.Uint32().Draw(t, "ack")}}
@@ -44,6 +46,7 @@
 		m.At = uint8(rapid.IntRange(0, len(m.Candidates)-1).Draw(t, "at"))
 		m.Best = uint8(rapid.IntRange(0, len(m.Candidates)-1).Draw(t, "best"))
 		m.BestLoad, m.Final = rapid.Uint8().Draw(t, "load"), rapid.Bool().Draw(t, "final")
+		m.Probe = rapid.Bool().Draw(t, "probe")
 		m.MaxWait, m.Busy = rapid.Uint16().Draw(t, "wait"), rapid.Bool().Draw(t, "busy")
 		m.Packet = rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "packet")
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -142,7 +142,7 @@
 // score is the expected number of requests a slot, with the penalties above.
 func (p *Picker) score(now time.Duration, k *roster.Known) float64 {
 	slots := float64(max(k.Slots, 1))
-	load := (float64(k.Load.Mean)/16 + float64(k.Load.Busy)) / 2
+	load := float64(k.Load) / 16
 	r := p.recent[k.Relay]
 	if r != nil {
 		load += r.decayed(now)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -19,7 +19,7 @@
 func ip(n int) hop.IP { return hop.IP{10, 0, 0, byte(n)} }
 
 // viewOf returns a view of targets numbered from 1.
-func viewOf(targets int, change func(n int, t *roster.Target), load func(n int) hop.Load) *roster.View {
+func viewOf(targets int, change func(n int, t *roster.Target), load func(n int) uint16) *roster.View {
 	a := roster.Answer{Digest: 1, Parts: 1}
 	for n := 1; n <= targets; n++ {
 		t := roster.Target{Relay: ip(n), Service: service, Zone: "here", ID: "i", State: roster.Ready, Slots: 2}
@@ -34,7 +34,7 @@
 
 func same(int, *roster.Target) {}
 
-func idle(int) hop.Load { return hop.Load{} }
+func idle(int) uint16 { return 0 }
 
 func newPicker() *Picker { return NewPicker("here", rand.New(rand.NewPCG(1, 2))) }
 
@@ -81,11 +81,11 @@
 func TestBusyTargetsAreAvoided(t *testing.T) {
 	g := NewWithT(t)
 	p := newPicker()
-	v := viewOf(12, same, func(n int) hop.Load {
+	v := viewOf(12, same, func(n int) uint16 {
 		if n <= 4 {
-			return hop.Load{Busy: 8, Mean: 8 * 16}
+			return 8 * 16
 		}
-		return hop.Load{}
+		return 0
 	})
 	busy := 0
 	for flow := range uint64(1000) {
@@ -100,7 +100,7 @@
 func TestFlowsOfAMomentAreSpread(t *testing.T) {
 	g := NewWithT(t)
 	p := newPicker()
-	v := viewOf(6, same, func(n int) hop.Load { return hop.Load{Mean: uint16(n)} })
+	v := viewOf(6, same, func(n int) uint16 { return uint16(n) })
 	counts := map[hop.IP]int{}
 	for flow := range uint64(60) {
 		first := p.Candidates(time.Millisecond, v, service, flow, nil, nil)[0]
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -16,25 +16,31 @@
 	switch {
 	case f == nil && (r.complete || r.target.gone()):
 		r.note(now, decision.Returned, key, v.Seq, 0, result.FlowUnknown)
-		r.giveBack(m)
+		r.giveBack(key, m)
 		return
 	case f == nil:
 		// The relay has started after its target, which alone knows.
+		if m.Probe {
+			r.probes[key] = m.Entry
+		}
 		r.toTarget(now, m, false)
 		return
 	case f.state == foreign:
-		r.giveBack(m)
+		r.giveBack(key, m)
 		return
 	case f.state == accepted && !acknowledges(v, f.targetISN):
 		// The caller has completed the handshake with another target.
 		r.lose(now, f)
-		r.giveBack(m)
+		r.giveBack(key, m)
 		return
 	}
 	if f.state == accepted {
 		f.state = open
 		r.Stats.Opened++
 	}
+	if m.Probe {
+		r.toNode(m.Entry, &hop.Message{Kind: hop.Owns, Key: key})
+	}
 	r.record(now, f, v, m.Entry)
 	r.toTarget(now, m, v.DataBytes > 0)
 }
@@ -92,7 +98,7 @@
 	o := &r.pending[r.token%tokenCount]
 	*o = offer{
 		token: r.token, entry: m.Entry, service: m.Service, at: m.At, best: m.Best, bestLoad: m.BestLoad,
-		count: uint8(len(m.Candidates)),
+		count: uint8(len(m.Candidates)), probe: m.Probe,
 	}
 	copy(o.candidates[:], m.Candidates)
 	r.cfg.Codec.SetToken(m.Packet, r.token)
@@ -104,8 +110,12 @@
 }
 
 // giveBack tells the entry VM that the flow is not here.
-func (r *Relay) giveBack(m *hop.Message) {
+func (r *Relay) giveBack(key packet.Key, m *hop.Message) {
 	r.Stats.Returned++
+	if m.Probe {
+		r.toNode(m.Entry, &hop.Message{Kind: hop.Disowned, Key: key})
+		return
+	}
 	m.Kind, m.Candidates, m.At, m.Best = hop.Returned, m.Candidates[:0], 0, 0
 	r.toNode(m.Entry, m)
 }
@@ -145,6 +155,10 @@
 // adopt records a flow that the target had before this process started.
 func (r *Relay) adopt(now time.Duration, key packet.Key) *flow {
 	f := &flow{state: open, began: now, seen: now}
+	if entry, ok := r.probes[key]; ok {
+		delete(r.probes, key)
+		r.toNode(entry, &hop.Message{Kind: hop.Owns, Key: key})
+	}
 	if len(r.flows) < maxFlows {
 		r.flows[key] = f
 	}
@@ -205,7 +219,7 @@
 	r.cfg.Codec.SetToken(raw, 0)
 	m := hop.Message{
 		Kind: hop.Forward, Service: o.service, Entry: o.entry, At: o.at, Best: o.best, BestLoad: o.bestLoad,
-		Candidates: o.candidates[:o.count], Packet: raw,
+		Candidates: o.candidates[:o.count], Packet: raw, Probe: o.probe,
 	}
 	if v.Opens() {
 		if f != nil && f.callerISN == v.Seq && f.state == halfOpen {
@@ -218,5 +232,5 @@
 		r.finish(now, f)
 		delete(r.flows, key)
 	}
-	r.giveBack(&m)
+	r.giveBack(key, &m)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,9 @@
 	controllers int
 	started     time.Duration
 
+	// probes are the entry VMs that want to know whether the target has a flow.
+	probes map[packet.Key]hop.IP
+
 	surveys      map[uint32]*survey
 	surveyNumber uint32
 
@@ -123,12 +126,16 @@
 	best       uint8
 	bestLoad   uint8
 	count      uint8
+	probe      bool
 	candidates [hop.MaxCandidates]hop.IP
 }
 
 // New returns a relay.
 func New(cfg Config, ports Ports) *Relay {
-	return &Relay{cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, replaced: map[string]bool{}, previous: map[hop.IP]string{}, surveys: map[uint32]*survey{}}
+	return &Relay{
+		cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, replaced: map[string]bool{}, previous: map[hop.IP]string{}, surveys: map[uint32]*survey{},
+		probes: map[packet.Key]hop.IP{},
+	}
 }
 
 // FromNode takes in a datagram of an entry VM or another relay.
@@ -302,6 +309,7 @@
 
 // Sweep forgets flows whose time is over. The caller calls it about once a second.
 func (r *Relay) Sweep(now time.Duration) {
+	clear(r.probes) // a target answers within milliseconds
 	for key, f := range r.flows {
 		limit := FlowLifetime
 		switch f.state {
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -87,6 +87,8 @@
 	Digest uint64
 	Target *Target // of a relay
 	Load   hop.Load
+	// Loads asks for the loads of all targets.
+	Loads bool
 	// Process is a random number of the sending process, which tells its lives apart.
 	Process uint64
 }
@@ -100,12 +102,13 @@
 	Current     bool
 	Controllers []hop.IP
 	// Digest identifies the list. Targets is part Part of Parts of it, in the order of the list; it is
-	// empty if the announcement had the same digest, and Loads then holds the mean load of each target.
+	// empty if the announcement had the same digest. Loads holds the requests in progress at each target, in
+	// sixteenths, if they were asked for.
 	Digest  uint64
 	Part    uint16
 	Parts   uint16
 	Targets []Target
-	Loads   []hop.Load
+	Loads   []uint16
 	// Base is the digest of the list that Targets and Removed change, zero for a whole list.
 	Base    uint64
 	Removed []hop.IP
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -163,9 +163,9 @@
 	return base, len(base.Targets)+len(base.Removed)/8 <= targetsPerPart
 }
 
-// Answers fills in the list for a process that holds the list with the given digest: its loads, or
-// all parts if it holds another one.
-func (r *Registry) Answers(base Answer, role Role, digest uint64) []Answer {
+// Answers fills in the list for a process that holds the list with the given digest: the loads if it
+// asks for them, or what it lacks if it holds another list.
+func (r *Registry) Answers(base Answer, role Role, digest uint64, loads bool) []Answer {
 	list, own := r.Targets()
 	base.Digest = own
 	switch {
@@ -173,9 +173,11 @@
 		base.Digest = 0
 		return []Answer{base}
 	case digest == own:
-		base.Loads = make([]hop.Load, len(list))
-		for i := range list {
-			base.Loads[i] = r.nodes[list[i].Relay].Load
+		if loads {
+			base.Loads = make([]uint16, len(list))
+			for i := range list {
+				base.Loads[i] = r.nodes[list[i].Relay].Load.Expected()
+			}
 		}
 		return []Answer{base}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -56,10 +56,10 @@
 				sync(rt, now, v, controllerA, changes)
 			}
 			if rapid.IntRange(0, 3).Draw(rt, "announces") == 0 {
-				sync(rt, now, v, controllerA, r.Answers(Answer{}, RoleEntry, v.Digest(controllerA)))
+				sync(rt, now, v, controllerA, r.Answers(Answer{}, RoleEntry, v.Digest(controllerA), true))
 			}
 		}
-		sync(rt, now, v, controllerA, r.Answers(Answer{}, RoleEntry, v.Digest(controllerA)))
+		sync(rt, now, v, controllerA, r.Answers(Answer{}, RoleEntry, v.Digest(controllerA), true))
 		list, digest := r.Targets()
 		if v.Digest(controllerA) != digest {
 			rt.Fatalf("the view has the list %d, the registry %d", v.Digest(controllerA), digest)
@@ -83,7 +83,7 @@
 	announce(one, 0, 1, Target{ID: "a", Service: 1, State: Ready})
 	v := NewView()
 	tell := func(now time.Duration, from hop.IP, r *Registry) {
-		for _, a := range r.Answers(Answer{}, RoleEntry, v.Digest(from)) {
+		for _, a := range r.Answers(Answer{}, RoleEntry, v.Digest(from), true) {
 			v.Answer(now, from, &a)
 		}
 	}
@@ -103,7 +103,7 @@
 	g := NewWithT(t)
 	r, v := NewRegistry(), NewView()
 	announce(r, 0, 1, Target{ID: "a", Service: 1, State: Ready})
-	for _, a := range r.Answers(Answer{}, RoleEntry, 0) {
+	for _, a := range r.Answers(Answer{}, RoleEntry, 0, true) {
 		v.Answer(0, controllerA, &a)
 	}
 	g.Expect(v.Lost(relayIP(1))).To(BeFalse())
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -21,7 +21,8 @@
 // Known is a target as an entry VM knows it.
 type Known struct {
 	Target
-	Load hop.Load
+	// Load are the requests that a new one would find, in sixteenths.
+	Load uint16
 	// Listed is the last time at which a controller listed the target.
 	Listed time.Duration
 	// Lost is set while controllers answer and none lists the target.
@@ -195,7 +196,7 @@
 }
 
 // SetLoad records the load of a target.
-func (v *View) SetLoad(relay hop.IP, load hop.Load) {
+func (v *View) SetLoad(relay hop.IP, load uint16) {
 	if k := v.targets[relay]; k != nil {
 		k.Load = load
 	}
@@ -231,6 +232,12 @@
 	return v.services[service]
 }
 
+// Heard reports whether a controller has confirmed its list lately.
+func (v *View) Heard(now time.Duration, controller hop.IP) bool {
+	s := v.sources[controller]
+	return s != nil && now-s.heard <= sourceTimeout
+}
+
 // Age returns the time since a controller last confirmed its list.
 func (v *View) Age(now time.Duration) time.Duration {
 	age := now
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -3,7 +3,9 @@
 package routing
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -197,6 +199,14 @@
 	return ids
 }
 
+// AllServices returns the services of the configuration, in a fixed order.
+func (t *Table) AllServices() []ServiceID {
+	if t == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(t.services))
+}
+
 // Has reports whether there is a route for the address.
 func (t *Table) Has(to packet.Addr) bool { return t != nil && t.routes[to] != nil }
 
