--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -28,9 +28,12 @@
 				limited, cancel := context.WithTimeout(ctx, stepTimeout)
 				defer cancel()
 				reply, err := rpc.Call[JoinReply](limited, c.transport.clientAt(address), peerService+".Join", &JoinRequest{Name: c.name})
-				if err == nil {
-					c.learn(reply.Members...)
+				if err != nil {
+					// Some of the addresses are of controllers that are down; they are asked again soon.
+					c.tel.Logger.Debug().Str("controller", address).Err(err).Msg("a controller was not asked to be let in")
+					return
 				}
+				c.learn(reply.Members...)
 			})
 		}
 		wg.Wait()
