Let a relay that ends with its target leave the list at once

A relay stays listed for 2 s after it has ended, and a survey waits for its answer.

Change: the last announcement of a relay whose target has ended says so, and controllers drop it.

A trial shows eight relays that live, have no heartbeat of their targets and do not answer surveys within 45 ms, though they answer entry VMs; why is open.

--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -72,6 +72,7 @@
 	relay *Relay
 	timer *time.Timer
 	armed bool
+	gone  bool
 	state roster.State // as last announced
 }
 
@@ -128,6 +129,8 @@
 			p.locked(func(time.Duration) { p.relay.Stop() })
 			p.uplink.Announce()
 			ctxtime.Sleep(running, p.cfg.Linger)
+			p.setGone()
+			p.uplink.Announce()
 		case <-running.Done():
 		}
 		stop()
@@ -136,6 +139,12 @@
 	return group.Wait()
 }
 
+// setGone lets the last announcement say that the relay is gone, if its target is. Otherwise the target
+// may still have flows, and the relay comes back.
+func (p *Process) setGone() {
+	p.locked(func(time.Duration) { p.gone = p.relay.TargetEnded() })
+}
+
 func (p *Process) locked(f func(now time.Duration)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -189,7 +198,7 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	t := p.relay.Announced(now, p.cfg.Zone)
-	return roster.Announcement{Role: roster.RoleRelay, Name: p.cfg.Name, Target: &t, Load: p.relay.Load(now), Process: p.number}
+	return roster.Announcement{Role: roster.RoleRelay, Name: p.cfg.Name, Target: &t, Load: p.relay.Load(now), Process: p.number, Gone: p.gone}
 }
 
 // Heartbeat takes in a heartbeat of the target.
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -152,6 +152,9 @@
 	return nil
 }
 
+// TargetEnded reports whether the target has said that it ends, or nobody listens any more.
+func (r *Relay) TargetEnded() bool { return r.target.left || r.target.gone() }
+
 // CheckDue reports whether the shell should ask the target whether it still listens, and marks the
 // question as asked.
 func (r *Relay) CheckDue(now, heartbeatInterval time.Duration) bool {
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -87,6 +87,8 @@
 	Digest uint64
 	Target *Target // of a relay
 	Load   hop.Load
+	// Gone is the last announcement of a relay whose target has ended: there is nobody to ask for flows.
+	Gone bool
 	// Loads asks for the loads of all targets.
 	Loads bool
 	// Process is a random number of the sending process, which tells its lives apart.
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -44,6 +44,12 @@
 
 // Announce records an announcement. It reports whether the list of targets has changed.
 func (r *Registry) Announce(now time.Duration, from hop.IP, a *Announcement) bool {
+	if a.Gone {
+		_, known := r.nodes[from]
+		delete(r.nodes, from)
+		r.stale = r.stale || known
+		return known
+	}
 	n := r.nodes[from]
 	if n == nil {
 		n = &node{}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -98,6 +98,18 @@
 	g.Expect(v.Targets(1)).To(HaveLen(2), "a lost target is still asked for its flows")
 }
 
+// Guards against searches that wait two seconds for a relay that has left with its target.
+func TestGoneRelayLeavesTheListAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry()
+	announce(r, 0, 1, Target{ID: "a", Service: 1, State: Draining})
+	announce(r, 0, 2, Target{ID: "b", Service: 1, State: Ready})
+	g.Expect(r.Announce(0, relayIP(1), &Announcement{Role: RoleRelay, Target: &Target{ID: "a"}, Gone: true})).To(BeTrue())
+	list, _ := r.Targets()
+	g.Expect(list).To(HaveLen(1))
+	g.Expect(r.Announce(0, relayIP(1), &Announcement{Role: RoleRelay, Target: &Target{ID: "a"}, Gone: true})).To(BeFalse())
+}
+
 // Guards against a view that is emptied when all controllers are down.
 func TestViewStaysWithoutControllers(t *testing.T) {
 	g := NewWithT(t)
