Back off from searches that fail

Cause: a flow whose search ended without a result was searched again after 0.3 s for as long as its ends repeated packets; relays that are slow to answer were asked the more.

Change: the pause doubles up to 2.4 s; a survey waits 25 ms a round instead of 15.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,14 +124,15 @@
 	busy    bool // all targets were too busy at the last offer
 
 	// While searching.
-	ack     uint32
-	held    [][]byte
-	asked   []hop.IP
-	unsure  []hop.IP
-	notHere []hop.IP
-	swept   bool // all relays have answered
-	sweeps  int  // surveys that were asked for
-	groups  int  // groups of relays whose survey has not been answered
+	ack      uint32
+	held     [][]byte
+	asked    []hop.IP
+	unsure   []hop.IP
+	notHere  []hop.IP
+	failures int  // searches in a row without a result
+	swept    bool // all relays have answered
+	sweeps   int  // surveys that were asked for
+	groups   int  // groups of relays whose survey has not been answered
 }
 
 // New returns an entry VM without configuration and targets.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -233,6 +233,26 @@
 	g.Expect(float64(served) / float64(len(calls))).To(BeNumerically(">", 0.95))
 }
 
+// Guards against searches that are repeated at the same rate while relays do not answer, which keeps them
+// from answering.
+func TestSearchesBackOff(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(10, 1, 6)
+	c := w.call()
+	w.run(time.Second)
+	g.Expect(c.state).To(Equal("open"))
+	c.target.hung = true
+	w.entries[0].start()
+	w.run(12 * time.Second)
+	// Pauses of 0.3, 0.6, 1.2 and then 2.4 s leave room for eight searches in 12 s.
+	g.Expect(w.entries[0].entry.Stats.Finds).To(BeNumerically("<=", 8))
+	c.target.hung = false
+	before := c.served
+	w.run(4 * time.Second)
+	g.Expect(c.served).To(BeNumerically(">", before))
+	g.Expect(w.broken).To(BeEmpty())
+}
+
 // Guards against a rule that holds only for the sequences of failures that somebody thought of: no flow
 // is reset while its target lives, whatever is restarted, drained or lost, and all flows go on.
 func TestFlowsUnderFaults(t *testing.T) {
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -25,16 +25,18 @@
 	maxProbes = 24
 	// maxServicesAsked bounds the services whose likely owners are asked besides those of the route.
 	maxServicesAsked = 3
-	// sweepTimeout is the time that a helper has for the answers of all relays: three rounds of 15 ms and
+	// sweepTimeout is the time that a helper has for the answers of all relays: three rounds of 25 ms and
 	// the way there and back.
-	sweepTimeout = 100 * time.Millisecond
+	sweepTimeout = 150 * time.Millisecond
 	// sweepRounds bounds the helpers that are asked for one flow.
 	sweepRounds = 3
 	// surveyDelay collects the flows of one survey, which costs two datagrams for each relay.
 	surveyDelay = 20 * time.Millisecond
-	// findPause is the time after a search without a result in which the flow is not searched again.
-	// Both ends repeat their packets, the first time after 200 ms.
-	findPause = 300 * time.Millisecond
+	// findPause is the time after a search without a result in which the flow is not searched again. Both
+	// ends repeat their packets, the first time after 200 ms. It doubles with each search in a row, up to
+	// maxFindPause: searches that fail because relays are slow must not make them slower.
+	findPause    = 300 * time.Millisecond
+	maxFindPause = 2400 * time.Millisecond
 	// askDelay collects the flows of one question, retryDelay is the time after which questions that were
 	// not allowed are looked at again.
 	askDelay   = 4 * time.Millisecond
@@ -61,6 +63,9 @@
 	}
 	e.Stats.Finds++
 	f := &flow{state: searching, seen: now, began: now, ack: v.Ack, notHere: notHere}
+	if before := e.flows[key]; before != nil {
+		f.failures = before.failures
+	}
 	e.flows[key] = f
 	e.hold(f, raw)
 	for _, service := range e.services(v.Destination) {
@@ -231,7 +236,8 @@
 	})
 	f.waits = false
 	f.held, f.unsure, f.asked, f.notHere = nil, nil, nil, nil
-	f.state, f.due = unowned, now+findPause
+	f.state, f.due = unowned, now+min(findPause<<min(f.failures, 8), maxFindPause)
+	f.failures++
 }
 
 // found takes in the answer of one relay.
@@ -242,7 +248,7 @@
 		e.note(now, decision.Decision{Kind: decision.Found, Flow: key, Target: from, Tries: f.round + f.sweeps, Took: now - f.began})
 		f.waits = false
 		held := f.held
-		f.state, f.owner = owned, from
+		f.state, f.owner, f.failures = owned, from, 0
 		f.held, f.asked, f.unsure, f.notHere = nil, nil, nil, nil
 		for _, raw := range held {
 			e.send(from, f.service, raw)
--- a/internal/entry/target_test.go
+++ b/internal/entry/target_test.go
@@ -17,6 +17,7 @@
 	service  routing.ServiceID
 	relay    *relay.Relay
 	cut      bool // its relay reaches nobody
+	hung     bool // its relay takes no datagrams of other processes
 	alive    bool
 	draining bool
 	slots    int
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -264,7 +264,7 @@
 				e.do(func(n *entry.Entry) { n.FromNode(w.now, from, b) })
 			}
 		}
-		if t := w.at(to); t != nil && t.relay != nil && !t.cut {
+		if t := w.at(to); t != nil && t.relay != nil && !t.cut && !t.hung {
 			t.relay.FromNode(w.now, from, b)
 			t.arm()
 		}
--- a/internal/relay/survey.go
+++ b/internal/relay/survey.go
@@ -9,8 +9,9 @@
 
 const (
 	// surveyTimeout is the time after which relays that did not answer are asked again. Datagrams get
-	// lost now and then, and a survey of 60 relays needs all answers.
-	surveyTimeout = 15 * time.Millisecond
+	// lost now and then, and a survey of 60 relays needs all answers. A relay with much to do takes longer
+	// than the 3 ms of a round trip.
+	surveyTimeout = 25 * time.Millisecond
 	// surveyRounds bounds the questions to one relay.
 	surveyRounds = 3
 	// maxSurveys bounds the surveys at the same time, whose memory is about 3 KB each.
