Remove a special case that does what the general one does

A relay that is the least loaded itself sent the SYN to itself by a function of its own; sending it to the chosen candidate is the same.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -267,12 +267,7 @@
 	case !m.Final && next < len(m.Candidates):
 		m.At = uint8(next)
 	case !m.Final && !m.Busy && m.BestLoad > 0:
-		m.Final, m.At = true, m.Best
-		if m.Candidates[m.At] == r.cfg.Self {
-			r.Stats.Passed++
-			r.again(m)
-			return
-		}
+		m.Final, m.At = true, m.Best // this relay itself, perhaps
 	default:
 		r.Stats.Refused++
 		m.Kind = hop.Refused
@@ -283,12 +278,6 @@
 	r.toNode(m.Candidates[m.At], m)
 }
 
-// again takes a SYN that came back to the relay that is the least loaded itself.
-func (r *Relay) again(m *hop.Message) {
-	r.out = m.Append(r.out[:0])
-	r.ports.ToNode(r.cfg.Self, r.out)
-}
-
 func (r *Relay) toNode(to hop.IP, m *hop.Message) {
 	r.out = m.Append(r.out[:0])
 	r.ports.ToNode(to, r.out)
