Remove two fields that nobody sets or reads

The read-through found the start time of a relay, which was always zero, and that of the decision log, which was never read. No change of behaviour; the tests of both packages pass.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -101,12 +101,11 @@
 	left   [kinds]atomic.Int32 // of the budget of this second
 	missed [kinds]atomic.Uint64
 	second atomic.Int64
-	start  time.Time
 }
 
 // New returns a Log that Run writes.
 func New(logger *log.Logger) *Log {
-	l := &Log{logger: logger, ring: make(chan Decision, ringSize), start: time.Now()}
+	l := &Log{logger: logger, ring: make(chan Decision, ringSize)}
 	l.refill()
 	return l
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,7 +72,6 @@
 	// previous is what controllers know of the target of an earlier process, see Previous.
 	previous    map[hop.IP]string
 	controllers int
-	started     time.Duration
 
 	// probes are the entry VMs that want to know whether the target has a flow.
 	probes map[packet.Key]hop.IP
@@ -315,7 +314,7 @@
 			delete(r.flows, key)
 		}
 	}
-	if !r.complete && now-r.started > FlowLifetime {
+	if !r.complete && now > FlowLifetime {
 		r.complete = true
 	}
 }
