--- a/cmd/demo/document.go
+++ b/cmd/demo/document.go
@@ -27,10 +27,10 @@
 }
 
 type vmEntry struct {
-	Name     string            `json:"name"`
-	Zone     string            `json:"zone"`
-	Customer string            `json:"customer"`
-	Labels   map[string]string `json:"labels"`
+	Name      string            `json:"name"`
+	Zone      string            `json:"zone"`
+	Workspace string            `json:"workspace"`
+	Labels    map[string]string `json:"labels"`
 }
 
 // deployment is an example with the number of slots that its targets have.
@@ -108,10 +108,10 @@
 	return fmt.Errorf("no service %s", service)
 }
 
-// slotsOf returns the slots of the targets of a customer.
-func slotsOf(customer model.Customer) int {
+// slotsOf returns the slots of the targets of a workspace.
+func slotsOf(workspace model.Workspace) int {
 	for _, d := range deployments {
-		if d.folder == string(customer) {
+		if d.folder == string(workspace) {
 			return d.slots
 		}
 	}
--- a/cmd/demo/nodes.go
+++ b/cmd/demo/nodes.go
@@ -119,7 +119,7 @@
 			services = append(services, s.Name)
 		}
 	}
-	slots := slotsOf(vm.Customer)
+	slots := slotsOf(vm.Workspace)
 	t, err := standin.NewTarget(standin.TargetConfig{
 		Instance: string(vm.Name), Endpoints: endpoints, Slots: slots,
 		ServiceTime: serviceTime, LineInterval: lineInterval, Ledger: d.ledger,
--- a/cmd/demo/scenario.go
+++ b/cmd/demo/scenario.go
@@ -119,7 +119,7 @@
 		}
 		for j := range doc.VMs {
 			if s.Selects(&doc.VMs[j]) {
-				l.slots += slotsOf(s.Customer)
+				l.slots += slotsOf(s.Workspace)
 			}
 		}
 		d.work.loads = append(d.work.loads, l)
--- a/docs/settings_test.go
+++ b/docs/settings_test.go
@@ -75,7 +75,7 @@
 // everyObject has an unknown key in each object of a configuration document.
 const everyObject = `{
 	"?": 0,
-	"inventory": {"?": 0, "vms": [{"?": 0, "name": "a", "zone": "z", "customer": "c", "labels": {}}]},
+	"inventory": {"?": 0, "vms": [{"?": 0, "name": "a", "zone": "z", "workspace": "c", "labels": {}}]},
 	"services": [{"?": 0, "silence": {"?": 0}}],
 	"leaving": [],
 	"limits": {"?": 0},
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -38,7 +38,7 @@
 
 func serviceAt(i int) model.Service {
 	return model.Service{
-		ID: model.ServiceID(i + 1), Generation: 1, Name: serviceName(i), Customer: "andinas",
+		ID: model.ServiceID(i + 1), Generation: 1, Name: serviceName(i), Workspace: "andinas",
 		Address: serviceAddress(i), Ramp: config.DefaultRamp, MaxQueueWait: config.MaxQueueWait,
 		Silence: model.Silence{
 			Enabled: true, Idle: config.DefaultSilenceIdle, Interval: config.DefaultProbeInterval, Count: config.DefaultProbeCount,
@@ -96,7 +96,7 @@
 	var inventory, rules []string
 	for i := range vms {
 		inventory = append(inventory, fmt.Sprintf(
-			`{"name": %q, "zone": %q, "customer": "andinas", "labels": {"for": %q}}`, vmName(i), zoneName(i), serviceName(i%services)))
+			`{"name": %q, "zone": %q, "workspace": "andinas", "labels": {"for": %q}}`, vmName(i), zoneName(i), serviceName(i%services)))
 	}
 	for i := range services {
 		seconds := 10
@@ -104,7 +104,7 @@
 			seconds = ramp
 		}
 		rules = append(rules, fmt.Sprintf(
-			`{"name": %q, "customer": "andinas", "address": %q, "class": "stream", "ramp": "%ds", "select": {"for": %q}}`,
+			`{"name": %q, "workspace": "andinas", "address": %q, "class": "stream", "ramp": "%ds", "select": {"for": %q}}`,
 			serviceName(i), serviceAddress(i), seconds, serviceName(i)))
 	}
 	return fmt.Appendf(nil, "{\n\"inventory\": {\"vms\": [%s]},\n\"services\": [%s]\n}\n",
--- a/internal/catalog/bench_test.go
+++ b/internal/catalog/bench_test.go
@@ -22,11 +22,11 @@
 func benchDocument(change int) []byte {
 	var vms, services []string
 	for v := range benchTargets {
-		vms = append(vms, fmt.Sprintf(`{"name": "vm-%04d", "zone": "zone-%d", "customer": "andinas", "labels": {"service": "s%d"}}`,
+		vms = append(vms, fmt.Sprintf(`{"name": "vm-%04d", "zone": "zone-%d", "workspace": "andinas", "labels": {"service": "s%d"}}`,
 			v, v%6, v%benchServices))
 	}
 	for s := range benchServices {
-		services = append(services, fmt.Sprintf(`{"name": "s%d", "customer": "andinas", "address": "10.10.%d.%d:7001", "class": "stream",
+		services = append(services, fmt.Sprintf(`{"name": "s%d", "workspace": "andinas", "address": "10.10.%d.%d:7001", "class": "stream",
   "select": {"service": "s%d"}, "ramp": "%ds"}`, s, s/250, s%250+1, s, 1+(change+s)%7/6*(change%60)))
 	}
 	return []byte(fmt.Sprintf("{\"inventory\": {\"vms\": [\n%s]},\n\"services\": [\n%s]}", strings.Join(vms, ",\n"), strings.Join(services, ",\n")))
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -336,7 +336,7 @@
 	var list []config.Holder
 	for _, id := range slices.Sorted(maps.Keys(c.services)) {
 		if s := c.services[id]; s.Retiring {
-			list = append(list, config.Holder{Service: s.Model.Name, Customer: s.Model.Customer, Address: s.Model.Address})
+			list = append(list, config.Holder{Service: s.Model.Name, Workspace: s.Model.Workspace, Address: s.Model.Address})
 		}
 	}
 	return list
--- a/internal/catalog/configure.go
+++ b/internal/catalog/configure.go
@@ -213,7 +213,7 @@
 
 // returns reports whether a rule brings back the service as it was.
 func (s *service) returns(rule *config.Service) bool {
-	return s.Model.Name == rule.Name && s.Model.Address == rule.Address && s.Model.Customer == rule.Customer
+	return s.Model.Name == rule.Name && s.Model.Address == rule.Address && s.Model.Workspace == rule.Workspace
 }
 
 func (c *Catalog) placeService(rule *config.Service, s *service) {
@@ -223,7 +223,7 @@
 		c.services[s.Model.ID] = s
 	}
 	want := model.Service{
-		ID: s.Model.ID, Generation: s.Model.Generation, Name: rule.Name, Customer: rule.Customer, Address: rule.Address,
+		ID: s.Model.ID, Generation: s.Model.Generation, Name: rule.Name, Workspace: rule.Workspace, Address: rule.Address,
 		Class: rule.Class, MaxQueueWait: rule.MaxQueueWait, Ramp: rule.Ramp, DrainTimeout: rule.DrainTimeout, Silence: rule.Silence,
 	}
 	if want != s.Model || s.Retiring {
--- a/internal/catalog/machine_test.go
+++ b/internal/catalog/machine_test.go
@@ -64,7 +64,7 @@
 		if v > 0 && rapid.IntRange(0, 5).Draw(t, "absent") == 0 {
 			continue
 		}
-		vms = append(vms, fmt.Sprintf(`{"name":"vm%d","zone":"z%d","customer":"c","labels":{"g":"%d","all":"y"}}`, v, v%3, v%2))
+		vms = append(vms, fmt.Sprintf(`{"name":"vm%d","zone":"z%d","workspace":"c","labels":{"g":"%d","all":"y"}}`, v, v%3, v%2))
 		if rapid.IntRange(0, 5).Draw(t, "leaving") == 0 {
 			leaving = append(leaving, fmt.Sprintf(`"vm%d"`, v))
 		}
@@ -75,7 +75,7 @@
 		}
 		sel := rapid.SampledFrom([]string{`{"all":"y"}`, `{"g":"0"}`}).Draw(t, "select")
 		services = append(services, fmt.Sprintf(
-			`{"name":"s%d","customer":"c","address":"10.0.0.%d:80","class":"stream","select":%s,"ramp":"%ds"}`,
+			`{"name":"s%d","workspace":"c","address":"10.0.0.%d:80","class":"stream","select":%s,"ramp":"%ds"}`,
 			s, 1+rapid.IntRange(s, s+1).Draw(t, "address"), sel, rapid.IntRange(1, 2).Draw(t, "ramp")))
 	}
 	return []byte(fmt.Sprintf("{\"inventory\":{\"vms\":[%s]},\n\"services\":[%s],\n\"leaving\":[%s]}",
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -30,10 +30,10 @@
 	c.require("", "inventory", "services")
 	c.require("inventory", "vms")
 	for i := range c.doc.VMs {
-		c.require(vmPath(i), "name", "zone", "customer")
+		c.require(vmPath(i), "name", "zone", "workspace")
 	}
 	for i := range c.doc.Services {
-		c.require(servicePath(i), "name", "customer", "address", "class", "select")
+		c.require(servicePath(i), "name", "workspace", "address", "class", "select")
 	}
 }
 
@@ -63,9 +63,9 @@
 	}
 }
 
-// labelKey finds the VMs of a customer that carry a label.
+// labelKey finds the VMs of a workspace that carry a label.
 type labelKey struct {
-	customer     model.Customer
+	workspace    model.Workspace
 	label, value string
 }
 
@@ -75,7 +75,7 @@
 	for i := range d.VMs {
 		vm := &d.VMs[i]
 		for label, value := range vm.Labels {
-			key := labelKey{customer: vm.Customer, label: label, value: value}
+			key := labelKey{workspace: vm.Workspace, label: label, value: value}
 			index[key] = append(index[key], vm)
 		}
 	}
@@ -86,7 +86,7 @@
 func selectedVMs(s *Service, labels map[labelKey][]*VM) []*VM {
 	var selected []*VM
 	for label, value := range s.Select {
-		for _, vm := range labels[labelKey{customer: s.Customer, label: label, value: value}] {
+		for _, vm := range labels[labelKey{workspace: s.Workspace, label: label, value: value}] {
 			if s.Selects(vm) {
 				selected = append(selected, vm)
 			}
@@ -115,7 +115,7 @@
 func (c *checker) checkSelector(s *Service, path string, labels map[labelKey][]*VM) {
 	at := jsonc.Key(path, "select")
 	if len(s.Select) == 0 {
-		// An empty selector would select every VM of a customer, which is more often a slip than a wish.
+		// An empty selector would select every VM of a workspace, which is more often a slip than a wish.
 		if c.Kind(at) == '{' {
 			c.Report(at, "at least one label")
 		}
@@ -124,7 +124,7 @@
 	selected := len(selectedVMs(s, labels))
 	switch {
 	case selected == 0:
-		c.Report(at, "labels of at least one VM of customer %q", s.Customer)
+		c.Report(at, "labels of at least one VM of workspace %q", s.Workspace)
 	case selected > model.MaxTargetsPerService:
 		c.Report(at, "at most %d VMs per service; this selects %d", model.MaxTargetsPerService, selected)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -17,12 +17,12 @@
 const valid = `{
   // from the asset register
   "inventory": {"vms": [
-    {"name": "vm-1", "zone": "bogota-a", "customer": "andinas", "labels": {"app": "plans"}},
-    {"name": "vm-2", "zone": "bogota-b", "customer": "andinas", "labels": {"app": "plans"}},
-    {"name": "vm-3", "zone": "bogota-c", "customer": "Bænatími", "labels": {"app": "plans"}},
+    {"name": "vm-1", "zone": "bogota-a", "workspace": "andinas", "labels": {"app": "plans"}},
+    {"name": "vm-2", "zone": "bogota-b", "workspace": "andinas", "labels": {"app": "plans"}},
+    {"name": "vm-3", "zone": "bogota-c", "workspace": "Bænatími", "labels": {"app": "plans"}},
   ]},
   "services": [
-    {"name": "plan-store", "customer": "andinas", "address": "10.10.0.1:7001", "class": "request",
+    {"name": "plan-store", "workspace": "andinas", "address": "10.10.0.1:7001", "class": "request",
      "select": {"app": "plans"}, "max_queue_wait": "400ms", "ramp": "10s", "drain_timeout": "0s",
      "silence": {"enabled": true, "idle": "20s", "interval": "4s", "count": 2}},
   ],
@@ -46,7 +46,7 @@
 func vms(n int, labels string) string {
 	var list []string
 	for i := range n {
-		list = append(list, fmt.Sprintf(`{"name": "x-%d", "zone": "z", "customer": "andinas", "labels": %s}`, i, labels))
+		list = append(list, fmt.Sprintf(`{"name": "x-%d", "zone": "z", "workspace": "andinas", "labels": %s}`, i, labels))
 	}
 	return strings.Join(list, ", ")
 }
@@ -57,7 +57,7 @@
 		d, err := config.Parse("doc", []byte(valid))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(d.VMs).To(HaveLen(3))
-		Expect(d.VMs[2]).To(Equal(config.VM{Name: "vm-3", Zone: "bogota-c", Customer: "Bænatími", Labels: map[string]string{"app": "plans"}}))
+		Expect(d.VMs[2]).To(Equal(config.VM{Name: "vm-3", Zone: "bogota-c", Workspace: "Bænatími", Labels: map[string]string{"app": "plans"}}))
 		s := d.Services[0]
 		Expect(s.Class).To(Equal(model.ClassRequest))
 		Expect(s.Address.String()).To(Equal("10.10.0.1:7001"))
@@ -67,7 +67,7 @@
 		Expect(d.Limits).To(Equal(config.Limits{SlotsPerTarget: 2, ConnectionsPerTarget: 2000}))
 		index := config.NewIndex(d)
 		Expect(index.Refusal("vm-2", "plan-store")).To(BeEmpty())
-		Expect(index.Refusal("vm-3", "plan-store")).To(ContainSubstring("another customer"))
+		Expect(index.Refusal("vm-3", "plan-store")).To(ContainSubstring("another workspace"))
 	})
 
 	It("checks silence for streams unless the document says otherwise", func() {
@@ -119,11 +119,11 @@
 		Entry("an unknown key at the top", func() string { return with(`"limits"`, `"x": 1, "limits"`) },
 			14, "x", `"x"`, "one of the keys inventory, leaving, limits, services"),
 		Entry("a service name twice", func() string {
-			return with(`"services": [`, `"services": [{"name": "plan-store", "customer": "andinas", "address": "10.10.0.2:7001",
+			return with(`"services": [`, `"services": [{"name": "plan-store", "workspace": "andinas", "address": "10.10.0.2:7001",
      "class": "stream", "select": {"app": "plans"}},`)
 		}, 10, "services[1].name", `"plan-store"`, "services[0] has it too"),
 		Entry("an address twice", func() string {
-			return with(`"services": [`, `"services": [{"name": "a", "customer": "andinas", "address": "10.10.0.1:7001",
+			return with(`"services": [`, `"services": [{"name": "a", "workspace": "andinas", "address": "10.10.0.1:7001",
      "class": "stream", "select": {"app": "plans"}},`)
 		}, 10, "services[1].address", "10.10.0.1:7001", "services[0] has it too"),
 		Entry("an IPv6 address", func() string { return with(`"10.10.0.1:7001"`, `"[::1]:7001"`) },
@@ -135,10 +135,10 @@
 		Entry("an empty selector", func() string { return with(`"select": {"app": "plans"}`, `"select": {}`) },
 			10, "services[0].select", "{}", "at least one label"),
 		Entry("a selector that matches nothing", func() string { return wholeVM(with(`"select": {"app": "plans"}`, `"select": {"app": "plan"}`)) },
-			10, "services[0].select", `"plan"`, `labels of at least one VM of customer "andinas"`),
-		Entry("a selector that matches VMs of another customer only", func() string {
-			return wholeVM(with(`"name": "plan-store", "customer": "andinas"`, `"name": "plan-store", "customer": "labs"`))
-		}, 10, "services[0].select", "plans", `customer "labs"`),
+			10, "services[0].select", `"plan"`, `labels of at least one VM of workspace "andinas"`),
+		Entry("a selector that matches VMs of another workspace only", func() string {
+			return wholeVM(with(`"name": "plan-store", "workspace": "andinas"`, `"name": "plan-store", "workspace": "labs"`))
+		}, 10, "services[0].select", "plans", `workspace "labs"`),
 		Entry("too many VMs behind a service",
 			func() string { return with(`{"name": "vm-1"`, vms(31, `{"app": "plans"}`)+`,{"name": "vm-1"`) },
 			10, "services[0].select", "plans", "at most 32 VMs per service; this selects 33"),
@@ -215,11 +215,11 @@
 	document := func(services int, vms int, leaving ...string) *config.Document {
 		d := &config.Document{Leaving: leaving}
 		for v := range vms {
-			d.VMs = append(d.VMs, config.VM{Name: model.VM(fmt.Sprintf("vm-%d", v)), Customer: "c", Labels: map[string]string{"a": "b"}})
+			d.VMs = append(d.VMs, config.VM{Name: model.VM(fmt.Sprintf("vm-%d", v)), Workspace: "c", Labels: map[string]string{"a": "b"}})
 		}
 		for s := range services {
 			d.Services = append(d.Services, config.Service{
-				Name: fmt.Sprintf("s%d", s), Customer: "c", Address: address(s), Select: map[string]string{"a": "b"},
+				Name: fmt.Sprintf("s%d", s), Workspace: "c", Address: address(s), Select: map[string]string{"a": "b"},
 			})
 		}
 		return d
@@ -260,7 +260,7 @@
 		swapped.Services[0].Address, swapped.Services[1].Address = address(1), address(0)
 		Expect(missing(document(2, 1), swapped, known(1))).To(ConsistOf(
 			"moves:10.0.0.1:80:s0:s1", "moves:10.0.0.2:80:s1:s0", "readdresses:s0", "readdresses:s1"))
-		Expect(missing(&config.Document{}, document(1, 1), nil, config.Holder{Service: "old", Customer: "c", Address: address(0)})).
+		Expect(missing(&config.Document{}, document(1, 1), nil, config.Holder{Service: "old", Workspace: "c", Address: address(0)})).
 			To(ConsistOf("moves:10.0.0.1:80:old:s0"))
 	})
 
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -47,16 +47,16 @@
 
 // VM is an entry of the inventory.
 type VM struct {
-	Name     model.VM
-	Zone     model.AvailabilityZone
-	Customer model.Customer
-	Labels   map[string]string
+	Name      model.VM
+	Zone      model.AvailabilityZone
+	Workspace model.Workspace
+	Labels    map[string]string
 }
 
 // Service is the rule for one service address.
 type Service struct {
 	Name         string
-	Customer     model.Customer
+	Workspace    model.Workspace
 	Address      netip.AddrPort
 	Class        model.FlowClass
 	Select       map[string]string
@@ -77,10 +77,10 @@
 	return string(vm) + "/" + service
 }
 
-// Selects reports whether a VM may serve the service: it belongs to the same customer and carries
+// Selects reports whether a VM may serve the service: it belongs to the same workspace and carries
 // every selected label.
 func (s *Service) Selects(vm *VM) bool {
-	if vm.Customer != s.Customer {
+	if vm.Workspace != s.Workspace {
 		return false
 	}
 	for label, value := range s.Select {
@@ -149,8 +149,8 @@
 		return "the VM is not in the inventory"
 	case rule == nil:
 		return "the service is not in the configuration"
-	case entry.Customer != rule.Customer:
-		return "the VM belongs to another customer than the service"
+	case entry.Workspace != rule.Workspace:
+		return "the VM belongs to another workspace than the service"
 	case !rule.Selects(entry):
 		return "the labels of the VM do not match the selector of the service"
 	}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -45,15 +45,15 @@
 }
 
 type vmJSON struct {
-	Name     name   `json:"name"`
-	Zone     label  `json:"zone"`
-	Customer label  `json:"customer"`
-	Labels   labels `json:"labels"`
+	Name      name   `json:"name"`
+	Zone      label  `json:"zone"`
+	Workspace label  `json:"workspace"`
+	Labels    labels `json:"labels"`
 }
 
 type serviceJSON struct {
 	Name         name                          `json:"name"`
-	Customer     label                         `json:"customer"`
+	Workspace    label                         `json:"workspace"`
 	Address      serviceAddress                `json:"address"`
 	Class        flowClass                     `json:"class"`
 	Select       labels                        `json:"select"`
@@ -90,14 +90,14 @@
 func (v *vmJSON) vm() VM {
 	return VM{
 		Name: model.VM(v.Name), Zone: model.AvailabilityZone(v.Zone),
-		Customer: model.Customer(v.Customer), Labels: v.Labels.strings(),
+		Workspace: model.Workspace(v.Workspace), Labels: v.Labels.strings(),
 	}
 }
 
 func (s *serviceJSON) service() Service {
 	class := model.FlowClass(s.Class)
 	return Service{
-		Name: string(s.Name), Customer: model.Customer(s.Customer), Address: netip.AddrPort(s.Address),
+		Name: string(s.Name), Workspace: model.Workspace(s.Workspace), Address: netip.AddrPort(s.Address),
 		Class: class, Select: s.Select.strings(),
 		MaxQueueWait: durationOr(s.MaxQueueWait, MaxQueueWait),
 		Ramp:         durationOr(s.Ramp, DefaultRamp),
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -71,9 +71,9 @@
 // Holder is a service that still holds an address, because it is in the old document or because
 // flows of a removed service have not ended.
 type Holder struct {
-	Service  string
-	Customer model.Customer
-	Address  netip.AddrPort
+	Service   string
+	Workspace model.Workspace
+	Address   netip.AddrPort
 }
 
 // Plan returns the effects of replacing a document, ordered by service. Which effects there are
@@ -125,12 +125,12 @@
 	}
 	for i := range p.before.Document.Services {
 		s := &p.before.Document.Services[i]
-		holders[s.Address] = Holder{Service: s.Name, Customer: s.Customer, Address: s.Address}
+		holders[s.Address] = Holder{Service: s.Name, Workspace: s.Workspace, Address: s.Address}
 	}
 	for i := range p.after.Document.Services {
 		s := &p.after.Document.Services[i]
 		holder, held := holders[s.Address]
-		if !held || (holder.Service == s.Name && holder.Customer == s.Customer) {
+		if !held || (holder.Service == s.Name && holder.Workspace == s.Workspace) {
 			continue
 		}
 		known := p.byService[holder.Service]
@@ -171,7 +171,7 @@
 }
 
 func sameRules(a, b *Service) bool {
-	return a.Customer == b.Customer && a.Class == b.Class && a.MaxQueueWait == b.MaxQueueWait && a.Ramp == b.Ramp &&
+	return a.Workspace == b.Workspace && a.Class == b.Class && a.MaxQueueWait == b.MaxQueueWait && a.Ramp == b.Ramp &&
 		a.DrainTimeout == b.DrainTimeout && a.Silence == b.Silence
 }
 
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -204,10 +204,10 @@
 	for s := first; s < services; s++ {
 		for v := range vms {
 			inventory = append(inventory, fmt.Sprintf(
-				`{"name": "vm-%d-%d", "zone": "a", "customer": "andinas", "labels": {"for": "s%d"}}`, s, v, s))
+				`{"name": "vm-%d-%d", "zone": "a", "workspace": "andinas", "labels": {"for": "s%d"}}`, s, v, s))
 		}
 		rules = append(rules, fmt.Sprintf(
-			`{"name": "s%d", "customer": "andinas", "address": "10.10.%d.%d:7001", "class": "stream", "select": {"for": "s%d"}}`,
+			`{"name": "s%d", "workspace": "andinas", "address": "10.10.%d.%d:7001", "class": "stream", "select": {"for": "s%d"}}`,
 			s, s/250, s%250+1, s))
 	}
 	return []byte(fmt.Sprintf("{\n\"inventory\": {\"vms\": [%s]},\n\"services\": [%s]%s\n}\n",
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -105,11 +105,11 @@
 const document = `{
   // Two VMs behind one service.
   "inventory": {"vms": [
-    {"name": "plan-1", "zone": "bogota-a", "customer": "migraciones-andinas", "labels": {"role": "plan"}},
-    {"name": "plan-2", "zone": "bogota-b", "customer": "migraciones-andinas", "labels": {"role": "plan"}},
+    {"name": "plan-1", "zone": "bogota-a", "workspace": "migraciones-andinas", "labels": {"role": "plan"}},
+    {"name": "plan-2", "zone": "bogota-b", "workspace": "migraciones-andinas", "labels": {"role": "plan"}},
   ]},
   "services": [
-    {"name": "plan-store", "customer": "migraciones-andinas", "address": "192.0.2.20:7100", "class": "request", "select": {"role": "plan"}},
+    {"name": "plan-store", "workspace": "migraciones-andinas", "address": "192.0.2.20:7100", "class": "request", "select": {"role": "plan"}},
   ],
 }
 `
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -93,13 +93,13 @@
 			return c.Services(cmd.Context())
 		},
 		func(t *table, services []catalog.ServiceStatus) {
-			t.row("SERVICE", "ID", "ADDRESS", "CLASS", "CUSTOMER", "TARGETS", "ADMITTING", "STATE")
+			t.row("SERVICE", "ID", "ADDRESS", "CLASS", "WORKSPACE", "TARGETS", "ADMITTING", "STATE")
 			for _, s := range services {
 				state := "active"
 				if s.Retiring {
 					state = "retiring"
 				}
-				t.row(s.Model.Name, s.Model.ID, s.Model.Address, className(s.Model.Class), orDash(string(s.Model.Customer)), len(s.Targets), admitting(s.Targets), state)
+				t.row(s.Model.Name, s.Model.ID, s.Model.Address, className(s.Model.Class), orDash(string(s.Model.Workspace)), len(s.Targets), admitting(s.Targets), state)
 			}
 		})
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -41,11 +41,11 @@
 	w.table = membership.New(w.now)
 	var list []string
 	for v := range vms {
-		list = append(list, fmt.Sprintf(`{"name":"%s","zone":"z","customer":"c","labels":{"a":"b"}}`, node(v)))
+		list = append(list, fmt.Sprintf(`{"name":"%s","zone":"z","workspace":"c","labels":{"a":"b"}}`, node(v)))
 		w.evidence[node(v)] = model.Evidence{EndpointHealthy: true}
 	}
 	document := fmt.Sprintf(`{"inventory":{"vms":[%s]},"services":[
-		{"name":"s","customer":"c","address":"10.0.0.1:80","class":"stream","select":{"a":"b"}}]}`, strings.Join(list, ","))
+		{"name":"s","workspace":"c","address":"10.0.0.1:80","class":"stream","select":{"a":"b"}}]}`, strings.Join(list, ","))
 	w.edit(t, catalog.Command{Kind: catalog.KindApply, Document: catalog.Compress([]byte(document))})
 	w.tick(t, 0)
 	return w
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -28,8 +28,8 @@
 // AvailabilityZone is the name of an availability zone, such as "bogota-a".
 type AvailabilityZone string
 
-// Customer is the name of the customer that owns a service.
-type Customer string
+// Workspace is the name of the workspace that owns a service.
+type Workspace string
 
 // VM is the name of a virtual machine in the asset register.
 type VM string
@@ -70,7 +70,7 @@
 	// Generation is that of the last change to the service or to one of its targets.
 	Generation   Generation
 	Name         string
-	Customer     Customer
+	Workspace    Workspace
 	Address      netip.AddrPort
 	Class        FlowClass
 	MaxQueueWait time.Duration
--- a/internal/model/view.go
+++ b/internal/model/view.go
@@ -89,7 +89,7 @@
 
 func hashService(h *xxhash.Digest, s Service) {
 	hashString(h, s.Name)
-	hashString(h, string(s.Customer))
+	hashString(h, string(s.Workspace))
 	hashAddrPort(h, s.Address)
 	enabled := uint64(0)
 	if s.Silence.Enabled {
