Searches wait for every target that was handed the packet

Cause: a search that hands a packet to three targets of unsure relays went on as soon as one of them returned it, unless the others were among the nine likely owners. With the last three it reset the flow although its target was about to answer. Change: the entry VM keeps which targets were handed the packet. It resets a flow only after each of them has returned it or is lost, asks all relays if the likely ones do not answer, and takes the owner's word also after it has given up.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -253,6 +253,37 @@
 	g.Expect(w.broken).To(BeEmpty())
 }
 
+// Guards against a reset of a flow whose target is slower to answer than others are to return a packet.
+// The flows were opened when there was one target, so most are beyond the likely owners of their ranking,
+// and all relays are unsure after their restart.
+func TestSearchWaitsForEveryTargetThatWasHandedThePacket(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(20) {
+		w := newWorld(seed, 2, 1)
+		for range 20 {
+			w.call()
+		}
+		w.run(time.Second)
+		for range 17 {
+			w.addTarget(service)
+		}
+		w.run(time.Second)
+		open := w.open()
+		g.Expect(open).To(BeNumerically(">", 0))
+		for _, v := range w.targets {
+			v.startRelay()
+		}
+		for _, e := range w.entries {
+			e.start()
+		}
+		w.run(3 * time.Second)
+		g.Expect(w.broken).To(BeEmpty(), "seed %d", seed)
+		before := w.served()
+		w.run(2 * time.Second)
+		g.Expect(w.served()-before).To(BeNumerically(">=", open*3), "seed %d", seed)
+	}
+}
+
 // Guards against a rule that holds only for the sequences of failures that somebody thought of: no flow
 // is reset while its target lives, whatever is restarted, drained or lost, and all flows go on.
 func TestFlowsUnderFaults(t *testing.T) {
--- a/internal/entry/questions.go
+++ b/internal/entry/questions.go
@@ -197,9 +197,7 @@
 			continue
 		case hop.Unsure:
 			for _, relay := range m.Relays {
-				if !f.answeredBy(relay) {
-					f.unsure = append(f.unsure, relay)
-				}
+				f.doubt(relay)
 			}
 		}
 		f.groups--
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -110,6 +110,26 @@
 	return slices.Contains(f.notHere, ip) || slices.Contains(f.unsure, ip)
 }
 
+// doubt notes that a relay does not know whether its target has the flow. A target that was handed the
+// packet is not handed it again.
+func (f *flow) doubt(ip hop.IP) {
+	if !f.answeredBy(ip) && !slices.Contains(f.probed, ip) {
+		f.unsure = append(f.unsure, ip)
+	}
+}
+
+// outstanding returns the number of targets that were handed the packet, are not lost and have not
+// returned it. One of them may be at work on it.
+func (e *Entry) outstanding(f *flow) int {
+	open := 0
+	for _, ip := range f.probed {
+		if !slices.Contains(f.notHere, ip) && !e.View.Lost(ip) {
+			open++
+		}
+	}
+	return open
+}
+
 // unanswered returns the number of relays that were asked, are not lost and have not answered.
 func (e *Entry) unanswered(f *flow) int {
 	open := 0
@@ -121,24 +141,27 @@
 	return open
 }
 
-// conclude goes on with a search once every relay that was asked has answered.
+// conclude goes on with a search once every relay or target that was asked has answered.
 func (e *Entry) conclude(now time.Duration, key packet.Key, f *flow) {
-	if e.unanswered(f) > 0 {
-		return
-	}
-	switch f.state {
-	case searching:
+	switch {
+	case f.state == searching && e.unanswered(f) == 0:
 		e.widen(now, key, f)
-	case probing:
-		if len(f.unsure) > 0 {
-			e.probe(now, key, f)
-			return
-		}
-		if f.swept {
-			e.nobody(now, key, f)
-			return
-		}
+	case f.state == probing && e.outstanding(f) == 0:
+		e.probeMore(now, key, f)
+	}
+}
+
+// probeMore goes on after targets were handed the packet: with the next ones, or with all relays.
+func (e *Entry) probeMore(now time.Duration, key packet.Key, f *flow) {
+	switch {
+	case len(f.unsure) > 0:
+		e.probe(now, key, f)
+	case !f.swept:
 		e.askAll(now, key, f)
+	case e.outstanding(f) == 0:
+		e.nobody(now, key, f)
+	default:
+		e.giveUp(now, key, f)
 	}
 }
 
@@ -146,14 +169,11 @@
 // the packet; for many that would choke the link.
 func (e *Entry) concludeSweep(now time.Duration, key packet.Key, f *flow) {
 	f.swept = true
-	switch {
-	case len(f.unsure) == 0:
-		e.nobody(now, key, f)
-	case len(f.unsure) <= maxProbes:
-		e.probe(now, key, f)
-	default:
+	if len(f.unsure) > maxProbes {
 		e.giveUp(now, key, f)
+		return
 	}
+	e.probeMore(now, key, f)
 }
 
 // widen goes on after the likely owners have answered: the targets of unsure relays get the packet, or
@@ -173,8 +193,8 @@
 		e.ask(now, key, f)
 	case f.state == searching:
 		e.widen(now, key, f)
-	case f.state == probing && len(f.unsure) > 0:
-		e.probe(now, key, f)
+	case f.state == probing:
+		e.probeMore(now, key, f)
 	case f.state == sweeping && f.sweeps < sweepRounds:
 		e.askAll(now, key, f)
 	default:
@@ -192,6 +212,7 @@
 	count := min(len(f.unsure), probesAtOnce)
 	next := f.unsure[:count]
 	f.unsure = f.unsure[count:]
+	f.probed = append(f.probed, next...)
 	e.wait(key, f, now+probeTimeout)
 	m := hop.Message{Kind: hop.Forward, Service: uint64(f.service), Entry: e.cfg.Self, Packet: f.held[0], Probe: true}
 	for _, ip := range next {
@@ -202,7 +223,7 @@
 // probed takes in whether a target has the flow of a packet that it was handed.
 func (e *Entry) probed(now time.Duration, from hop.IP, m *hop.Message) {
 	f := e.flows[m.Key]
-	if f == nil || (f.state != probing && f.state != searching && f.state != sweeping) {
+	if f == nil || (f.state != probing && f.state != searching && f.state != sweeping && f.state != unowned) {
 		return
 	}
 	if m.Kind == hop.Disowned {
@@ -235,7 +256,7 @@
 		Kind: decision.SearchFailed, Flow: key, Tries: f.round + f.sweeps, Took: now - f.began, Code: result.DeadlineExceeded,
 	})
 	f.waits = false
-	f.held, f.unsure, f.asked, f.notHere = nil, nil, nil, nil
+	f.held, f.unsure, f.asked, f.notHere, f.probed = nil, nil, nil, nil, nil
 	f.state, f.due = unowned, now+min(findPause<<min(f.failures, 8), maxFindPause)
 	f.failures++
 }
@@ -249,15 +270,13 @@
 		f.waits = false
 		held := f.held
 		f.state, f.owner, f.failures = owned, from, 0
-		f.held, f.asked, f.unsure, f.notHere = nil, nil, nil, nil
+		f.held, f.asked, f.unsure, f.notHere, f.probed = nil, nil, nil, nil, nil
 		for _, raw := range held {
 			e.send(from, f.service, raw)
 		}
 		return
 	case hop.Unsure:
-		if !slices.Contains(f.unsure, from) && !slices.Contains(f.notHere, from) {
-			f.unsure = append(f.unsure, from)
-		}
+		f.doubt(from)
 	default:
 		if !slices.Contains(f.notHere, from) {
 			f.notHere = append(f.notHere, from)
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -110,7 +110,7 @@
 		r.resetAll(now)
 		r.complete = true
 	} else {
-		r.complete = h.Sequence <= firstHeartbeats
+		r.complete = r.complete || h.Sequence <= firstHeartbeats
 	}
 	r.waiting = false
 	r.target = Target{Target: roster.Target{Service: h.Service, ID: h.ID, Born: h.Born, State: roster.Ready}}
@@ -156,14 +156,14 @@
 func (r *Relay) TargetEnded() bool { return r.target.left || r.target.gone() }
 
 // CheckDue reports whether the shell should ask the target whether it still listens, and marks the
-// question as asked. A target that was never heard is asked too: its VM may be without one since before
-// this process started, and entry VMs would take the relay for unsure of its flows.
+// question as asked. A target that was never heard is asked at once: its VM may be without one since before
+// this process started, and until that is known entry VMs take the relay for unsure of its flows.
 func (r *Relay) CheckDue(now, heartbeatInterval time.Duration) bool {
 	t := &r.target
 	if t.checking || t.State == roster.Down || now-t.lastCheck < checkPause {
 		return false
 	}
-	overdue := now-t.heard > heartbeatsMissed*heartbeatInterval
+	overdue := t.ID == "" || now-t.heard > heartbeatsMissed*heartbeatInterval
 	if !overdue && !(r.waiting && now-r.unanswered > answerTimeout) {
 		return false
 	}
