Explain from logs what happened to a flow

Cause: an engineer had to grep the lines of a flow on all VMs and to know which lines around them matter. The reset of a flow by a relay whose target ended was not logged at all, decisions that waited when a process stopped were lost, and a controller did not say which relay it no longer hears. Messages that it relies on are constants of internal/decision.

--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/roster"
@@ -94,10 +95,13 @@
 func (c *Controller) expire(ctx context.Context) {
 	for ctxtime.Sleep(ctx, expireInterval) {
 		c.mu.Lock()
-		changed := c.registry.Expire(time.Since(c.start))
+		expired := c.registry.Expire(time.Since(c.start))
 		c.mu.Unlock()
-		if changed {
-			c.tel.Logger.Info().Msg("a target's relay stopped announcing itself")
+		for i := range expired {
+			c.tel.Logger.Info().Str("relay", expired[i].Name).Str("target", expired[i].Target.ID).Str("state", expired[i].Target.State.String()).
+				Msg("a target's relay stopped announcing itself")
+		}
+		if len(expired) > 0 {
 			c.listChanged()
 		}
 	}
@@ -119,7 +123,7 @@
 
 // committed tells all entry VMs that a configuration was committed.
 func (c *Controller) committed(version uint64) {
-	c.tel.Logger.Info().Uint64("version", version).Msg("configuration committed")
+	c.tel.Logger.Info().Uint64("version", version).Msg(decision.ConfigCommitted)
 	base := c.baseAnswer()
 	c.mu.Lock()
 	entries := c.registry.Nodes(roster.RoleEntry)
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -122,10 +121,13 @@
 }
 
 func (a *app) explainCommand() *cobra.Command {
-	return &cobra.Command{
+	var past pastFlow
+	c := &cobra.Command{
 		Use:   "explain CALLER:PORT SERVICE:PORT",
 		Short: "Explain where the packets of a flow go and why a request may be refused",
-		Args:  cobra.ExactArgs(2),
+		Long: "Explains what happens to a new flow now, by asking a controller. With --log, explains from the logs of " +
+			"processes of the datagram path what happened to a flow and why.",
+		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			caller, err := netip.ParseAddrPort(args[0])
 			if err != nil {
@@ -135,6 +137,9 @@
 			if err != nil {
 				return usageError{errors.Newf("service %q: want ADDRESS:PORT", args[1])}
 			}
+			if len(past.files) > 0 {
+				return a.explainPast(caller, service, &past)
+			}
 			client, err := a.connect()
 			if err != nil {
 				return err
@@ -153,6 +158,8 @@
 			return a.printExplanation(explain(reply, targets.Targets))
 		},
 	}
+	past.flags(c.Flags())
+	return c
 }
 
 // explanation says which targets are asked for a flow, in order.
@@ -234,14 +241,13 @@
 			return codes, cobra.ShellCompDirectiveNoFileComp
 		},
 		RunE: func(_ *cobra.Command, args []string) error {
-			var infos []result.Info
-			for _, info := range result.Table() {
-				if len(args) == 0 || strings.EqualFold(info.Code.String(), args[0]) || strings.EqualFold(info.Name, args[0]) {
-					infos = append(infos, info)
+			infos := result.Table()
+			if len(args) > 0 {
+				info, ok := result.Find(args[0])
+				if !ok {
+					return usageError{errors.Newf("no result code %q", args[0])}
 				}
-			}
-			if len(infos) == 0 {
-				return usageError{errors.Newf("no result code %q", args[0])}
+				infos = []result.Info{info}
 			}
 			return a.print(infos, func(t *table) {
 				t.row("CODE", "NAME", "MEANING", "NEXT")
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -139,7 +139,7 @@
 // Missed returns the number of decisions of a kind that were left out.
 func (l *Log) Missed(k Kind) uint64 { return l.missed[k].Load() }
 
-// Run writes decisions until ctx is done.
+// Run writes decisions until ctx is done, and then those that were taken in before.
 func (l *Log) Run(ctx context.Context) error {
 	report := time.NewTicker(reportInterval)
 	defer report.Stop()
@@ -147,6 +147,8 @@
 	for {
 		select {
 		case <-ctx.Done():
+			l.writeWaiting()
+			l.reportMissed(&told)
 			return nil
 		case d := <-l.ring:
 			l.write(&d)
@@ -156,6 +158,17 @@
 	}
 }
 
+func (l *Log) writeWaiting() {
+	for {
+		select {
+		case d := <-l.ring:
+			l.write(&d)
+		default:
+			return
+		}
+	}
+}
+
 func (l *Log) write(d *Decision) {
 	e := l.logger.Info().Str("kind", d.Kind.String()).Str("flow", d.Flow.String()).Uint32("seq", d.Seq)
 	if d.Target != (hop.IP{}) {
@@ -176,7 +189,7 @@
 		if missed == told[k] {
 			continue
 		}
-		l.logger.Info().Str("kind", k.String()).Uint64("lines", missed-told[k]).Msg("decisions left out of the log")
+		l.logger.Info().Str("kind", k.String()).Uint64("lines", missed-told[k]).Msg(LinesLeftOut)
 		told[k] = missed
 	}
 }
--- a/internal/entry/target_test.go
+++ b/internal/entry/target_test.go
@@ -45,7 +45,7 @@
 }
 
 func (t *targetVM) startRelay() {
-	t.relay = relay.New(relay.Config{Codec: plainCodec{}, Service: t.service, Self: t.ip}, t)
+	t.relay = relay.New(relay.Config{Codec: plainCodec{}, Service: t.service, Self: t.ip, Decisions: t.w.logs.open("relay", t.ip)}, t)
 }
 
 func (t *targetVM) arm() {
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -82,6 +82,7 @@
 	broken           []string // flows that were reset although their target lives
 	foreign          int      // answers of a target that does not have the flow
 	deaf             bool     // entry VMs are told nothing of targets
+	logs             *logs    // nil for none
 }
 
 type event struct {
@@ -215,7 +216,9 @@
 
 func (e *entryVM) start() {
 	picker := place.NewPicker("zone", rand.New(rand.NewPCG(e.w.rand.Uint64(), 2)))
-	e.entry = entry.New(entry.Config{Codec: plainCodec{}, Self: e.ip, LinkBytes: 650_000}, picker, e)
+	e.entry = entry.New(entry.Config{
+		Codec: plainCodec{}, Self: e.ip, LinkBytes: 650_000, Decisions: e.w.logs.open("entry", e.ip),
+	}, picker, e)
 	e.entry.SetTable(e.w.table)
 	e.settle(e.entry)
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx"
 
 	"github.com/greengagelock/greengagelock/internal/confstore"
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/entry"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/place"
@@ -251,11 +252,11 @@
 		OnStart: func(context.Context) error {
 			p.tel.Logger.Info().Str("role", string(s.Role)).Str("ip", s.IP.String()).Str("zone", s.Zone).
 				Bool("first_start", s.FirstStart).Int("controllers", len(s.Controllers)).
-				Dur("startup_ms", time.Since(processStart)).Msg("started")
+				Dur("startup_ms", time.Since(processStart)).Msg(decision.Started)
 			return nil
 		},
 		OnStop: func(context.Context) error {
-			p.tel.Logger.Info().Str("role", string(s.Role)).Msg("stopping")
+			p.tel.Logger.Info().Str("role", string(s.Role)).Msg(decision.Stopping)
 			return nil
 		},
 	})
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -228,7 +228,7 @@
 		return
 	}
 	p.tel.Logger.Info().Str("target", t.ID).Int64("born", t.Born).Str("before", before.String()).
-		Str("state", t.State.String()).Str("why", why).Msg("state of the target")
+		Str("state", t.State.String()).Str("why", why).Msg(decision.TargetState)
 	p.uplink.Announce()
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -332,6 +332,7 @@
 	for key, f := range r.flows {
 		if f.state == open {
 			r.Stats.FlowsReset++
+			r.note(now, decision.Reset, key, f.callerISN, 0, result.TargetNotFound)
 			r.ports.ToCaller(key.Caller, r.cfg.Codec.Reset(key, f.callerAck))
 		}
 		r.finish(now, f)
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -66,6 +66,16 @@
 	return Info{}, false
 }
 
+// Find returns the explanation of a code by its number or name in any case, such as "GGL-2001".
+func Find(text string) (Info, bool) {
+	for _, info := range table {
+		if strings.EqualFold(info.Code.String(), text) || strings.EqualFold(info.Name, text) {
+			return info, true
+		}
+	}
+	return Info{}, false
+}
+
 // String returns the number in the form of the table, such as "GGL-2001".
 func (c Code) String() string {
 	return fmt.Sprintf("GGL-%04d", uint16(c))
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -68,18 +68,20 @@
 	return *a == *b
 }
 
-// Expire forgets processes whose lease has ended. It reports whether the list has changed.
-func (r *Registry) Expire(now time.Duration) bool {
-	changed := false
+// Expire forgets processes whose lease has ended, and returns those that stood beside a target.
+func (r *Registry) Expire(now time.Duration) []Announcement {
+	var relays []Announcement
 	for ip, n := range r.nodes {
 		if now-n.heard <= Lease {
 			continue
 		}
 		delete(r.nodes, ip)
-		changed = changed || n.Target != nil
+		if n.Target != nil {
+			relays = append(relays, n.Announcement)
+		}
 	}
-	r.stale = r.stale || changed
-	return changed
+	r.stale = r.stale || len(relays) > 0
+	return relays
 }
 
 // Nodes returns the addresses of the processes with a role.
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -13,6 +13,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/confstore"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
@@ -139,7 +140,7 @@
 	for ip, c := range u.controllers {
 		if !c.lost && time.Since(c.heard) > lostAfter {
 			c.lost = true
-			u.cfg.Logger.Warn().Str("controller", netip.AddrFrom4(ip).String()).Msg("a controller does not answer")
+			u.cfg.Logger.Warn().Str("controller", netip.AddrFrom4(ip).String()).Msg(decision.ControllerLost)
 		}
 		if !slices.Contains(list, ip) {
 			delete(u.controllers, ip)
@@ -157,7 +158,7 @@
 		c = &controller{}
 		u.controllers[from] = c
 	} else if c.lost {
-		u.cfg.Logger.Info().Str("controller", netip.AddrFrom4(from).String()).Msg("a controller answers again")
+		u.cfg.Logger.Info().Str("controller", netip.AddrFrom4(from).String()).Msg(decision.ControllerBack)
 	}
 	c.version, c.heard, c.lost = a.Version, time.Now(), false
 	if a.Current {
@@ -233,7 +234,7 @@
 	u.version = max(u.version, content.Version)
 	u.mu.Unlock()
 	logger.Info().Uint64("version", content.Version).Int("routes", len(document.Routes)).
-		Str("controller", address.String()).Msg("configuration in force")
+		Str("controller", address.String()).Msg(decision.ConfigInForce)
 	return true
 }
 
