Pass a packet on from relay to relay while its target is looked for

The relays were unsure for longer than need be: with the answer of one controller a relay waited 0.4 s before it asked the others, and it needs a majority. Ruled out: relays that do not answer surveys (none was missing in that time), the limit of waiting questions. Change: an entry VM sends one packet for each eight unsure relays, within the budget; a relay whose target returns it tells the entry VM and passes it on. Relays behind one that does not answer are asked again. A survey with missing answers still tells which targets to hand the packet to; it only cannot end in a reset. Controllers that have not answered are announced to every 40 ms for 2 s after the first answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -129,11 +129,13 @@
 	asked    []hop.IP
 	unsure   []hop.IP
 	notHere  []hop.IP
-	probed   []hop.IP // relays whose targets were handed the packet
-	failures int      // searches in a row without a result
-	swept    bool     // all relays have answered
-	sweeps   int      // surveys that were asked for
-	groups   int      // groups of relays whose survey has not been answered
+	probed   []hop.IP   // relays whose targets were handed the packet
+	chains   [][]hop.IP // in which the relays of the last probe pass it on
+	failures int        // searches in a row without a result
+	swept    bool       // all relays were asked
+	partial  bool       // and some did not answer
+	sweeps   int        // surveys that were asked for
+	groups   int        // groups of relays whose survey has not been answered
 }
 
 // New returns an entry VM without configuration and targets.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -205,6 +205,37 @@
 	g.Expect(w.open()).To(BeZero(), "flows wait for targets that are gone")
 }
 
+// Guards against packets for the targets of unsure relays that choke the link of an entry VM: after a loss
+// of power each of 20 targets was handed the packet of every flow, and the answers came too late.
+func TestProbesStayWithinTheirShareOfTheLink(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(12, 1, 20)
+	for range 400 {
+		w.call()
+	}
+	w.run(3 * time.Second)
+	w.entries[0].entry = nil
+	for _, v := range w.targets {
+		v.crash()
+		v.relay = nil
+		v.startTarget()
+	}
+	w.run(4 * beatPeriod)
+	for _, v := range w.targets {
+		v.startRelay() // too late to know that the target has no flows
+	}
+	w.entries[0].start()
+	w.bytes = 0
+	start := w.now
+	w.run(time.Second)
+	rate := float64(w.bytes) / (w.now - start).Seconds()
+	g.Expect(rate).To(BeNumerically("<", 0.5*650_000))
+	for range 10 {
+		w.run(500 * time.Millisecond)
+	}
+	g.Expect(w.open()).To(BeZero(), "flows wait for targets that are gone")
+}
+
 // Guards against the load of a burst: half as many requests again as the targets can serve, for a second,
 // each on a flow of its own. A target that is handed more than it can queue rejects requests, which costs
 // their clients a retry; held SYNs are served once the burst is over.
@@ -258,7 +289,7 @@
 // and all relays are unsure after their restart.
 func TestSearchWaitsForEveryTargetThatWasHandedThePacket(t *testing.T) {
 	g := NewWithT(t)
-	for seed := range uint64(20) {
+	for seed := range uint64(40) {
 		w := newWorld(seed, 2, 1)
 		for range 20 {
 			w.call()
@@ -273,6 +304,8 @@
 		for _, v := range w.targets {
 			v.startRelay()
 		}
+		// A relay that answers nobody must not keep the others from being asked.
+		w.targets[5].hung = seed%2 == 1
 		for _, e := range w.entries {
 			e.start()
 		}
--- a/internal/entry/questions.go
+++ b/internal/entry/questions.go
@@ -192,10 +192,8 @@
 		case hop.Owned:
 			e.found(now, key, f, m.Owners[i], hop.Owned)
 			continue
-		case hop.Unknown:
-			e.giveUp(now, key, f)
-			continue
-		case hop.Unsure:
+		case hop.Unknown, hop.Unsure:
+			f.partial = f.partial || m.Answers[i] == hop.Unknown
 			for _, relay := range m.Relays {
 				f.doubt(relay)
 			}
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -18,9 +18,6 @@
 	findRounds = 2
 	// probeTimeout is the time that the targets of unsure relays have for taking or returning a packet.
 	probeTimeout = 60 * time.Millisecond
-	// probesAtOnce is the number of targets that get a packet at the same time. Half of the flows are at the
-	// first three of their ranking.
-	probesAtOnce = 3
 	// maxProbes bounds the targets that get a packet to tell whether they have its flow.
 	maxProbes = 24
 	// maxServicesAsked bounds the services whose likely owners are asked besides those of the route.
@@ -118,6 +115,14 @@
 	}
 }
 
+// rank returns the position of a relay among the likely owners, or the one after them.
+func (f *flow) rank(ip hop.IP) int {
+	if at := slices.Index(f.asked, ip); at >= 0 {
+		return at
+	}
+	return len(f.asked)
+}
+
 // outstanding returns the number of targets that were handed the packet, are not lost and have not
 // returned it. One of them may be at work on it.
 func (e *Entry) outstanding(f *flow) int {
@@ -158,14 +163,14 @@
 		e.probe(now, key, f)
 	case !f.swept:
 		e.askAll(now, key, f)
-	case e.outstanding(f) == 0:
+	case e.outstanding(f) == 0 && !f.partial:
 		e.nobody(now, key, f)
 	default:
 		e.giveUp(now, key, f)
 	}
 }
 
-// concludeSweep ends a search after all relays have answered. The targets of a few unsure relays get
+// concludeSweep goes on after the relays have answered. The targets of a few unsure relays get
 // the packet; for many that would choke the link.
 func (e *Entry) concludeSweep(now time.Duration, key packet.Key, f *flow) {
 	f.swept = true
@@ -194,7 +199,7 @@
 	case f.state == searching:
 		e.widen(now, key, f)
 	case f.state == probing:
-		e.probeMore(now, key, f)
+		e.probeDue(now, key, f)
 	case f.state == sweeping && f.sweeps < sweepRounds:
 		e.askAll(now, key, f)
 	default:
@@ -203,23 +208,54 @@
 }
 
 // probe hands the first packet to the targets whose relays are not sure. The one that has the flow
-// answers it, the others return it.
+// answers it, the others return it, and their relays pass it on to the next of their chain: from an entry
+// VM, whose link is small, each chain takes one packet.
 func (e *Entry) probe(now time.Duration, key packet.Key, f *flow) {
-	e.Stats.Probed++
 	f.state = probing
+	count := min(len(f.unsure), maxProbes)
+	heads := (count + hop.MaxChain - 1) / hop.MaxChain
+	if !e.questions.allow(now, heads, hop.ForwardSize(hop.MaxChain, len(f.held[0]))) {
+		e.wait(key, f, now+retryDelay)
+		return
+	}
+	e.Stats.Probed++
 	// Those at the front of the ranking have the flow most often.
-	slices.SortFunc(f.unsure, func(a, b hop.IP) int { return slices.Index(f.asked, a) - slices.Index(f.asked, b) })
-	count := min(len(f.unsure), probesAtOnce)
-	next := f.unsure[:count]
+	slices.SortStableFunc(f.unsure, func(a, b hop.IP) int { return f.rank(a) - f.rank(b) })
+	f.chains = make([][]hop.IP, heads)
+	for i, ip := range f.unsure[:count] {
+		f.chains[i%heads] = append(f.chains[i%heads], ip)
+	}
+	f.probed = append(f.probed, f.unsure[:count]...)
 	f.unsure = f.unsure[count:]
-	f.probed = append(f.probed, next...)
 	e.wait(key, f, now+probeTimeout)
 	m := hop.Message{Kind: hop.Forward, Service: uint64(f.service), Entry: e.cfg.Self, Packet: f.held[0], Probe: true}
-	for _, ip := range next {
-		e.toNode(ip, &m)
+	for _, chain := range f.chains {
+		m.Candidates = chain
+		e.toNode(chain[0], &m)
 	}
 }
 
+// probeDue goes on when a chain has not answered in time. Relays behind the first one that did not answer
+// have not had the packet.
+func (e *Entry) probeDue(now time.Duration, key packet.Key, f *flow) {
+	for _, chain := range f.chains {
+		at := slices.IndexFunc(chain, func(ip hop.IP) bool { return !slices.Contains(f.notHere, ip) })
+		if at < 0 {
+			continue
+		}
+		for _, ip := range chain[at+1:] {
+			f.probed = slices.DeleteFunc(f.probed, func(p hop.IP) bool { return p == ip })
+			f.doubt(ip)
+		}
+	}
+	f.chains = nil
+	if now-f.began > callerPatience {
+		e.giveUp(now, key, f)
+		return
+	}
+	e.probeMore(now, key, f)
+}
+
 // probed takes in whether a target has the flow of a packet that it was handed.
 func (e *Entry) probed(now time.Duration, from hop.IP, m *hop.Message) {
 	f := e.flows[m.Key]
@@ -256,7 +292,7 @@
 		Kind: decision.SearchFailed, Flow: key, Tries: f.round + f.sweeps, Took: now - f.began, Code: result.DeadlineExceeded,
 	})
 	f.waits = false
-	f.held, f.unsure, f.asked, f.notHere, f.probed = nil, nil, nil, nil, nil
+	f.held, f.unsure, f.asked, f.notHere, f.probed, f.chains = nil, nil, nil, nil, nil, nil
 	f.state, f.due = unowned, now+min(findPause<<min(f.failures, 8), maxFindPause)
 	f.failures++
 }
@@ -270,7 +306,7 @@
 		f.waits = false
 		held := f.held
 		f.state, f.owner, f.failures = owned, from, 0
-		f.held, f.asked, f.unsure, f.notHere, f.probed = nil, nil, nil, nil, nil
+		f.held, f.asked, f.unsure, f.notHere, f.probed, f.chains = nil, nil, nil, nil, nil, nil
 		for _, raw := range held {
 			e.send(from, f.service, raw)
 		}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -70,6 +70,10 @@
 // above 99% at 70% of the slots in use; a longer one only delays the refusal.
 const MaxCandidates = 4
 
+// MaxChain bounds the relays that pass on a packet whose flow is looked for. Each takes about 2 ms, so that
+// a chain ends well within the timeout of 60 ms.
+const MaxChain = 8
+
 // IP is the IPv4 address of a process of the system. Ports are the same on all VMs.
 type IP [4]byte
 
@@ -102,7 +106,8 @@
 	Relays []IP
 	Owners []IP
 
-	// Probe is set in Forward if the entry VM keeps the packet and wants to know who has its flow.
+	// Probe is set in Forward if the entry VM keeps the packet and wants to know who has its flow. A relay
+	// whose target does not have it passes the packet on to the next of the Candidates.
 	Probe bool
 	// MaxWait is the time in ms that a request of a SYN may wait at a target; zero for any. Busy is set in
 	// Refused if the least loaded target would have let it wait longer.
@@ -220,6 +225,9 @@
 	return ips, rest, true
 }
 
+// ForwardSize returns the size of a Forward.
+func ForwardSize(candidates, packetBytes int) int { return forwardBytes + 4*candidates + packetBytes }
+
 // SurveySize returns the size of a Survey.
 func SurveySize(relays, questions int) int { return manyBytes + 1 + relays*4 + questions*questionSize }
 
@@ -239,7 +247,7 @@
 	count := int(b[2])
 	switch m.Kind {
 	case Forward, Refused, Returned:
-		if count > MaxCandidates || len(b) < forwardBytes+4*count {
+		if count > MaxChain || len(b) < forwardBytes+4*count {
 			return truncated(b)
 		}
 		m.Service = binary.BigEndian.Uint64(b[headBytes:])
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -40,7 +40,7 @@
 		m.Owners, m.Answers = []IP{{}, {10, 0, 0, 2}}, []Answer{NotOwned, Owned}
 	default:
 		m.Service, m.Entry = rapid.Uint64().Draw(t, "service"), IP{10, 0, 0, 1}
-		for i := range rapid.IntRange(1, MaxCandidates).Draw(t, "candidates") {
+		for i := range rapid.IntRange(1, MaxChain).Draw(t, "candidates") {
 			m.Candidates = append(m.Candidates, IP{10, 0, 1, byte(i)})
 		}
 		m.At = uint8(rapid.IntRange(0, len(m.Candidates)-1).Draw(t, "at"))
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -109,11 +109,16 @@
 	r.ports.ToTarget(m.Packet)
 }
 
-// giveBack tells the entry VM that the flow is not here.
+// giveBack tells the entry VM that the flow is not here. A packet that looks for its target goes on to the
+// next relay of its chain.
 func (r *Relay) giveBack(key packet.Key, m *hop.Message) {
 	r.Stats.Returned++
 	if m.Probe {
 		r.toNode(m.Entry, &hop.Message{Kind: hop.Disowned, Key: key})
+		if next := int(m.At) + 1; next < len(m.Candidates) {
+			m.Kind, m.At, m.Best = hop.Forward, uint8(next), 0
+			r.toNode(m.Candidates[next], m)
+		}
 		return
 	}
 	m.Kind, m.Candidates, m.At, m.Best = hop.Returned, m.Candidates[:0], 0, 0
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -74,6 +74,7 @@
 	armed bool
 	gone  bool
 	state roster.State // as last announced
+	sure  bool         // as last logged
 }
 
 // NewProcess opens the sockets.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -130,7 +130,7 @@
 	bestLoad   uint8
 	count      uint8
 	probe      bool
-	candidates [hop.MaxCandidates]hop.IP
+	candidates [hop.MaxChain]hop.IP
 }
 
 // New returns a relay.
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -23,8 +23,12 @@
 	// maxControllers bounds the controllers that are announced to: 7 members and as many that replace
 	// them.
 	maxControllers = 14
-	// searchInterval is the time between two announcements while no controller answers.
+	// searchInterval is the time between two announcements while no controller answers, and to those that
+	// have not answered shortly after others have.
 	searchInterval = 40 * time.Millisecond
+	// searchSpan is the time after the first answer in which the other controllers are looked for. After a
+	// loss of power controllers start within a second of each other, and a relay believes a majority.
+	searchSpan = 2 * time.Second
 	// fetchPause is the time after a fetch that failed.
 	fetchPause = 100 * time.Millisecond
 	// lostAfter is the time without an answer after which a controller counts as lost. It has then missed
@@ -48,10 +52,13 @@
 
 // Uplink holds the contact with the controllers.
 type Uplink struct {
-	cfg  Config
-	wake chan struct{}
+	cfg   Config
+	wake  chan struct{}
+	clock func() time.Time // time.Now but in tests
 
 	mu          sync.Mutex
+	announced   time.Time // to all controllers
+	contact     time.Time // of the first answer after a time without any
 	seeds       []hop.IP
 	members     []hop.IP // of the last answer of a controller in contact with a majority
 	controllers map[hop.IP]*controller
@@ -68,7 +75,7 @@
 
 // New returns an Uplink.
 func New(cfg Config) *Uplink {
-	u := &Uplink{cfg: cfg, wake: make(chan struct{}, 1), controllers: map[hop.IP]*controller{}}
+	u := &Uplink{cfg: cfg, wake: make(chan struct{}, 1), clock: time.Now, controllers: map[hop.IP]*controller{}}
 	u.SetSeeds(cfg.Seeds)
 	return u
 }
@@ -92,30 +99,54 @@
 		wg.Go(func() { u.fetchAll(ctx) })
 	}
 	for {
-		u.Announce()
-		if !ctxtime.Sleep(ctx, u.interval()) {
+		if !ctxtime.Sleep(ctx, u.step()) {
 			wg.Wait()
 			return nil
 		}
 	}
 }
 
-// interval returns the time until the next announcement. Until a controller has answered, and while
-// none answers, it is short, so that service resumes as soon as controllers are back.
-func (u *Uplink) interval() time.Duration {
+// step announces the process to the controllers for which that is due, and returns the time until the
+// next step. Until a controller has answered, and while none answers, it is short, so that service
+// resumes as soon as controllers are back.
+func (u *Uplink) step() time.Duration {
+	all := u.targets()
+	now := u.clock()
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, c := range u.controllers {
-		if time.Since(c.heard) <= lostAfter {
-			return roster.AnnounceInterval
+	silent, searching := u.silent(now, all)
+	full := now.Sub(u.announced) >= roster.AnnounceInterval || len(silent) == len(all)
+	if full {
+		u.announced = now
+	}
+	next := u.announced.Add(roster.AnnounceInterval).Sub(now)
+	u.mu.Unlock()
+	switch {
+	case full:
+		u.announce(all)
+	case searching:
+		u.announce(silent)
+	}
+	if searching {
+		return searchInterval
+	}
+	return next
+}
+
+// silent returns the controllers that do not answer, and whether they are looked for.
+func (u *Uplink) silent(now time.Time, all []hop.IP) (silent []hop.IP, searching bool) {
+	for _, ip := range all {
+		if c := u.controllers[ip]; c == nil || now.Sub(c.heard) > lostAfter {
+			silent = append(silent, ip)
 		}
 	}
-	return searchInterval
+	return silent, len(silent) == len(all) || (len(silent) > 0 && now.Sub(u.contact) < searchSpan)
 }
 
 // Announce sends an announcement to every controller now.
-func (u *Uplink) Announce() {
-	for _, ip := range u.targets() {
+func (u *Uplink) Announce() { u.announce(u.targets()) }
+
+func (u *Uplink) announce(to []hop.IP) {
+	for _, ip := range to {
 		a := u.cfg.Announce(ip)
 		datagram, err := a.Encode()
 		if err != nil {
@@ -138,7 +169,7 @@
 	}
 	list = list[:min(len(list), maxControllers)]
 	for ip, c := range u.controllers {
-		if !c.lost && time.Since(c.heard) > lostAfter {
+		if !c.lost && u.clock().Sub(c.heard) > lostAfter {
 			c.lost = true
 			u.cfg.Logger.Warn().Str("controller", netip.AddrFrom4(ip).String()).Msg(decision.ControllerLost)
 		}
@@ -160,7 +191,11 @@
 	} else if c.lost {
 		u.cfg.Logger.Info().Str("controller", netip.AddrFrom4(from).String()).Msg(decision.ControllerBack)
 	}
-	c.version, c.heard, c.lost = a.Version, time.Now(), false
+	now := u.clock()
+	if !u.inContact(now) {
+		u.contact = now
+	}
+	c.version, c.heard, c.lost = a.Version, now, false
 	if a.Current {
 		u.current = true
 		u.members = slices.Clone(a.Controllers)
@@ -174,6 +209,15 @@
 	}
 }
 
+func (u *Uplink) inContact(now time.Time) bool {
+	for _, c := range u.controllers {
+		if now.Sub(c.heard) <= lostAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // fetchAll fetches every newer configuration.
 func (u *Uplink) fetchAll(ctx context.Context) {
 	for {
