--- a/internal/decision/line.go
+++ b/internal/decision/line.go
@@ -35,6 +35,7 @@
 	State      string `json:"state,omitempty"`
 	Why        string `json:"why,omitempty"`
 	Controller string `json:"controller,omitempty"`
+	Sure       bool   `json:"sure,omitempty"` // a relay knows all flows of its target
 }
 
 // Messages of lines that others than this package write.
@@ -42,6 +43,7 @@
 	ConfigInForce   = "configuration in force"
 	ConfigCommitted = "configuration committed"
 	TargetState     = "state of the target"
+	FlowsKnown      = "whether all flows of the target are known"
 	ControllerLost  = "a controller does not answer"
 	ControllerBack  = "a controller answers again"
 	Started         = "started"
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -230,9 +230,7 @@
 	w.run(time.Second)
 	rate := float64(w.bytes) / (w.now - start).Seconds()
 	g.Expect(rate).To(BeNumerically("<", 0.5*650_000))
-	for range 10 {
-		w.run(500 * time.Millisecond)
-	}
+	w.run(5 * time.Second)
 	g.Expect(w.open()).To(BeZero(), "flows wait for targets that are gone")
 }
 
--- a/internal/flowlog/flowlog.go
+++ b/internal/flowlog/flowlog.go
@@ -56,7 +56,7 @@
 
 func (l *Log) take(line *decision.Line) {
 	switch line.Message {
-	case decision.ConfigInForce, decision.ConfigCommitted, decision.TargetState, decision.ControllerLost,
+	case decision.ConfigInForce, decision.ConfigCommitted, decision.TargetState, decision.FlowsKnown, decision.ControllerLost,
 		decision.ControllerBack, decision.Started, decision.Stopping, decision.LinesLeftOut:
 		l.other = append(l.other, line)
 	}
--- a/internal/flowlog/judge.go
+++ b/internal/flowlog/judge.go
@@ -133,6 +133,12 @@
 		switch line.Message {
 		case decision.TargetState:
 			s.say("%s: the target %q beside %s went from %s to %s: %s", at, line.Target, line.Process, line.Before, line.State, line.Why)
+		case decision.FlowsKnown:
+			if line.Sure {
+				s.say("%s: %s knew all flows of its target: %s", at, line.Process, line.Why)
+			} else {
+				s.say("%s: %s no longer knew all flows of its target", at, line.Process)
+			}
 		case decision.Started:
 			s.say("%s: %s started", at, line.Process)
 		case decision.Stopping:
--- a/internal/relay/find.go
+++ b/internal/relay/find.go
@@ -19,9 +19,12 @@
 // knowsAbsent reports whether the target surely lacks a flow that is not in the table.
 func (r *Relay) knowsAbsent(key packet.Key) bool {
 	_, returned := r.disowned[key]
-	return r.complete || returned || r.target.gone()
+	return returned || r.Complete()
 }
 
+// Complete reports whether the flow table holds every flow of the target.
+func (r *Relay) Complete() bool { return r.complete || r.target.gone() }
+
 // disown keeps that the target has returned a packet of a flow. Only a SYN through this relay could
 // change that, so entry VMs need not have the target asked again.
 func (r *Relay) disown(key packet.Key) {
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -181,6 +181,19 @@
 func (p *Process) fromController(from hop.IP, a *roster.Answer) {
 	p.uplink.Answer(from, a)
 	p.locked(func(time.Duration) { p.relay.Previous(from, a.Previous, len(a.Controllers)) })
+	p.noteSure("a majority of the controllers")
+}
+
+// noteSure logs a change of whether the relay knows all flows of its target.
+func (p *Process) noteSure(why string) {
+	p.mu.Lock()
+	sure, flows := p.relay.Complete(), p.relay.Flows()
+	changed := sure != p.sure
+	p.sure = sure
+	p.mu.Unlock()
+	if changed {
+		p.tel.Logger.Info().Bool("sure", sure).Int("flows", flows).Str("why", why).Msg(decision.FlowsKnown)
+	}
 }
 
 // ToTarget implements Ports.
@@ -220,6 +233,7 @@
 
 // announceChange tells the controllers at once if the state of the target has changed.
 func (p *Process) announceChange(why string) {
+	p.noteSure(why)
 	p.mu.Lock()
 	t := p.relay.Announced(p.now(), p.cfg.Zone)
 	before := p.state
@@ -237,6 +251,7 @@
 	turn := 0
 	for ctxtime.Sleep(ctx, sweepInterval) {
 		p.locked(p.relay.Sweep)
+		p.noteSure("flows of before this process would be too old")
 		if turn++; turn%countersEvery == 0 {
 			p.tel.Logger.Info().Any("counters", p.StatsNow()).Msg("counters")
 		}
