Reset no flow that its target has: four faults of the simulated world

An entry VM refused a SYN although its caller's next packet showed that a target had accepted it; the message that tells so was lost and there was no other target. The caller's packet now ends the offering. 2. A relay that hears the second heartbeat of a target took its flow table for whole, although an earlier process of the relay may have heard the first one and opened flows. Only the first heartbeat proves it. 3. A relay passed on the answer to a SYN that an earlier process had handed over. No entry VM learned of it, and the one that offered the SYN refused it. It is dropped; the caller's copy gets another. 4. Controllers that have just started list only the relays that have announced themselves. Entry VMs took the others for lost, or for not having a flow, and reset flows (TestFreshControllersResetNothing: 15 of 30 flows). A controller now keeps on disk which relays have left, and says that its list is fresh until all others are heard, for 2 s at most.

--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -43,6 +43,9 @@
 	changed := c.registry.Announce(time.Since(c.start), from, a)
 	if a.Role == roster.RoleRelay && a.Target != nil {
 		base.Previous = c.incarnations.note(from, a.Process, a.Target.ID)
+		if a.Gone {
+			c.incarnations.leave(from)
+		}
 	}
 	answers := c.registry.Answers(base, a.Role, a.Digest, a.Loads)
 	c.mu.Unlock()
@@ -79,7 +82,14 @@
 }
 
 func (c *Controller) baseAnswer() roster.Answer {
-	return roster.Answer{Version: c.state.version(), Current: c.Current(), Controllers: c.addresses()}
+	return roster.Answer{
+		Version: c.state.version(), Current: c.Current(), Controllers: c.addresses(), Fresh: c.fresh(),
+	}
+}
+
+// fresh reports whether the list may lack relays that run and have not announced themselves yet.
+func (c *Controller) fresh() bool {
+	return time.Since(c.start) < roster.Lease && !c.incarnations.complete()
 }
 
 func (c *Controller) sendAnswer(to netip.AddrPort, a *roster.Answer) {
@@ -98,6 +108,7 @@
 		expired := c.registry.Expire(time.Since(c.start))
 		c.mu.Unlock()
 		for i := range expired {
+			c.incarnations.leave(expired[i].Target.Relay)
 			c.tel.Logger.Info().Str("relay", expired[i].Name).Str("target", expired[i].Target.ID).Str("state", expired[i].Target.State.String()).
 				Msg("a target's relay stopped announcing itself")
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,6 +122,7 @@
 	route   *routing.Route
 	tried   []hop.IP
 	busy    bool // all targets were too busy at the last offer
+	guessed bool // the owner has not confirmed that it has the flow
 
 	// While searching.
 	ack      uint32
@@ -300,8 +301,12 @@
 		}
 		e.send(f.owner, f.service, raw)
 	default:
-		// The caller has an answer that this process has not been told of; the candidate that the SYN was
-		// offered to first most likely has the flow.
+		if v.Flags&(packet.ACK|packet.RST) == packet.ACK && v.Seq-f.isn <= 1 {
+			// The caller has an answer that this process has not been told of, so the SYN must not be refused
+			// any more. The candidate that it was offered to first most likely has the flow; if not, its
+			// relay gives the packet back, and the owner is searched.
+			f.state, f.guessed, f.waits, f.tried = owned, true, false, nil
+		}
 		e.send(f.owner, f.service, raw)
 	}
 }
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -187,7 +187,14 @@
 	e.View.SetLoad(from, m.Load.Expected())
 	e.picker.Answered(from)
 	f := e.flows[m.Key]
-	if f == nil || f.isn != m.Seq || f.state != offering {
+	if f == nil || f.isn != m.Seq {
+		return
+	}
+	if f.state == owned && f.guessed {
+		f.owner, f.guessed = from, false
+		return
+	}
+	if f.state != offering {
 		return // a second target has accepted a copy; the caller's next packet tells who has the flow
 	}
 	e.Stats.Admitted++
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -27,6 +27,9 @@
 	sweepTimeout = 150 * time.Millisecond
 	// sweepRounds bounds the helpers that are asked for one flow.
 	sweepRounds = 3
+	// listPause is the time after which all relays are asked again when the controllers have just started
+	// and may not list all of them. Relays look for controllers every 40 ms.
+	listPause = 50 * time.Millisecond
 	// surveyDelay collects the flows of one survey, which costs two datagrams for each relay.
 	surveyDelay = 20 * time.Millisecond
 	// findPause is the time after a search without a result in which the flow is not searched again. Both
@@ -163,8 +166,11 @@
 		e.probe(now, key, f)
 	case !f.swept:
 		e.askAll(now, key, f)
-	case e.outstanding(f) == 0 && !f.partial:
+	case e.outstanding(f) == 0 && !f.partial && e.View.Complete(now):
 		e.nobody(now, key, f)
+	case e.outstanding(f) == 0 && !f.partial && f.sweeps < sweepRounds:
+		f.state, f.swept = sweeping, false
+		e.wait(key, f, now+listPause)
 	default:
 		e.giveUp(now, key, f)
 	}
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -4,6 +4,8 @@
 package packet
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/binary"
 	"net/netip"
 
@@ -33,6 +35,10 @@
 // String returns the address as IP:port.
 func (a Addr) String() string { return a.AddrPort().String() }
 
+func (a Addr) compare(other Addr) int {
+	return cmp.Or(bytes.Compare(a.IP[:], other.IP[:]), cmp.Compare(a.Port, other.Port))
+}
+
 // Key identifies a flow.
 type Key struct {
 	Caller  Addr
@@ -58,6 +64,11 @@
 	}
 }
 
+// Compare orders keys by caller and service.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(k.Caller.compare(other.Caller), k.Service.compare(other.Service))
+}
+
 // Hash returns a hash of the key that is the same in every process.
 func (k Key) Hash() uint64 {
 	var buf [KeyBytes]byte
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -140,8 +140,13 @@
 	key := v.FromTarget()
 	f := r.flows[key]
 	if f == nil {
-		if v.Accepts() || v.Flags.Has(packet.RST) {
-			// An answer to a SYN of before this process started, or the end of an unknown flow.
+		switch {
+		case v.Accepts():
+			// An answer to a SYN of before this process started. No entry VM can be told of it, and the one
+			// that offered the SYN may refuse it; the caller's copy gets another answer.
+			r.Stats.StaleAnswers++
+			return
+		case v.Flags.Has(packet.RST):
 			r.send(key, raw)
 			return
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,8 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/decision"
@@ -329,7 +331,9 @@
 
 // resetAll ends all open flows at their callers, because the target has lost them.
 func (r *Relay) resetAll(now time.Duration) {
-	for key, f := range r.flows {
+	// In a fixed order, so that tests can repeat what happens.
+	for _, key := range slices.SortedFunc(maps.Keys(r.flows), packet.Key.Compare) {
+		f := r.flows[key]
 		if f.state == open {
 			r.Stats.FlowsReset++
 			r.note(now, decision.Reset, key, f.callerISN, 0, result.TargetNotFound)
--- a/internal/relay/survey.go
+++ b/internal/relay/survey.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -106,7 +107,8 @@
 // Tick does what is due. It returns the time of the next call, or a negative one if nothing waits.
 func (r *Relay) Tick(now time.Duration) time.Duration {
 	next := time.Duration(-1)
-	for number, s := range r.surveys {
+	for _, number := range slices.Sorted(maps.Keys(r.surveys)) {
+		s := r.surveys[number]
 		if s.due <= now {
 			if s.round >= surveyRounds {
 				r.endSurvey(number, s)
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -23,9 +23,13 @@
 	formerWindow = 3 * time.Second
 	// maxReplaced bounds the memory of incarnations that were followed by others.
 	maxReplaced = 64
-	// firstHeartbeats is the number of a heartbeat up to which a target counts as just started, so that
-	// a relay that hears it knows all of its flows.
+	// firstHeartbeats is the number of a heartbeat up to which a target counts as just started when
+	// another one was heard before. Its first one may get lost.
 	firstHeartbeats = 2
+	// firstHeartbeat is the number of the heartbeat before which a target is offered nothing, so that a
+	// relay that hears it knows all of its flows. With the second one, an earlier process of the relay may
+	// have heard the first and opened flows.
+	firstHeartbeat = 1
 )
 
 // Heartbeat is what a target says of itself.
@@ -110,7 +114,7 @@
 		r.resetAll(now)
 		r.complete = true
 	} else {
-		r.complete = r.complete || h.Sequence <= firstHeartbeats
+		r.complete = r.complete || h.Sequence <= firstHeartbeat
 	}
 	r.waiting = false
 	r.target = Target{Target: roster.Target{Service: h.Service, ID: h.ID, Born: h.Born, State: roster.Ready}}
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -114,6 +114,9 @@
 	// Base is the digest of the list that Targets and Removed change, zero for a whole list.
 	Base    uint64
 	Removed []hop.IP
+	// Fresh is set by a controller that has run for less than a lease and misses relays that were there
+	// before. Its list may lack relays that run, so that nothing follows from a missing one.
+	Fresh bool
 	// Previous is, in the answer to a relay, the ID of the target that an earlier process of the relay
 	// announced last; empty if the controller does not know.
 	Previous string
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -46,6 +46,7 @@
 	digest   uint64
 	list     []Target // by relay
 	heard    time.Duration
+	fresh    bool
 	building uint64 // digest of the list that arrives in parts
 	parts    [][]Target
 	missing  int
@@ -84,7 +85,7 @@
 	case a.Digest != s.digest:
 		return false
 	}
-	s.heard = now
+	s.heard, s.fresh = now, a.Fresh
 	changed := false
 	for i := range s.list {
 		changed = v.list(now, &s.list[i]) || changed
@@ -168,8 +169,12 @@
 	return old.ID != t.ID || old.State != Draining || t.State == Draining || t.State == Down
 }
 
-// expire marks targets that no controller lists.
+// expire marks targets that no controller lists. That counts only if a controller that knows all of them
+// is heard.
 func (v *View) expire(now time.Duration) bool {
+	if !v.Complete(now) {
+		return false
+	}
 	changed := false
 	listed := map[hop.IP]bool{}
 	for _, s := range v.sources {
@@ -238,6 +243,16 @@
 	return s != nil && now-s.heard <= sourceTimeout
 }
 
+// Complete reports whether a controller is heard whose list lacks no relay that runs.
+func (v *View) Complete(now time.Duration) bool {
+	for _, s := range v.sources {
+		if now-s.heard <= sourceTimeout && !s.fresh {
+			return true
+		}
+	}
+	return false
+}
+
 // Age returns the time since a controller last confirmed its list.
 func (v *View) Age(now time.Duration) time.Duration {
 	age := now
