Elect a leader sooner after all controllers have started

Cause: after the loss of power of all controllers the first election waited 150 to 300 ms from the start of a member, and 300 to 600 ms more if the others were not there yet. Change: a member that has heard no leader since its start asks after 60 to 120 ms, and again after as long, for 2.4 s. A pre-vote changes nothing where a leader is.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -8,16 +8,24 @@
 	n.electionDeadline = n.now + n.cfg.ElectionTimeout + n.spread(n.cfg.ElectionTimeout)
 }
 
+// startPhase is the time after its start, in election timeouts, in which a member that has heard no
+// leader asks for an election sooner and more often. Afterwards it is rather cut off than one of many that
+// start at the same time.
+const startPhase = 4
+
 // startElectionTimer lets a member that has just started ask for an election sooner: after the loss of
-// all members nobody leads, and if somebody does, the pre-vote changes nothing. A leader reaches a
-// member that starts within a few heartbeats.
+// all members nobody leads, and if somebody does, the pre-vote changes nothing.
 func (n *Node) startElectionTimer() {
-	quarter := n.cfg.ElectionTimeout / 4
-	n.electionDeadline = n.now + quarter + n.spread(quarter)
+	tenth := n.cfg.ElectionTimeout / 10
+	n.electionDeadline = n.now + tenth + n.spread(tenth)
 }
 
 // resetRetryTimer lets an unsuccessful candidate try again sooner than a follower would start.
 func (n *Node) resetRetryTimer() {
+	if !n.ledOnce && n.now < startPhase*n.cfg.ElectionTimeout {
+		n.startElectionTimer()
+		return
+	}
 	half := n.cfg.ElectionTimeout / 2
 	n.electionDeadline = n.now + half + n.spread(half)
 }
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -9,7 +9,7 @@
 	if n.role != Follower || n.leader == 0 {
 		n.becomeFollower(n.term, m.From)
 	}
-	n.leaderContact = n.now
+	n.leaderContact, n.ledOnce = n.now, true
 	n.resetElectionTimer()
 	echo := m.Contact.Echo
 	if echo.Boot == n.boot && echo.At <= n.now && m.Contact.QuorumAge >= 0 {
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -26,7 +26,7 @@
 	granted := n.votes
 	n.counters.Leaderships++
 	n.role = Leader
-	n.leader = n.cfg.ID
+	n.leader, n.ledOnce = n.cfg.ID, true
 	n.votes = nil
 	n.lead = leadership{peers: map[MemberID]*progress{}, electedAt: n.now}
 	n.syncPeers()
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -26,6 +26,7 @@
 
 	electionDeadline time.Duration
 	leaderContact    time.Duration // last message of the leader of this term
+	ledOnce          bool          // it has led or heard a leader since its start
 	currentAt        time.Duration // last time at which a leader is known to have had a quorum
 
 	campaignAt time.Duration
