--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -132,9 +132,12 @@
 	}
 }
 
-// committed tells all entry VMs that a configuration was committed.
-func (c *Controller) committed(version uint64) {
-	c.tel.Logger.Info().Uint64("version", version).Msg(decision.ConfigCommitted)
+// committed tells all entry VMs that a configuration was committed. One that is replayed at the start is
+// not logged again, since the time of the line tells when it was committed.
+func (c *Controller) committed(version uint64, replayed bool) {
+	if !replayed {
+		c.tel.Logger.Info().Uint64("version", version).Msg(decision.ConfigCommitted)
+	}
 	base := c.baseAnswer()
 	c.mu.Lock()
 	entries := c.registry.Nodes(roster.RoleEntry)
--- a/internal/confstore/state.go
+++ b/internal/confstore/state.go
@@ -77,7 +77,7 @@
 	waiters map[uint64][]waiter // by index
 	changed chan struct{}       // closed and replaced when something was applied
 	// onContent and onMembers are called after a change, without the lock.
-	onContent func(version uint64)
+	onContent func(version uint64, replayed bool)
 	onMembers func(names []string)
 }
 
@@ -115,7 +115,7 @@
 	s.changed = make(chan struct{})
 	s.mu.Unlock()
 	if content != nil && s.onContent != nil {
-		s.onContent(content.Version)
+		s.onContent(content.Version, c.Replayed)
 	}
 	if members != nil && s.onMembers != nil {
 		s.onMembers(members)
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -39,6 +39,8 @@
 	consensus.Position
 	Data     []byte
 	Snapshot []byte
+	// Replayed is set if this member knew that the entry was committed before it was started.
+	Replayed bool
 }
 
 // Status is the state of the log at this member.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -65,6 +65,7 @@
 	lastRead      uint64
 	sinceSnapshot int
 	lastApplied   uint64
+	replayed      uint64 // index up to which entries were known to be committed at the start
 }
 
 // publishedStatus is the status as of a point in time.
@@ -161,9 +162,10 @@
 	if err != nil {
 		return err
 	}
+	r.replayed = restored.HardState.Commit
 	if restored.Snapshot.Index > 0 {
 		at := consensus.Position{Index: restored.Snapshot.Index, Term: restored.Snapshot.Term}
-		if err := r.machine.Apply(Committed{Position: at, Snapshot: restored.Snapshot.Data}); err != nil {
+		if err := r.machine.Apply(Committed{Position: at, Snapshot: restored.Snapshot.Data, Replayed: true}); err != nil {
 			return err
 		}
 	}
@@ -253,7 +255,7 @@
 		r.sinceSnapshot, r.lastApplied = 0, s.Index
 	}
 	for _, e := range ready.Committed {
-		c := Committed{Position: consensus.Position{Index: e.Index, Term: e.Term}}
+		c := Committed{Position: consensus.Position{Index: e.Index, Term: e.Term}, Replayed: e.Index <= r.replayed}
 		if e.Kind == consensus.EntryCommand {
 			c.Data = e.Data
 		}
