--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -21,11 +21,6 @@
 
 // serveAnnouncements answers the announcements of all processes.
 func (c *Controller) serveAnnouncements(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = c.udp.Close() })
-	defer stop()
-	go c.expire(ctx)
-	go c.tellChanges(ctx)
-	go c.incarnations.save(ctx, c.tel.Logger)
 	return packet.Receive(ctx, c.udp, c.tel.Logger, func(from netip.AddrPort, b []byte) {
 		a, err := roster.DecodeAnnouncement(b)
 		addr, ok := packet.AddrOf(from)
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -15,10 +15,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/lifecycle"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
@@ -218,25 +218,17 @@
 
 // Run serves until ctx is done, and then hands over leadership.
 func (c *Controller) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return c.log.Run(running, c.state) })
-	group.Go(func() error { c.transport.run(running); return nil })
-	group.Go(func() error { return c.server.Serve(running, c.tcp) })
-	group.Go(func() error { return c.serveAnnouncements(running) })
-	group.Go(func() error { c.repairMembers(running); return nil })
-	group.Go(func() error { c.joinMembers(running); return nil })
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			c.handOver(running)
-		case <-running.Done():
-		}
-		stop()
-		return nil
-	})
-	return group.Wait()
+	return lifecycle.Run(ctx, c.handOver,
+		func(ctx context.Context) error { return c.log.Run(ctx, c.state) },
+		lifecycle.Forever(c.transport.run),
+		func(ctx context.Context) error { return c.server.Serve(ctx, c.tcp) },
+		c.serveAnnouncements,
+		lifecycle.Forever(c.expire),
+		lifecycle.Forever(c.tellChanges),
+		lifecycle.Forever(func(ctx context.Context) { c.incarnations.save(ctx, c.tel.Logger) }),
+		lifecycle.Forever(c.repairMembers),
+		lifecycle.Forever(c.joinMembers),
+	)
 }
 
 func (c *Controller) handOver(ctx context.Context) {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/lifecycle"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/place"
 	"github.com/greengagelock/greengagelock/internal/result"
@@ -99,36 +99,27 @@
 
 // Run serves until ctx is done, and then for the linger time.
 func (p *Process) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, running := errgroup.WithContext(running)
-	closeAll := context.AfterFunc(running, func() {
-		_ = p.callers.Close()
-		_ = p.nodes.Close()
-		p.timer.Stop()
+	defer p.timer.Stop()
+	return lifecycle.Run(ctx, p.leave,
+		p.receiveFromCallers,
+		func(ctx context.Context) error { return p.nodes.Receive(ctx, p.fromNode, p.fromController) },
+		p.uplink.Run,
+		p.decisions.Run,
+		lifecycle.Forever(p.sweep),
+		lifecycle.Forever(p.settle),
+	)
+}
+
+func (p *Process) receiveFromCallers(ctx context.Context) error {
+	return packet.Receive(ctx, p.callers, p.tel.Logger, func(_ netip.AddrPort, b []byte) {
+		p.locked(func(now time.Duration) { p.entry.FromCaller(now, b) })
 	})
-	defer closeAll()
-	group.Go(func() error {
-		return packet.Receive(running, p.callers, p.tel.Logger, func(_ netip.AddrPort, b []byte) {
-			p.locked(func(now time.Duration) { p.entry.FromCaller(now, b) })
-		})
-	})
-	group.Go(func() error { return p.nodes.Receive(running, p.fromNode, p.fromController) })
-	group.Go(func() error { return p.uplink.Run(running) })
-	group.Go(func() error { return p.decisions.Run(running) })
-	group.Go(func() error { p.sweep(running); return nil })
-	group.Go(func() error { p.settle(running); return nil })
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			p.setStopping()
-			ctxtime.Sleep(running, p.cfg.Linger)
-		case <-running.Done():
-		}
-		stop()
-		return nil
-	})
-	return group.Wait()
+}
+
+// leave is not ready any more, and forwards packets for the linger time.
+func (p *Process) leave(ctx context.Context) {
+	p.setStopping()
+	ctxtime.Sleep(ctx, p.cfg.Linger)
 }
 
 func (p *Process) setStopping() {
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -124,8 +124,6 @@
 	// about two seconds in sixteenths.
 	Busy uint16
 	Mean uint16
-	// Flows is the number of open flows.
-	Flows uint16
 }
 
 // Expected returns the requests that a new one would find, in sixteenths: the mean of those in progress
@@ -135,7 +133,7 @@
 const (
 	headBytes    = 8
 	forwardBytes = headBytes + 8 + 4
-	admittedSize = headBytes + packet.KeyBytes + 4 + 6
+	admittedSize = headBytes + packet.KeyBytes + 4 + 4
 	manyBytes    = headBytes + 4
 	questionSize = packet.KeyBytes + 4
 	finalBit     = 1
@@ -171,8 +169,7 @@
 		b = m.Key.Append(b)
 		b = binary.BigEndian.AppendUint32(b, m.Seq)
 		b = binary.BigEndian.AppendUint16(b, m.Load.Busy)
-		b = binary.BigEndian.AppendUint16(b, m.Load.Mean)
-		return binary.BigEndian.AppendUint16(b, m.Load.Flows)
+		return binary.BigEndian.AppendUint16(b, m.Load.Mean)
 	case Owns, Disowned:
 		return m.Key.Append(b)
 	case FindMany:
@@ -269,9 +266,7 @@
 		m.Key = packet.ParseKey(b[headBytes:])
 		rest := b[headBytes+packet.KeyBytes:]
 		m.Seq = binary.BigEndian.Uint32(rest)
-		m.Load = Load{
-			Busy: binary.BigEndian.Uint16(rest[4:]), Mean: binary.BigEndian.Uint16(rest[6:]), Flows: binary.BigEndian.Uint16(rest[8:]),
-		}
+		m.Load = Load{Busy: binary.BigEndian.Uint16(rest[4:]), Mean: binary.BigEndian.Uint16(rest[6:])}
 		return nil
 	}
 	if m.Kind == Owns || m.Kind == Disowned {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -19,7 +19,7 @@
 	switch m.Kind {
 	case Admitted:
 		m.Key, m.Seq = drawKey(t), rapid.Uint32().Draw(t, "seq")
-		m.Load = Load{rapid.Uint16().Draw(t, "busy"), rapid.Uint16().Draw(t, "mean"), rapid.Uint16().Draw(t, "flows")}
+		m.Load = Load{rapid.Uint16().Draw(t, "busy"), rapid.Uint16().Draw(t, "mean")}
 	case FindMany:
 		m.Batch = rapid.Uint32().Draw(t, "batch")
 		for range rapid.IntRange(1, MaxQuestions).Draw(t, "questions") {
--- a/internal/packet/udp.go
+++ b/internal/packet/udp.go
@@ -34,8 +34,11 @@
 	return conn, nil
 }
 
-// Receive hands every datagram to handle until ctx is done. The bytes are valid until handle returns.
+// Receive hands every datagram to handle until ctx is done, and closes the connection then. The bytes are valid until
+// handle returns.
 func Receive(ctx context.Context, conn *net.UDPConn, logger *log.Logger, handle func(from netip.AddrPort, b []byte)) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
 	buffer := make([]byte, MaxDatagram)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/lifecycle"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
@@ -105,39 +105,30 @@
 
 // Run serves until ctx is done, and then for the linger time.
 func (p *Process) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, running := errgroup.WithContext(running)
-	closeAll := context.AfterFunc(running, func() {
-		_ = p.target.Close()
-		_ = p.nodes.Close()
-		p.timer.Stop()
-	})
-	defer closeAll()
-	group.Go(func() error {
-		return packet.Receive(running, p.target, p.tel.Logger, func(_ netip.AddrPort, b []byte) {
-			p.locked(func(now time.Duration) { p.relay.FromTarget(now, b) })
-		})
-	})
-	group.Go(func() error { return p.nodes.Receive(running, p.fromNode, p.fromController) })
-	group.Go(func() error { return p.uplink.Run(running) })
-	group.Go(func() error { return p.decisions.Run(running) })
-	group.Go(func() error { p.sweep(running); return nil })
-	group.Go(func() error { p.watch(running); return nil })
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			p.locked(func(time.Duration) { p.relay.Stop() })
-			p.uplink.Announce()
-			ctxtime.Sleep(running, p.cfg.Linger)
-			p.setGone()
-			p.uplink.Announce()
-		case <-running.Done():
-		}
-		stop()
-		return nil
+	defer p.timer.Stop()
+	return lifecycle.Run(ctx, p.leave,
+		p.receiveFromTarget,
+		func(ctx context.Context) error { return p.nodes.Receive(ctx, p.fromNode, p.fromController) },
+		p.uplink.Run,
+		p.decisions.Run,
+		lifecycle.Forever(p.sweep),
+		lifecycle.Forever(p.watch),
+	)
+}
+
+func (p *Process) receiveFromTarget(ctx context.Context) error {
+	return packet.Receive(ctx, p.target, p.tel.Logger, func(_ netip.AddrPort, b []byte) {
+		p.locked(func(now time.Duration) { p.relay.FromTarget(now, b) })
 	})
-	return group.Wait()
+}
+
+// leave ends admission, passes packets on for the linger time, and says whether the target is gone.
+func (p *Process) leave(ctx context.Context) {
+	p.locked(func(time.Duration) { p.relay.Stop() })
+	p.uplink.Announce()
+	ctxtime.Sleep(ctx, p.cfg.Linger)
+	p.setGone()
+	p.uplink.Announce()
 }
 
 // setGone lets the last announcement say that the relay is gone, if its target is. Otherwise the target
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -291,9 +291,7 @@
 
 // Load returns how busy the target is.
 func (r *Relay) Load(now time.Duration) hop.Load {
-	return hop.Load{
-		Busy: uint16(min(r.load.now(now), 65535)), Mean: r.load.mean(now), Flows: uint16(min(len(r.flows), 65535)),
-	}
+	return hop.Load{Busy: uint16(min(r.load.now(now), 65535)), Mean: r.load.mean(now)}
 }
 
 // Flows returns the number of flows in the table, closed ones included.
--- a/internal/uplink/port.go
+++ b/internal/uplink/port.go
@@ -26,9 +26,6 @@
 	return &Port{conn: conn, port: port, logger: logger}, err
 }
 
-// Close ends Receive.
-func (p *Port) Close() error { return p.conn.Close() }
-
 // ToNode sends a datagram to a process.
 func (p *Port) ToNode(to hop.IP, datagram []byte) {
 	p.Send(netip.AddrPortFrom(netip.AddrFrom4(to), p.port), datagram)
