Let requests wait at the relay, by the end of their objective

SYNs can be held, requests on open flows could not. Change: a relay hands its target one request more than it has slots, keeps the others, and hands over next the one whose objective ends first. Entry VMs send the objective of the route with each packet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -274,9 +274,12 @@
 }
 
 // send hands a packet to the relay of its owner.
-func (e *Entry) send(to hop.IP, service routing.ServiceID, raw []byte) {
+func (e *Entry) send(to hop.IP, service routing.ServiceID, key packet.Key, raw []byte) {
 	e.Stats.Forwarded++
-	e.toNode(to, &hop.Message{Kind: hop.Forward, Service: uint64(service), Entry: e.cfg.Self, Packet: raw})
+	objective := e.table.Objective(key.Service).Milliseconds()
+	e.toNode(to, &hop.Message{
+		Kind: hop.Forward, Service: uint64(service), Entry: e.cfg.Self, Packet: raw, MaxWait: uint16(min(objective, 60000)),
+	})
 }
 
 // forward handles a packet of a flow that should be open.
@@ -299,7 +302,7 @@
 			e.lostOwner(now, key, v, f)
 			return
 		}
-		e.send(f.owner, f.service, raw)
+		e.send(f.owner, f.service, key, raw)
 	default:
 		if v.Flags&(packet.ACK|packet.RST) == packet.ACK && v.Seq-f.isn <= 1 {
 			// The caller has an answer that this process has not been told of, so the SYN must not be refused
@@ -307,7 +310,7 @@
 			// relay gives the packet back, and the owner is searched.
 			f.state, f.guessed, f.waits, f.tried = owned, true, false, nil
 		}
-		e.send(f.owner, f.service, raw)
+		e.send(f.owner, f.service, key, raw)
 	}
 }
 
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -85,7 +85,7 @@
 		f.seen = now
 		switch {
 		case f.state == owned:
-			e.send(f.owner, f.service, raw)
+			e.send(f.owner, f.service, key, raw)
 		case f.state == offering && now >= f.due:
 			// The budget did not allow to repeat the offer; the caller's own copy may.
 			e.offer(now, key, f)
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -314,7 +314,7 @@
 		f.state, f.owner, f.failures = owned, from, 0
 		f.held, f.asked, f.unsure, f.notHere, f.probed, f.chains = nil, nil, nil, nil, nil, nil
 		for _, raw := range held {
-			e.send(from, f.service, raw)
+			e.send(from, f.service, key, raw)
 		}
 		return
 	case hop.Unsure:
@@ -341,7 +341,7 @@
 	case f != nil && (f.state == searching || f.state == sweeping || f.state == probing):
 		e.found(now, key, f, from, hop.NotOwned)
 	case f != nil && f.state == owned && f.owner != from:
-		e.send(f.owner, f.service, m.Packet)
+		e.send(f.owner, f.service, key, m.Packet)
 	case f != nil && f.state == unowned && now < f.due:
 	default:
 		e.search(now, key, &v, m.Packet, []hop.IP{from})
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -109,7 +109,8 @@
 	// Probe is set in Forward if the entry VM keeps the packet and wants to know who has its flow. A relay
 	// whose target does not have it passes the packet on to the next of the Candidates.
 	Probe bool
-	// MaxWait is the time in ms that a request of a SYN may wait at a target; zero for any. Busy is set in
+	// MaxWait is the time in ms that a request of a SYN may wait at a target; zero for any. With other packets
+	// it is the time within which an answer is useful; zero if that is not known. Busy is set in
 	// Refused if the least loaded target would have let it wait longer.
 	MaxWait uint16
 	Busy    bool
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -41,7 +41,10 @@
 	if m.Probe {
 		r.toNode(m.Entry, &hop.Message{Kind: hop.Owns, Key: key})
 	}
-	r.record(now, f, v, m.Entry)
+	begins := r.record(now, f, v, m.Entry)
+	if r.hold(now, key, f, m, v, begins) {
+		return
+	}
 	r.toTarget(now, m, v.DataBytes > 0)
 }
 
@@ -55,16 +58,21 @@
 	r.finish(now, f)
 }
 
-// finish ends the request of a flow.
+// finish ends the request of a flow. Another one may take its slot.
 func (r *Relay) finish(now time.Duration, f *flow) {
-	if f.busy {
-		f.busy = false
-		r.load.end(now)
+	if !f.busy {
+		return
 	}
+	if f.waiting != nil {
+		r.unqueue(f.waiting)
+	}
+	f.busy = false
+	r.load.end(now)
+	r.release(now)
 }
 
-// record keeps what a packet of the caller tells of its flow.
-func (r *Relay) record(now time.Duration, f *flow, v *packet.View, entry hop.IP) {
+// record keeps what a packet of the caller tells of its flow, and reports whether it begins a request.
+func (r *Relay) record(now time.Duration, f *flow, v *packet.View, entry hop.IP) (begins bool) {
 	f.seen, f.entry = now, entry
 	if v.Flags.Has(packet.ACK) {
 		f.callerAck = v.Ack
@@ -76,6 +84,7 @@
 			f.busy, f.asked = true, now
 			f.waited = r.load.busy >= int(r.target.Slots)
 			r.load.begin(now)
+			begins = true
 		}
 	}
 	if v.Flags.Has(packet.RST) {
@@ -84,8 +93,12 @@
 	if v.Flags&(packet.RST|packet.FIN) != 0 {
 		// The caller does not wait for an answer any more. Data that it sent before may still arrive.
 		f.finished = true
+		if f.waiting != nil && !v.Flags.Has(packet.RST) {
+			r.handOver(now, f.waiting) // in order, before the end of the caller's data
+		}
 		r.finish(now, f)
 	}
+	return begins
 }
 
 // toTarget hands the packet of a message over and keeps what is needed if it comes back. expects
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,6 +82,11 @@
 	// disowned are flows that the target has returned a packet of while the table is not complete.
 	disowned map[packet.Key]struct{}
 
+	// queue holds the requests that wait for a slot, in the order of their arrival. turn counts those that
+	// were handed over.
+	queue []*waiting
+	turn  int
+
 	surveys      map[uint32]*survey
 	surveyNumber uint32
 
@@ -94,6 +99,7 @@
 	Admitted, Passed, Refused, Returned, Bounced, WrongService uint64
 	Delivered, ToCallers, Malformed, StaleAnswers              uint64
 	FlowsReset, Opened, FindsAnswered, Unsure, Surveys         uint64
+	Queued, QueuedLate, QueuedCopies                           uint64
 }
 
 // flowState is the state of a flow at the target.
@@ -120,6 +126,7 @@
 	seen      time.Duration
 	asked     time.Duration // start of the request in progress
 	waited    bool          // it found no free slot
+	waiting   *waiting      // the request in progress has not been handed to the target
 }
 
 // offer is a packet at the target that may come back.
@@ -312,6 +319,9 @@
 			limit = closedLinger
 		}
 		if f.busy && now-f.asked > staleRequest {
+			if f.waiting != nil {
+				r.handOver(now, f.waiting)
+			}
 			r.finish(now, f)
 		}
 		if now-f.seen > limit {
@@ -329,6 +339,9 @@
 
 // resetAll ends all open flows at their callers, because the target has lost them.
 func (r *Relay) resetAll(now time.Duration) {
+	for _, w := range slices.Clone(r.queue) {
+		r.unqueue(w)
+	}
 	// In a fixed order, so that tests can repeat what happens.
 	for _, key := range slices.SortedFunc(maps.Keys(r.flows), packet.Key.Compare) {
 		f := r.flows[key]
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -207,6 +207,14 @@
 	return slices.Sorted(maps.Keys(t.services))
 }
 
+// Objective returns the time within which answers of the route to an address are useful, zero without one.
+func (t *Table) Objective(to packet.Addr) time.Duration {
+	if !t.Has(to) {
+		return 0
+	}
+	return t.routes[to].route.Objective
+}
+
 // Has reports whether there is a route for the address.
 func (t *Table) Has(to packet.Addr) bool { return t != nil && t.routes[to] != nil }
 
