Hand over the newest request first under a backlog

Change: while more wait than the target can serve in half of an objective, the newest goes first. Requests that have waited for 0.4 of their route's timeout get every second turn, so that they are late and not lost.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -37,6 +37,8 @@
 	Passed
 	// Returned is a packet that a relay gave back because its target does not have the flow.
 	Returned
+	// Queued is a request that waited at a relay for a slot of its target.
+	Queued
 	kinds
 )
 
@@ -56,6 +58,7 @@
 	Taken:        {"taken", 5, "flow taken"},
 	Passed:       {"passed", 10, "flow passed on"},
 	Returned:     {"returned", 10, "packet given back"},
+	Queued:       {"queued", 5, "request waited for a slot"},
 }
 
 // String returns the name of the kind.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -276,9 +276,10 @@
 // send hands a packet to the relay of its owner.
 func (e *Entry) send(to hop.IP, service routing.ServiceID, key packet.Key, raw []byte) {
 	e.Stats.Forwarded++
-	objective := e.table.Objective(key.Service).Milliseconds()
+	objective, timeout := e.table.Times(key.Service)
 	e.toNode(to, &hop.Message{
-		Kind: hop.Forward, Service: uint64(service), Entry: e.cfg.Self, Packet: raw, MaxWait: uint16(min(objective, 60000)),
+		Kind: hop.Forward, Service: uint64(service), Entry: e.cfg.Self, Packet: raw,
+		MaxWait: hop.Milliseconds(objective), Timeout: hop.Milliseconds(timeout),
 	})
 }
 
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/result"
@@ -114,11 +115,16 @@
 	// Refused if the least loaded target would have let it wait longer.
 	MaxWait uint16
 	Busy    bool
+	// Timeout is that of the route in ms, in Forward; zero if it is not known.
+	Timeout uint16
 
 	// Packet is the packet of the flow; it shares memory with the datagram.
 	Packet []byte
 }
 
+// Milliseconds encodes a time, at most a minute.
+func Milliseconds(d time.Duration) uint16 { return uint16(min(d, time.Minute).Milliseconds()) }
+
 // Load is how busy a target is.
 type Load struct {
 	// Busy is the number of requests that the target works on or queues now, Mean the average over
@@ -133,7 +139,7 @@
 
 const (
 	headBytes    = 8
-	forwardBytes = headBytes + 8 + 4
+	forwardBytes = headBytes + 8 + 4 + 2
 	admittedSize = headBytes + packet.KeyBytes + 4 + 4
 	manyBytes    = headBytes + 4
 	questionSize = packet.KeyBytes + 4
@@ -162,6 +168,7 @@
 	case Forward, Refused, Returned:
 		b = binary.BigEndian.AppendUint64(b, m.Service)
 		b = append(b, m.Entry[:]...)
+		b = binary.BigEndian.AppendUint16(b, m.Timeout)
 		for _, c := range m.Candidates {
 			b = append(b, c[:]...)
 		}
@@ -249,7 +256,8 @@
 			return truncated(b)
 		}
 		m.Service = binary.BigEndian.Uint64(b[headBytes:])
-		m.Entry = IP(b[headBytes+8 : forwardBytes])
+		m.Entry = IP(b[headBytes+8:])
+		m.Timeout = binary.BigEndian.Uint16(b[headBytes+12:])
 		rest := b[forwardBytes:]
 		for range count {
 			candidates = append(candidates, IP(rest[:4]))
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -48,6 +48,7 @@
 		m.BestLoad, m.Final = rapid.Uint8().Draw(t, "load"), rapid.Bool().Draw(t, "final")
 		m.Probe = rapid.Bool().Draw(t, "probe")
 		m.MaxWait, m.Busy = rapid.Uint16().Draw(t, "wait"), rapid.Bool().Draw(t, "busy")
+		m.Timeout = rapid.Uint16().Draw(t, "timeout")
 		m.Packet = rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "packet")
 	}
 	return m
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -4,22 +4,28 @@
 	"slices"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/result"
 )
 
 // Targets serve what they are handed in the order of its arrival. After a loss of power, or under a burst, a
 // second's worth of requests then makes every later one late for as long as the backlog lasts. The relay
-// therefore hands requests over only as slots get free, and chooses which one is next: those that can still
-// be answered within their objective first, by the end of it, and those that cannot in a share of the turns.
+// therefore hands requests over only as slots get free, and chooses which one is next. While more wait than
+// can be answered in time, the newest goes first: in the order of their ends all would be answered at
+// their end or just after it. Requests that have waited for a good part of their timeout get every second turn,
+// so that they are late and not lost.
 
 const (
 	// spareRequests is the number of requests that the target is handed beyond its slots, so that a slot
 	// that gets free has work at once, and one request that ended without a sign does not cost a slot.
 	spareRequests = 1
-	// lateTurn is the turn that goes to the oldest late request, one in four: late requests are worth less to
-	// their callers, and nothing if they wait until their deadline.
-	lateTurn = 4
+	// lastCall is the part of its route's timeout after which a request gets a share of the turns. Callers count
+	// the time of earlier tries too, which the relay does not see.
+	lastCall = 0.4
+	// lastCallTurn is the turn that goes to such a request while others can still be answered in time.
+	lastCallTurn = 2
 	// maxQueued bounds the requests that wait. More are handed over at once.
 	maxQueued = 256
 	// maxHeldPackets bounds the packets of one flow that wait; callers send no more without an answer.
@@ -32,6 +38,7 @@
 	flow      *flow
 	since     time.Duration
 	objective time.Duration // after which its answer is late
+	timeout   time.Duration // of its route
 	packets   []heldPacket
 }
 
@@ -52,7 +59,7 @@
 			r.atTarget() <= int(r.target.Slots)+spareRequests {
 			return false
 		}
-		w = &waiting{key: key, flow: f, since: now, objective: time.Duration(m.MaxWait) * time.Millisecond}
+		w = &waiting{key: key, flow: f, since: now, objective: time.Duration(m.MaxWait) * time.Millisecond, timeout: time.Duration(m.Timeout) * time.Millisecond}
 		f.waiting = w
 		r.queue = append(r.queue, w)
 		r.Stats.Queued++
@@ -80,23 +87,36 @@
 
 // next returns the request whose turn it is.
 func (r *Relay) next(now time.Duration) *waiting {
-	var inTime, late *waiting
+	var oldest, newest, late, called *waiting
 	for _, w := range r.queue { // the oldest first
+		waited := now - w.since
 		switch {
-		case now+r.workTime(w) > w.since+w.objective:
-			if late == nil {
-				late = w
+		case waited+r.workTime(w) <= w.objective:
+			newest = w
+			if oldest == nil {
+				oldest = w
 			}
-		case inTime == nil || w.since+w.objective < inTime.since+inTime.objective:
-			inTime = w
+		case called == nil && waited > time.Duration(float64(w.timeout)*lastCall):
+			called = w
+		case late == nil:
+			late = w
 		}
 	}
 	r.turn++
-	if inTime == nil || (late != nil && r.turn%lateTurn == 0) {
-		r.Stats.QueuedLate++
-		return late
+	switch {
+	case called != nil && (newest == nil || r.turn%lastCallTurn == 0):
+		return called
+	case newest != nil && r.backlog() > newest.objective/2:
+		return newest
+	case newest != nil:
+		return oldest
 	}
-	return inTime
+	return late
+}
+
+// backlog is the time that the target needs for all waiting requests.
+func (r *Relay) backlog() time.Duration {
+	return time.Duration(len(r.queue)) * r.load.serviceTime() / time.Duration(max(r.target.Slots, 1))
 }
 
 // workTime is the time that the target will need for a request. It is at most half of the objective: a target
@@ -106,6 +126,15 @@
 // handOver hands the packets of a request to the target.
 func (r *Relay) handOver(now time.Duration, w *waiting) {
 	r.unqueue(w)
+	if now-w.since > w.objective {
+		r.Stats.QueuedLate++
+	}
+	if r.cfg.Decisions != nil {
+		r.cfg.Decisions.Note(now, decision.Decision{
+			Kind: decision.Queued, Flow: w.key, Seq: w.flow.callerISN, Target: r.cfg.Self, Busy: uint16(r.busy(now)), Slots: r.target.Slots,
+			Took: now - w.since, Code: result.NoFreeSlot,
+		})
+	}
 	for _, p := range w.packets {
 		m := hop.Message{Kind: hop.Forward, Service: p.service, Entry: p.entry, Packet: p.raw}
 		r.toTarget(now, &m, p.data)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -207,12 +207,13 @@
 	return slices.Sorted(maps.Keys(t.services))
 }
 
-// Objective returns the time within which answers of the route to an address are useful, zero without one.
-func (t *Table) Objective(to packet.Addr) time.Duration {
+// Times returns the objective and the timeout of the route to an address, zero without one.
+func (t *Table) Times(to packet.Addr) (objective, timeout time.Duration) {
 	if !t.Has(to) {
-		return 0
+		return 0, 0
 	}
-	return t.routes[to].route.Objective
+	r := &t.routes[to].route
+	return r.Objective, r.Timeout
 }
 
 // Has reports whether there is a route for the address.
