Count the time of a held SYN as waiting of its request

Cause: the first request of a flow whose SYN was held looked new to the relay and went before newer ones. Change: for 100 ms after the opening of a flow the entry VM takes the time of its SYN off the objective and the timeout.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,8 +121,9 @@
 	service routing.ServiceID
 	route   *routing.Route
 	tried   []hop.IP
-	busy    bool // all targets were too busy at the last offer
-	guessed bool // the owner has not confirmed that it has the flow
+	busy    bool          // all targets were too busy at the last offer
+	guessed bool          // the owner has not confirmed that it has the flow
+	opened  time.Duration // when a target had accepted it; zero if this process has not seen that
 
 	// While searching.
 	ack      uint32
@@ -273,10 +274,30 @@
 	e.ports.ToNode(to, e.out)
 }
 
+// firstRequest is the time after the opening of a flow in which its first request arrives: the answer to the SYN
+// and the request take a round trip to the caller.
+const firstRequest = 100 * time.Millisecond
+
+// synWait is the time for which the first request of a flow has waited already, because its SYN was held.
+func (f *flow) synWait(now time.Duration) time.Duration {
+	if f.opened == 0 || now-f.opened > firstRequest {
+		return 0
+	}
+	return f.opened - f.began
+}
+
 // send hands a packet to the relay of its owner.
 func (e *Entry) send(to hop.IP, service routing.ServiceID, key packet.Key, raw []byte) {
+	e.sendAged(to, service, key, raw, 0)
+}
+
+// sendAged hands on a packet of a request that has waited before it arrived.
+func (e *Entry) sendAged(to hop.IP, service routing.ServiceID, key packet.Key, raw []byte, waited time.Duration) {
 	e.Stats.Forwarded++
 	objective, timeout := e.table.Times(key.Service)
+	if waited > 0 {
+		objective, timeout = max(objective-waited, time.Millisecond), max(timeout-waited, time.Millisecond)
+	}
 	e.toNode(to, &hop.Message{
 		Kind: hop.Forward, Service: uint64(service), Entry: e.cfg.Self, Packet: raw,
 		MaxWait: hop.Milliseconds(objective), Timeout: hop.Milliseconds(timeout),
@@ -303,7 +324,7 @@
 			e.lostOwner(now, key, v, f)
 			return
 		}
-		e.send(f.owner, f.service, key, raw)
+		e.sendAged(f.owner, f.service, key, raw, f.synWait(now))
 	default:
 		if v.Flags&(packet.ACK|packet.RST) == packet.ACK && v.Seq-f.isn <= 1 {
 			// The caller has an answer that this process has not been told of, so the SYN must not be refused
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -206,7 +206,7 @@
 		e.offers.admitted(now - f.began)
 	}
 	f.waits = false
-	f.state, f.owner, f.tried = owned, from, nil
+	f.state, f.owner, f.tried, f.opened = owned, from, nil, now
 	f.syn = f.syn[:0] // not nil: copies of the SYN go to the owner
 }
 
