Carry the time that a request has waited

Cause: objective and timeout less the time before let a request wait anew for a share of what is left. Change: the time is a field of its own and counts as waiting at the relay.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// firstRequest is the time after the opening of a flow in which its first request arrives: the answer to
+	// the SYN and the request take a round trip to the caller.
+	firstRequest = 100 * time.Millisecond
 	// maxHeld bounds the packets of a flow that wait for its owner; an end has at most 16 in flight.
 	maxHeld = 16
 	// maxEarly bounds the packets that wait for the first configuration and the first list of targets,
@@ -274,10 +277,6 @@
 	e.ports.ToNode(to, e.out)
 }
 
-// firstRequest is the time after the opening of a flow in which its first request arrives: the answer to the SYN
-// and the request take a round trip to the caller.
-const firstRequest = 100 * time.Millisecond
-
 // synWait is the time for which the first request of a flow has waited already, because its SYN was held.
 func (f *flow) synWait(now time.Duration) time.Duration {
 	if f.opened == 0 || now-f.opened > firstRequest {
@@ -295,12 +294,9 @@
 func (e *Entry) sendAged(to hop.IP, service routing.ServiceID, key packet.Key, raw []byte, waited time.Duration) {
 	e.Stats.Forwarded++
 	objective, timeout := e.table.Times(key.Service)
-	if waited > 0 {
-		objective, timeout = max(objective-waited, time.Millisecond), max(timeout-waited, time.Millisecond)
-	}
 	e.toNode(to, &hop.Message{
 		Kind: hop.Forward, Service: uint64(service), Entry: e.cfg.Self, Packet: raw,
-		MaxWait: hop.Milliseconds(objective), Timeout: hop.Milliseconds(timeout),
+		MaxWait: hop.Milliseconds(objective), Timeout: hop.Milliseconds(timeout), Waited: hop.Milliseconds(waited),
 	})
 }
 
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -115,8 +115,10 @@
 	// Refused if the least loaded target would have let it wait longer.
 	MaxWait uint16
 	Busy    bool
-	// Timeout is that of the route in ms, in Forward; zero if it is not known.
+	// Timeout is that of the route in ms, in Forward; zero if it is not known. Waited is the time in ms for
+	// which the request that the packet may begin has waited in the system already.
 	Timeout uint16
+	Waited  uint16
 
 	// Packet is the packet of the flow; it shares memory with the datagram.
 	Packet []byte
@@ -139,7 +141,7 @@
 
 const (
 	headBytes    = 8
-	forwardBytes = headBytes + 8 + 4 + 2
+	forwardBytes = headBytes + 8 + 4 + 4
 	admittedSize = headBytes + packet.KeyBytes + 4 + 4
 	manyBytes    = headBytes + 4
 	questionSize = packet.KeyBytes + 4
@@ -169,6 +171,7 @@
 		b = binary.BigEndian.AppendUint64(b, m.Service)
 		b = append(b, m.Entry[:]...)
 		b = binary.BigEndian.AppendUint16(b, m.Timeout)
+		b = binary.BigEndian.AppendUint16(b, m.Waited)
 		for _, c := range m.Candidates {
 			b = append(b, c[:]...)
 		}
@@ -258,6 +261,7 @@
 		m.Service = binary.BigEndian.Uint64(b[headBytes:])
 		m.Entry = IP(b[headBytes+8:])
 		m.Timeout = binary.BigEndian.Uint16(b[headBytes+12:])
+		m.Waited = binary.BigEndian.Uint16(b[headBytes+14:])
 		rest := b[forwardBytes:]
 		for range count {
 			candidates = append(candidates, IP(rest[:4]))
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -48,7 +48,7 @@
 		m.BestLoad, m.Final = rapid.Uint8().Draw(t, "load"), rapid.Bool().Draw(t, "final")
 		m.Probe = rapid.Bool().Draw(t, "probe")
 		m.MaxWait, m.Busy = rapid.Uint16().Draw(t, "wait"), rapid.Bool().Draw(t, "busy")
-		m.Timeout = rapid.Uint16().Draw(t, "timeout")
+		m.Timeout, m.Waited = rapid.Uint16().Draw(t, "timeout"), rapid.Uint16().Draw(t, "waited")
 		m.Packet = rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "packet")
 	}
 	return m
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -36,7 +36,7 @@
 type waiting struct {
 	key       packet.Key
 	flow      *flow
-	since     time.Duration
+	since     time.Duration // with the time that it has waited before
 	objective time.Duration // after which its answer is late
 	timeout   time.Duration // of its route
 	packets   []heldPacket
@@ -59,7 +59,8 @@
 			r.atTarget() <= int(r.target.Slots)+spareRequests {
 			return false
 		}
-		w = &waiting{key: key, flow: f, since: now, objective: time.Duration(m.MaxWait) * time.Millisecond, timeout: time.Duration(m.Timeout) * time.Millisecond}
+		ms := func(n uint16) time.Duration { return time.Duration(n) * time.Millisecond }
+		w = &waiting{key: key, flow: f, since: now - ms(m.Waited), objective: ms(m.MaxWait), timeout: ms(m.Timeout)}
 		f.waiting = w
 		r.queue = append(r.queue, w)
 		r.Stats.Queued++
