--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -88,31 +88,35 @@
 
 // next returns the request whose turn it is.
 func (r *Relay) next(now time.Duration) *waiting {
-	var oldest, newest, late, called *waiting
-	for _, w := range r.queue { // the oldest first
-		waited := now - w.since
+	var oldest, newest, late *waiting // late is the oldest that cannot be answered in time any more
+	for _, w := range r.queue {
 		switch {
-		case waited+r.workTime(w) <= w.objective:
+		case now-w.since+r.workTime(w) > w.objective:
+			late = older(late, w)
+		case newest == nil || w.since >= newest.since:
 			newest = w
-			if oldest == nil {
-				oldest = w
-			}
-		case called == nil && waited > time.Duration(float64(w.timeout)*lastCall):
-			called = w
-		case late == nil:
-			late = w
+			oldest = older(oldest, w)
+		default:
+			oldest = older(oldest, w)
 		}
 	}
 	r.turn++
+	called := late != nil && now-late.since > time.Duration(float64(late.timeout)*lastCall)
 	switch {
-	case called != nil && (newest == nil || r.turn%lastCallTurn == 0):
-		return called
-	case newest != nil && r.backlog() > newest.objective/2:
+	case newest == nil, called && r.turn%lastCallTurn == 0:
+		return late
+	case r.backlog() > newest.objective/2:
 		return newest
-	case newest != nil:
-		return oldest
 	}
-	return late
+	return oldest
+}
+
+// older returns the request that has waited longer; a may be nil.
+func older(a, b *waiting) *waiting {
+	if a == nil || b.since < a.since {
+		return b
+	}
+	return a
 }
 
 // backlog is the time that the target needs for all waiting requests.
