--- a/internal/flowlog/judge.go
+++ b/internal/flowlog/judge.go
@@ -46,6 +46,11 @@
 	if first != nil {
 		s.offered(first, last)
 	}
+	for _, line := range s.Lines {
+		if line.Is(decision.Queued) {
+			s.say("a request waited %s at relay %s for one of %d slots", took(line), line.Relay, line.Slots)
+		}
+	}
 	s.changes()
 }
 
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -26,7 +26,8 @@
 	lastCall = 0.4
 	// lastCallTurn is the turn that goes to such a request while others can still be answered in time.
 	lastCallTurn = 2
-	// maxQueued bounds the requests that wait. More are handed over at once.
+	// maxQueued bounds the requests that wait, and their memory to about 0.4 MB with one packet each. More are
+	// handed over at once.
 	maxQueued = 256
 	// maxHeldPackets bounds the packets of one flow that wait; callers send no more without an answer.
 	maxHeldPackets = 16
