--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -23,7 +23,7 @@
 	spareRequests = 1
 	// lastCall is the part of its route's timeout after which a request gets a share of the turns. Callers count
 	// the time of earlier tries too, which the relay does not see.
-	lastCall = 0.25
+	lastCall = 0.4
 	// lastCallTurn is the turn that goes to such a request while others can still be answered in time.
 	lastCallTurn = 2
 	// maxQueued bounds the requests that wait, and their memory to about 0.4 MB with one packet each. More are
