Stay in rotation when all controllers are lost with a configuration on its way

Between seconds 32.3 and 33.4 admissions of the entry VMs of one availability zone take 18 to 650 ms instead of 4: its links are choked. All controllers lose power at 31.3 during a storm of configurations. Entry VMs that had heard of a version and could not fetch it said for the time of the fetch that they were not ready, left the rotation a second later, and the others of the zone got their flows under a burst. Change: an entry VM that was caught up says that it is not ready only 2 s after the news of a configuration that it does not have, and not while it hears no controller. With the second that routers take, that is below the 4 s within which a configuration is to be in force. A fetch that fails no longer makes it ready again. Test: TestCaughtUpForAMomentAfterNews.

--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -31,6 +31,11 @@
 	searchSpan = 2 * time.Second
 	// fetchPause is the time after a fetch that failed.
 	fetchPause = 100 * time.Millisecond
+	// behindGrace is the time for which a process that was caught up still counts as such after it has heard
+	// of a newer configuration. Usually it has that within milliseconds. If all controllers are lost in between,
+	// entry VMs that leave the rotation for it only choke the others; with the second that routers take to
+	// notice it stays below the 4 s within which a configuration is to be in force.
+	behindGrace = 2 * time.Second
 	// lostAfter is the time without an answer after which a controller counts as lost. It has then missed
 	// four announcements.
 	lostAfter = 4 * roster.AnnounceInterval
@@ -62,9 +67,12 @@
 	seeds       []hop.IP
 	members     []hop.IP // of the last answer of a controller in contact with a majority
 	controllers map[hop.IP]*controller
-	version     uint64 // in force
-	wanted      uint64 // newest version heard of
-	current     bool   // a controller in contact with a majority has answered
+	version     uint64    // in force
+	wanted      uint64    // newest version that a controller is believed to have
+	current     bool      // a controller in contact with a majority has answered
+	caughtUp    bool      // newest has been in force once
+	newest      uint64    // of all versions heard of
+	behind      time.Time // when newest went above the version in force
 }
 
 type controller struct {
@@ -200,6 +208,12 @@
 		u.current = true
 		u.members = slices.Clone(a.Controllers)
 	}
+	if a.Version > u.newest {
+		if u.version >= u.newest {
+			u.behind = now
+		}
+		u.newest = a.Version
+	}
 	if a.Version > u.wanted {
 		u.wanted = a.Version
 		select {
@@ -292,10 +306,16 @@
 	u.wanted = u.version
 }
 
-// CaughtUp reports whether a controller in contact with a majority has answered and the newest
-// version heard of is in force.
+// CaughtUp reports whether a controller in contact with a majority has answered and the newest version
+// heard of is in force. A process that was caught up stays so for a moment, and as long as it hears no
+// controller that it could get the version from.
 func (u *Uplink) CaughtUp() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.current && u.version > 0 && u.version >= u.wanted
+	if u.current && u.version > 0 && u.version >= u.newest {
+		u.caughtUp = true
+		return true
+	}
+	now := u.clock()
+	return u.caughtUp && (now.Sub(u.behind) < behindGrace || !u.inContact(now))
 }
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -60,3 +60,35 @@
 	}
 	g.Expect(count).To(BeNumerically("<=", 11*len(ips)))
 }
+
+// Guards against entry VMs that leave the rotation because all controllers were lost between the news of a
+// configuration and its fetch: in ma-bogota-lb-grown scale-2 the others of their zone were choked by it.
+func TestCaughtUpForAMomentAfterNews(t *testing.T) {
+	g := NewWithT(t)
+	u := New(Config{Logger: telemetry.Discard().Logger})
+	now := time.Unix(1000, 0)
+	u.clock = func() time.Time { return now }
+	from := hop.IP{10, 0, 0, 1}
+	u.Answer(from, &roster.Answer{Version: 1, Current: true})
+	g.Expect(u.CaughtUp()).To(BeFalse(), "nothing is in force after the start")
+	now = now.Add(time.Millisecond)
+	u.version = 1
+	g.Expect(u.CaughtUp()).To(BeTrue())
+	now = now.Add(time.Minute)
+	u.Answer(from, &roster.Answer{Version: 2, Current: true})
+	g.Expect(u.CaughtUp()).To(BeTrue())
+	now = now.Add(behindGrace / 2)
+	u.Answer(from, &roster.Answer{Version: 3, Current: true})
+	now = now.Add(behindGrace/2 - 1)
+	g.Expect(u.CaughtUp()).To(BeTrue())
+	now = now.Add(1)
+	g.Expect(u.CaughtUp()).To(BeFalse(), "the time counts from the first configuration that is missing")
+	u.distrust(from)
+	g.Expect(u.CaughtUp()).To(BeFalse(), "a fetch that fails changes nothing")
+	now = now.Add(lostAfter + 1)
+	g.Expect(u.CaughtUp()).To(BeTrue(), "no controller is heard")
+	u.Answer(from, &roster.Answer{Version: 3, Current: true})
+	g.Expect(u.CaughtUp()).To(BeFalse())
+	u.version = 3
+	g.Expect(u.CaughtUp()).To(BeTrue())
+}
