Close the connection before Receive returns

Since the connection is closed by a function of the context alone; if a packet arrives in between, Receive returns before it has run. Change: Receive closes the connection itself before it returns.

--- a/internal/packet/udp.go
+++ b/internal/packet/udp.go
@@ -38,7 +38,10 @@
 // handle returns.
 func Receive(ctx context.Context, conn *net.UDPConn, logger *log.Logger, handle func(from netip.AddrPort, b []byte)) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
+	defer func() {
+		stop()
+		_ = conn.Close() // before the return, so that the address can be used again
+	}()
 	buffer := make([]byte, MaxDatagram)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
