Wait for the follower to know its leader before an edit is traced

A trial that prints the spans shows "controller.receive" twice: the follower did not know the new leader yet, and the operator's client repeated its call, as it should. Change: the test waits until the follower knows the leader; the spans that it wants stay exactly the same.

--- a/internal/controller/trace_test.go
+++ b/internal/controller/trace_test.go
@@ -43,6 +43,8 @@
 	if leader == follower {
 		follower = "c2"
 	}
+	// A follower that does not know the leader yet lets the operator's call be repeated, which is received twice.
+	testkit.Eventually(c.h.t, "follower knows the leader", func() bool { return c.running[follower].log.Status().Leader == leader })
 	reply, err := c.h.operator(c.members[follower]).Apply(c.h.t.Context(), operator.Edit{
 		CommandID: id, Base: base, File: "doc", Document: document(int(base)+1, 1, ""),
 	})
