--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -20,6 +20,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/devcerts"
 	"github.com/greengagelock/greengagelock/internal/encap"
+	"github.com/greengagelock/greengagelock/internal/loopback"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/settings"
@@ -45,7 +46,7 @@
 	telemetryURLs map[string]string
 	ready         chan struct{} // closed when the files of the trial system have been written
 
-	addresses   *addressPool
+	addresses   *loopback.Block
 	authority   *devcerts.Authority
 	fleetKey    encap.Key
 	fabric      *standin.Fabric
@@ -117,7 +118,9 @@
 	d.traffic = t
 	d.ledger = standin.NewLedger()
 	d.imbalance = newImbalance()
-	d.addresses = newAddressPool()
+	if d.addresses, err = loopback.Reserve(); err != nil {
+		return err
+	}
 	if d.document, err = readDocuments(); err != nil {
 		return err
 	}
--- a/cmd/demo/nodes.go
+++ b/cmd/demo/nodes.go
@@ -53,7 +53,7 @@
 	s.Telemetry.Trace.Exporter = "none"
 	s.ShutdownTimeout = jsonc.Duration(shutdownTimeout)
 	if d.telemetryURLs != nil {
-		if s.Telemetry.Listen, err = d.addresses.freeTCP(); err != nil {
+		if s.Telemetry.Listen, err = d.addresses.NextTCP(); err != nil {
 			return nil, nil, err
 		}
 		d.telemetryURLs[s.Name] = "http://" + s.Telemetry.Listen.String()
@@ -74,7 +74,7 @@
 
 func (d *demo) startControllers() error {
 	for i := range controllerCount {
-		address, err := d.addresses.freeTCP()
+		address, err := d.addresses.NextTCP()
 		if err != nil {
 			return err
 		}
@@ -95,7 +95,7 @@
 }
 
 func (d *demo) startBalancer(number int) error {
-	ports, err := d.addresses.freeUDP(2)
+	ports, err := d.addresses.NextUDP(2)
 	if err != nil {
 		return err
 	}
@@ -128,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	ports, err := d.addresses.freeUDP(3)
+	ports, err := d.addresses.NextUDP(3)
 	if err != nil {
 		return err
 	}
--- a/cmd/demo/trial_test.go
+++ b/cmd/demo/trial_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -116,29 +117,32 @@
 // elsewhere.
 func (w *operatorSession) drainUnderFlows(ctx context.Context) {
 	GinkgoHelper()
-	held := func() int { return w.streamsAt("notice-2", "notice-stream") }
-	Eventually(held).WithContext(ctx).Should(BeNumerically(">", 0))
+	const service = "notice-stream"
+	leaving := w.targetWithStreams(ctx, service)
+	vm := string(leaving.vm.Name)
+	held := func() int { return int(leaving.target.Stats(service).Open) }
 	before := held()
-	Expect(w.ctl(ctx, "drain", "notice-2", "--wait", "--wait-timeout", "1m")).To(Equal(0), w.err)
+	Expect(w.ctl(ctx, "drain", vm, "--wait", "--wait-timeout", "1m")).To(Equal(0), w.err)
 	Expect(w.ctl(ctx, "targets")).To(Equal(0), w.err)
-	Expect(w.out).To(MatchRegexp(`notice-2/notice-stream +\d+ +reykjavik-b +notice-stream +draining`))
+	Expect(w.out).To(MatchRegexp(`%s/%s +\d+ +%s +%s +draining`, vm, service, leaving.vm.Zone, service))
 	opened := w.workload.totalOpened()
 	Eventually(w.workload.totalOpened).WithContext(ctx).Should(BeNumerically(">", opened+100))
 	Expect(held()).To(BeNumerically(">=", before))
 	Expect(w.workload.counts()).To(HavePrefix("40 streams open, 0 flows broken, "))
-	Expect(w.ctl(ctx, "undrain", "notice-2", "--wait", "--wait-timeout", "1m")).To(Equal(0), w.err)
+	Expect(w.ctl(ctx, "undrain", vm, "--wait", "--wait-timeout", "1m")).To(Equal(0), w.err)
 }
 
-// streamsAt returns the number of connections that a target has open for a service.
-func (w *operatorSession) streamsAt(vm, service string) int {
+// targetWithStreams waits for a target with open streams of a service, and returns the one with the most. The
+// hash of the flows may leave any given target without a stream.
+func (w *operatorSession) targetWithStreams(ctx context.Context, service string) *targetNode {
 	GinkgoHelper()
-	for _, t := range w.targets {
-		if string(t.vm.Name) == vm {
-			return int(t.target.Stats(service).Open)
-		}
-	}
-	Fail("no target " + vm)
-	return 0
+	open := func(t *targetNode) int { return int(t.target.Stats(service).Open) }
+	var most *targetNode
+	Eventually(func() int {
+		most = slices.MaxFunc(w.targets, func(a, b *targetNode) int { return open(a) - open(b) })
+		return open(most)
+	}).WithContext(ctx).Should(BeNumerically(">", 0))
+	return most
 }
 
 func (w *operatorSession) explainFlow(ctx context.Context) {
--- a/cmd/demo/trialfiles.go
+++ b/cmd/demo/trialfiles.go
@@ -69,7 +69,7 @@
 func (d *demo) writeSpares() ([]string, error) {
 	var addresses []string
 	for _, name := range spareControllers {
-		address, err := d.addresses.freeTCP()
+		address, err := d.addresses.NextTCP()
 		if err != nil {
 			return nil, err
 		}
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	telemetry, err := d.addresses.freeTCP()
+	telemetry, err := d.addresses.NextTCP()
 	if err != nil {
 		return err
 	}
--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -50,9 +50,11 @@
 		c.sendAnswer(to, &answers[i])
 	}
 	if changed {
-		t := a.Target
-		c.tel.Logger.Info().Str("target", t.ID).Str("relay", a.Name).Str("state", t.State.String()).
-			Bool("cold", t.Cold).Msg("a target changed")
+		line := c.tel.Logger.Info().Str("relay", a.Name)
+		if t := a.Target; t != nil { // nil once an entry VM has taken the address of a relay
+			line = line.Str("target", t.ID).Str("state", t.State.String()).Bool("cold", t.Cold)
+		}
+		line.Msg("a target changed")
 		c.scheduleListUpdate()
 	}
 }
--- a/internal/confstore/incarnations.go
+++ b/internal/confstore/incarnations.go
@@ -35,7 +35,11 @@
 	// awaited are the relays that were running when the controller stopped and have not announced
 	// themselves since.
 	awaited map[hop.IP]struct{}
-	loaded  bool // the file existed and could be read
+	// changes counts the changes of records, and changedAt holds its value at the last change of each record;
+	// zero for those of the file.
+	changes   uint64
+	changedAt map[hop.IP]uint64
+	loaded    bool // the file existed and could be read
 }
 
 // incarnation is the last announced process and target of a relay.
@@ -52,7 +56,10 @@
 // loadIncarnations reads the file. If it is missing or unreadable, no previous target is known, which is safe:
 // a relay then does not conclude that its target has restarted.
 func loadIncarnations(folder string, logger *log.Logger) *incarnations {
-	n := &incarnations{folder: folder, dirty: make(chan struct{}, 1), relays: map[hop.IP]incarnation{}, awaited: map[hop.IP]struct{}{}}
+	n := &incarnations{
+		folder: folder, dirty: make(chan struct{}, 1), relays: map[hop.IP]incarnation{}, awaited: map[hop.IP]struct{}{},
+		changedAt: map[hop.IP]uint64{},
+	}
 	data, err := os.ReadFile(filepath.Join(folder, incarnationsFile))
 	if err == nil {
 		err = cbor.Unmarshal(data, &n.relays)
@@ -89,15 +96,35 @@
 	}
 }
 
-// set stores the record of a relay and schedules a save.
+// set stores the record of a relay and schedules a save. If there is no room it removes another record first.
 func (n *incarnations) set(relay hop.IP, next incarnation) {
-	n.relays[relay] = next
+	if _, known := n.relays[relay]; !known && len(n.relays) >= maxIncarnations {
+		n.evict()
+	}
+	n.changes++
+	n.relays[relay], n.changedAt[relay] = next, n.changes
 	select {
 	case n.dirty <- struct{}{}:
 	default:
 	}
 }
 
+// evict removes the record that has not changed for the longest time, of relays that have left if there are any.
+// A relay without a record is unsure of the flows of its target until they have expired.
+func (n *incarnations) evict() {
+	var oldest hop.IP
+	found := false
+	for ip, r := range n.relays {
+		kept := n.relays[oldest]
+		if !found || (r.Left && !kept.Left) || (r.Left == kept.Left && n.changedAt[ip] < n.changedAt[oldest]) {
+			oldest, found = ip, true
+		}
+	}
+	delete(n.relays, oldest)
+	delete(n.changedAt, oldest)
+	delete(n.awaited, oldest)
+}
+
 // record stores an announcement and returns the ID of the target that the previous process of the relay
 // announced last, or "" if it is unknown.
 func (n *incarnations) record(relay hop.IP, process uint64, target string) string {
@@ -114,9 +141,6 @@
 		next.Target = target
 	}
 	if next != last {
-		if len(n.relays) >= maxIncarnations {
-			clear(n.relays)
-		}
 		n.set(relay, next)
 	}
 	return next.Previous
--- a/internal/confstore/incarnations_test.go
+++ b/internal/confstore/incarnations_test.go
@@ -73,3 +73,25 @@
 	g.Expect(n.allHeard()).To(BeFalse())
 	g.Expect(n.record(hop.IP{10, 0, 0, 1}, 1, "a")).To(BeEmpty())
 }
+
+// Guards against relays that all become unsure of their flows at once because one more relay than the record has
+// room for announces itself.
+func TestFullRecordDropsOneRelay(t *testing.T) {
+	g := NewWithT(t)
+	n := loadIncarnations(t.TempDir(), telemetry.Discard().Logger)
+	relay := func(i int) hop.IP { return hop.IP{10, 0, byte(i >> 8), byte(i)} }
+	for i := range maxIncarnations {
+		n.record(relay(i), 1, "before")
+	}
+	left := relay(1234)
+	n.markLeft(left)
+	for i := range 2 {
+		n.record(hop.IP{10, 1, 0, byte(i)}, 1, "new")
+	}
+	g.Expect(n.relays).To(HaveLen(maxIncarnations))
+	for i := range maxIncarnations {
+		if ip := relay(i); ip != left && ip != relay(0) {
+			g.Expect(n.record(ip, 2, "after")).To(Equal("before"))
+		}
+	}
+}
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -18,12 +18,16 @@
 )
 
 // runOnLeader calls local if this controller is the leader, and forwards the call to the leader otherwise.
-// A call is forwarded once only.
+// A call is forwarded once only. local runs behind a read index: a leader that has just been elected may not
+// have applied the edits that were accepted in earlier terms.
 func runOnLeader[R any](o *Operator, origin *operator.Origin, method string, request any, reply *R, local func(ctx context.Context) error) error {
 	ctx, cancel := o.peer.CallContext(operatorTimeout)
 	defer cancel()
 	o.authenticateOrigin(origin)
 	if o.c.log.Status().IsLeader {
+		if err := o.c.reads.wait(ctx); err != nil {
+			return err
+		}
 		return local(ctx)
 	}
 	if origin.Forwarded {
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -15,6 +15,7 @@
 	"github.com/greengagelock/greengagelock/examples"
 	"github.com/greengagelock/greengagelock/internal/daemon"
 	"github.com/greengagelock/greengagelock/internal/devcerts"
+	"github.com/greengagelock/greengagelock/internal/loopback"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/result"
@@ -111,7 +112,7 @@
 	}, SpecTimeout(time.Minute))
 })
 
-// loadSingle loads the settings of examples/single with free ports and new certificates.
+// loadSingle loads the settings of examples/single with addresses of its own and new certificates.
 func loadSingle(shutdownTimeout string) ([]*settings.Settings, rpc.TLSFiles) {
 	GinkgoHelper()
 	folder := GinkgoT().TempDir()
@@ -119,8 +120,13 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(os.WriteFile(filepath.Join(folder, "fleet.key"), []byte(strings.Repeat("5a", 16)), 0o600)).To(Succeed())
 	replacements := []string{`"shutdown_timeout": "10s"`, `"shutdown_timeout": "` + shutdownTimeout + `"`}
+	addresses, err := loopback.Reserve()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(addresses.Close)
 	for _, port := range []string{"7400", "7401", "7402", "7403", "7405", "7501", "7502", "7503", "9101", "9102", "9103"} {
-		replacements = append(replacements, "127.0.0.1:"+port, freePort())
+		address, err := addresses.NextTCP()
+		Expect(err).NotTo(HaveOccurred())
+		replacements = append(replacements, "127.0.0.1:"+port, address.String())
 	}
 	issueCertificate(authority, model.RoleBalancer, "single-1-balancer")
 	issueCertificate(authority, model.RoleAgent, "single-1-agent")
@@ -208,11 +214,3 @@
 	Expect(reply.Result.Code).To(Equal(result.OK), reply.Result.Message)
 	Eventually(func() int { return s.process.BalancerView().CountAdmitting() }).WithContext(ctx).Should(Equal(1))
 }
-
-func freePort() string {
-	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,7 +101,8 @@
 //   - Questions: owner and fan-out queries. Swept: flows queued for a fan-out query. Probed: rounds of probes.
 //   - NoTarget: SYNs answered with a reset. Refused: SYNs that a chain of candidates gave back.
 //   - OfferedAgain: offers repeated after a timeout. OffersHeld: timeouts without retry budget.
-//     OffersBusy: SYNs held because all targets were busy.
+//     OffersBusy: SYNs held because all targets were busy. OffersEarly: SYNs held because targets of the
+//     service may not be known yet.
 //   - HeldDropped: packets dropped from a full or outdated queue. FlowsDropped: flows beyond maxFlows.
 //   - EarlyReplayed: packets of the startup queue that were handled.
 //   - LostOwners: flows reset because their relay is lost. Returned: packets that a relay gave back.
@@ -109,6 +110,7 @@
 	Packets, Malformed, NoRoute               uint64
 	Offered, Admitted, OfferedAgain           uint64
 	Refused, NoTarget, OffersHeld, OffersBusy uint64
+	OffersEarly                               uint64
 	Forwarded, Finds, Found, FoundNone        uint64
 	Swept, FindsFailed, Resets, Probed        uint64
 	HeldDropped, FlowsDropped, Returned       uint64
@@ -147,7 +149,7 @@
 	service     routing.ServiceID
 	route       *routing.Route
 	tried       []hop.IP
-	allBusy     bool          // all targets were too busy at the last offer
+	held        bool          // no target can take the SYN yet; it is offered again at due
 	unconfirmed bool          // owner was guessed from the offer and has not confirmed that it has the flow
 	admittedAt  time.Duration // zero if this process has not seen the admission
 
@@ -171,7 +173,7 @@
 	return &Entry{
 		cfg: cfg, ports: ports, picker: picker, View: roster.NewView(),
 		flows: map[packet.Key]*flow{}, nextDue: -1, firstTargetsAt: -1,
-		queries: newQueryBatcher(cfg.LinkBytesPerSecond),
+		offerRetries: retryPolicy{retryBudget: retryBurst}, queries: newQueryBatcher(cfg.LinkBytesPerSecond),
 	}
 }
 
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -8,6 +8,7 @@
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/roster"
 )
 
 const (
@@ -64,9 +65,6 @@
 
 // addOffer credits the retry budget for a new flow.
 func (p *retryPolicy) addOffer() {
-	if !p.hasMean && p.retryBudget == 0 {
-		p.retryBudget = retryBurst
-	}
 	p.retryBudget = min(p.retryBudget+retryRatio, retryBurst)
 }
 
@@ -103,10 +101,16 @@
 	e.offerSYN(now, key, f)
 }
 
-// offerSYN sends the SYN to the next candidates, or refuses the flow if there are none.
+// offerSYN sends the SYN to the next candidates. Without one it refuses the flow, or holds the SYN while targets
+// of the service may become known.
 func (e *Entry) offerSYN(now time.Duration, key packet.Key, f *flow) {
 	e.candidates = e.picker.Candidates(now, e.View, f.service, key.Hash(), f.tried, e.candidates)
-	if len(e.candidates) == 0 || f.attempts >= maxOffers {
+	switch {
+	case len(e.candidates) == 0 && e.mayBecomeKnown(now, f):
+		e.Stats.OffersEarly++
+		e.holdSYN(now, key, f)
+		return
+	case len(e.candidates) == 0 || f.attempts >= maxOffers:
 		e.refuseFlow(now, key, f)
 		return
 	}
@@ -123,6 +127,18 @@
 	})
 }
 
+// mayBecomeKnown reports whether a target for the flow may become known while its SYN is held: no controller has
+// a complete list, or a relay of the service still waits for the first heartbeat of its target. Otherwise the
+// service is known to have no target that accepts flows.
+func (e *Entry) mayBecomeKnown(now time.Duration, f *flow) bool {
+	if f.route == nil || now-f.startedAt >= f.maxHoldTime() {
+		return false
+	}
+	return !e.View.HasCompleteList(now) || slices.ContainsFunc(e.View.Targets(f.service), func(k *roster.KnownTarget) bool {
+		return k.State == roster.Unknown && !k.Lost
+	})
+}
+
 // maxWaitMillis returns the time for which a request of the flow may wait for a slot; zero for no limit.
 func (f *flow) maxWaitMillis(now time.Duration) uint16 {
 	if f.route == nil || now-f.startedAt >= f.maxHoldTime() {
@@ -140,10 +156,9 @@
 	return min(time.Duration(float64(f.route.Timeout)*maxHoldShare), callerSYNTimeout/2)
 }
 
-// holdSYN schedules another offer of a SYN for which all targets were too busy.
+// holdSYN schedules another offer of a SYN that no target can take yet.
 func (e *Entry) holdSYN(now time.Duration, key packet.Key, f *flow) {
-	e.Stats.OffersBusy++
-	f.tried, f.attempts, f.allBusy = nil, max(f.attempts-1, 0), true
+	f.tried, f.attempts, f.held = nil, max(f.attempts-1, 0), true
 	interval := holdInterval
 	if f.route != nil && f.route.Priority <= 1 {
 		interval = holdIntervalHighPriority
@@ -168,8 +183,8 @@
 		e.dropFlow(key)
 		return
 	}
-	if f.allBusy {
-		f.allBusy = false
+	if f.held {
+		f.held = false
 		e.offerSYN(now, key, f)
 		return
 	}
@@ -223,6 +238,7 @@
 	}
 	e.Stats.Refused++
 	if m.Busy {
+		e.Stats.OffersBusy++
 		e.holdSYN(now, key, f)
 		return
 	}
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -153,10 +153,20 @@
 // Encode returns the announcement as a datagram.
 func (a *Announcement) Encode() ([]byte, error) { return encode(kindAnnouncement, a) }
 
-// DecodeAnnouncement decodes the datagram of an announcement.
+// DecodeAnnouncement decodes the datagram of an announcement. It fails unless the sender is an entry VM, or a
+// relay with its target.
 func DecodeAnnouncement(b []byte) (*Announcement, error) {
 	a := &Announcement{}
-	return a, decode(kindAnnouncement, b, a)
+	if err := decode(kindAnnouncement, b, a); err != nil {
+		return nil, err
+	}
+	switch {
+	case a.Role != RoleEntry && a.Role != RoleRelay:
+		return nil, result.New(result.PacketInvalid, "announcement of %q with unknown role %d", a.Name, a.Role)
+	case (a.Role == RoleRelay) != (a.Target != nil):
+		return nil, result.New(result.PacketInvalid, "announcement of %q with role %d: only relays have a target", a.Name, a.Role)
+	}
+	return a, nil
 }
 
 // Encode returns the answer as a datagram.
