Pass on the packets of flows that a target refuses late in recovery

A trace of all agents' actions on the flows that timed out: each recovering agent before the owner got the caller's packet, waited 20 ms for its target, adopted the flow unconfirmed and dropped the held packets; the target's RST came 110 ms later and found nothing to pass on. The caller's next retransmission reached one agent more. Change: held packets are kept until the flow is confirmed, refused or removed. Ruled out: resets (none in the trace), programs that were not scheduled for 10 s (265 ms at most). The spec of the flow table failed first.

--- a/internal/flowtable/recovery.go
+++ b/internal/flowtable/recovery.go
@@ -49,16 +49,15 @@
 func (t *Table) probeAnswer(p *flow.Packet, ep *endpoint, i uint32, r *record) {
 	r.set(flagUnconfirmed)
 	if t.confirm(p, ep, i, r) {
-		delete(t.heldByRecord, i)
 		t.setState(r, stateEstablished)
 		t.establishedAnswer(p, ep, i, r)
 	}
 }
 
 // probeUnanswered adopts the flow unconfirmed after RecoveryProbeTimeout. A target need not answer an ACK,
-// so it gets a keep-alive probe, which it has to answer.
+// so it gets a keep-alive probe, which it has to answer. The packets stay held until the flow is confirmed: a
+// target that is slow to refuse them must not cost the caller a retransmission for each recovering agent.
 func (t *Table) probeUnanswered(i uint32, r *record) {
-	delete(t.heldByRecord, i)
 	t.setState(r, stateEstablished)
 	r.set(flagUnconfirmed)
 	t.probeTarget(r)
@@ -108,6 +107,7 @@
 	r.setSequenceNumbers(p)
 	r.clear(flagUnconfirmed)
 	r.set(flagAdopted)
+	delete(t.heldByRecord, i)
 	t.acquire(ep, r)
 	t.countEvent(EventAdopted)
 	t.wheel.disarm(i)
--- a/internal/flowtable/table_test.go
+++ b/internal/flowtable/table_test.go
@@ -350,6 +350,17 @@
 		gomega.Expect(f.OpenRequests()).To(gomega.Equal(1))
 	})
 
+	// Guards against a caller that needs a retransmission for each recovering agent before its owner, because the
+	// targets answer more slowly than the agents wait.
+	ginkgo.It("forwards the packets of a flow that the target refuses late", func() {
+		f := newFixture(flowtable.Config{Recovering: true}, nil)
+		f.fromCaller(header(2), flow.Segment{ACK: true, Seq: 500, Ack: 800, Window: 9, Payload: []byte("x")})
+		f.advance(10 * flowtable.RecoveryProbeTimeout)
+		actions := f.fromTarget(flow.Segment{RST: true, Seq: 800})
+		gomega.Expect(kinds(actions)).To(gomega.Equal([]flowtable.Kind{flowtable.Drop, forward}))
+		gomega.Expect(decode(actions[1]).Payload).To(gomega.Equal([]byte("x")))
+	})
+
 	// Guards against flows that stay open after the path has failed in one direction, and against resets of a
 	// caller that does not read for a while.
 	ginkgo.It("resets a flow whose data is unacknowledged for 45 s, unless the caller's window is closed", func() {
