Remove unused names and constants that stand twice

Change: flow.DefaultSampleOneIn, capacity.designNewFlowsPerSecond, consensus.campaignIsTransfer and StepReply.Folder are gone; repair uses the limits of package consensus; encap has one constant for the largest datagram.

--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -4,17 +4,16 @@
 
 // The design size, as docs/design.md states it. The capacity page calls it the target size.
 const (
-	designBalancers         = 460
-	designTargets           = 4100
-	designServices          = 750
-	designFlows             = 9_200_000
-	designNewFlowsPerSecond = 26_000
-	designEditsPerDay       = 550
-	designVMFailuresPerDay  = 7
-	designVMRestartsPerDay  = 320
-	designZones             = 6
-	designControllers       = 7
-	designSessions          = designBalancers + designTargets
+	designBalancers        = 460
+	designTargets          = 4100
+	designServices         = 750
+	designFlows            = 9_200_000
+	designEditsPerDay      = 550
+	designVMFailuresPerDay = 7
+	designVMRestartsPerDay = 320
+	designZones            = 6
+	designControllers      = 7
+	designSessions         = designBalancers + designTargets
 	// Flows per node and sessions per controller assume an even distribution.
 	flowsPerAgent         = designFlows / designTargets
 	flowsPerBalancer      = designFlows / designBalancers
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -59,7 +59,6 @@
 	n.leaderContactAt = never
 	n.failReads()
 	n.campaignStartedAt = n.now
-	n.campaignIsTransfer = transfer
 	n.votes = map[MemberID]bool{n.cfg.ID: true}
 	n.resetCampaignTimer()
 	term := n.term + 1
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -29,9 +29,8 @@
 	hasSeenLeader    bool          // it has been leader or has heard from one since it started
 	knownQuorumAt    time.Duration // latest time at which a leader is known to have had a quorum
 
-	campaignStartedAt  time.Duration
-	campaignIsTransfer bool // the leader requested this election by TimeoutNow
-	votes              map[MemberID]bool
+	campaignStartedAt time.Duration
+	votes             map[MemberID]bool
 
 	leadership leadership
 
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -24,10 +24,7 @@
 }
 
 // StepReply is the reply to a StepRequest.
-type StepReply struct {
-	// Folder is reserved; nothing sets or reads it.
-	Folder string
-}
+type StepReply struct{}
 
 // newTransport returns the transport for messages of the replicated log, which runs over mutual TLS. folder
 // is the ID of this controller's data folder.
--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -18,29 +18,28 @@
 
 // Sizes and limits of the format.
 const (
-	Version         = 1
-	MaxCandidates   = 8
-	MaxHops         = 33 // four times eight candidates, and a final visit to one of them
-	MaxExtensions   = 3
-	HeaderBytes     = 40 // size without candidates
-	CandidateBytes  = 8
-	MaxHeaderBytes  = HeaderBytes + MaxCandidates*CandidateBytes
-	HintBytes       = 40     // also the size of a signal
-	NoBestWait      = 0xffff // BestWait before any agent has recorded its estimated wait
-	MaxControlAge   = 255    // ControlAge if the last contact is older or unknown
-	ControlAgeUnit  = 100 * time.Millisecond
-	WaitedUnit      = 10 * time.Millisecond
-	tagOffset       = 32
-	typePacket      = 1
-	typeHint        = 2
-	typeSignal      = 3
-	flagFinal       = 1 << 0
-	flagReserved    = ^byte(flagFinal)
-	maxDatagramSize = MaxHeaderBytes + flow.MaxPacketBytes
+	Version        = 1
+	MaxCandidates  = 8
+	MaxHops        = 33 // four times eight candidates, and a final visit to one of them
+	MaxExtensions  = 3
+	HeaderBytes    = 40 // size without candidates
+	CandidateBytes = 8
+	MaxHeaderBytes = HeaderBytes + MaxCandidates*CandidateBytes
+	HintBytes      = 40     // also the size of a signal
+	NoBestWait     = 0xffff // BestWait before any agent has recorded its estimated wait
+	MaxControlAge  = 255    // ControlAge if the last contact is older or unknown
+	ControlAgeUnit = 100 * time.Millisecond
+	WaitedUnit     = 10 * time.Millisecond
+	tagOffset      = 32
+	typePacket     = 1
+	typeHint       = 2
+	typeSignal     = 3
+	flagFinal      = 1 << 0
+	flagReserved   = ^byte(flagFinal)
 )
 
 // MaxDatagramBytes is the size of the largest valid datagram.
-const MaxDatagramBytes = maxDatagramSize
+const MaxDatagramBytes = MaxHeaderBytes + flow.MaxPacketBytes
 
 // Reasons why Decode rejects a datagram.
 const (
--- a/internal/flow/trace.go
+++ b/internal/flow/trace.go
@@ -7,9 +7,6 @@
 	"go.opentelemetry.io/otel/trace"
 )
 
-// DefaultSampleOneIn is the default of oneIn for Sampled: one flow in 1,024 is traced.
-const DefaultSampleOneIn = 1024
-
 // Sampled reports whether the hops of a flow are traced. It selects one flow in oneIn by the hash, so all
 // hops with the same oneIn select the same flows. Zero selects none.
 func Sampled(hash uint64, oneIn uint64) bool {
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -3,7 +3,11 @@
 // and no I/O.
 package repair
 
-import "time"
+import (
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/consensus"
+)
 
 const (
 	// LostAfter is the time without contact after which a member is considered lost and may be removed. It
@@ -15,9 +19,6 @@
 	// JoinInterval is the time between two join requests of a controller that is not a member or has no
 	// contact with a leader.
 	JoinInterval = 300 * time.Millisecond
-	// maxVoters and maxLearners equal the limits of package consensus.
-	maxVoters   = 7
-	maxLearners = 2
 )
 
 // Member is the leader's view of a member.
@@ -78,7 +79,7 @@
 // addLearner adds a joining controller as a learner, if the limits allow it.
 func (g *Group) addLearner() Change {
 	voters, learners := g.countMembers()
-	if learners >= maxLearners || voters+learners >= maxVoters+maxLearners {
+	if learners >= consensus.MaxLearners || voters+learners >= consensus.MaxVoters+consensus.MaxLearners {
 		return Change{}
 	}
 	for _, j := range g.Joining {
@@ -104,7 +105,7 @@
 		return Change{Remove, replaced.Name, learner.Name + " replaces it"}
 	}
 	voters, _ := g.countMembers()
-	if voters >= maxVoters {
+	if voters >= consensus.MaxVoters {
 		return Change{}
 	}
 	return Change{Promote, learner.Name, "it has caught up with the log"}
