Remember open flows on the controllers' disks and reset them after a loss of power

Cause: after a loss of power of all VMs, callers sent their next requests on flows that no target had any more. Change: package checkpoint. A relay reports its open flows (16 bytes each) to three controllers when they change, at most every 500 ms and 8 KB/s; controllers keep the lists of the last two processes of each relay and write them to a file on at most 5% of the disk's time. A relay that starts asks for the flows of its predecessors. It resets those of a target that is known to be gone (nothing listens at its address, or another target there sends heartbeats), once two of three controllers return them, unless the caller has opened another flow from the same port. Ruled out: memory of other VMs (all lose power); faster detection alone (the caller of an idle flow finds out by losing a request); a single controller's word (it may return with an old disk).

--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,6 @@
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzMessage -fuzztime 30s ./internal/hop
 	$(GO) test -run '^$$' -fuzz FuzzDecodeAnswer -fuzztime 30s ./internal/roster
+	$(GO) test -run '^$$' -fuzz FuzzDatagrams -fuzztime 30s ./internal/confstore
+	$(GO) test -run '^$$' -fuzz FuzzDatagrams -fuzztime 30s ./internal/entry
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/checkpoint
--- /dev/null
+++ b/internal/checkpoint/message.go
@@ -0,0 +1,137 @@
+// Package checkpoint keeps the open flows of all targets on the disks of the controllers. A relay reports the flows
+// of its target to a few controllers. After a loss of power nothing else remembers them: a relay that finds another
+// target beside it than its predecessor reported asks for these flows and resets them at their callers, which would
+// otherwise send their next request on a flow that no target has.
+//
+// A checkpoint is advice. It is never needed for correctness, may be lost, and gives way to everything else that
+// uses the disk.
+package checkpoint
+
+import (
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/result"
+)
+
+const (
+	// Copies is the number of controllers that a relay reports its flows to. One may lose its disk.
+	Copies = 3
+	// flowBytes is the size of an encoded flow.
+	flowBytes = packet.KeyBytes + 4
+	// flowsPerPart keeps a part below the MTU of an Ethernet link.
+	flowsPerPart = 64
+	// maxParts bounds the memory that a damaged part can claim. A relay has at most 32,768 flows.
+	maxParts = 512
+)
+
+// Kinds of datagrams. Packages hop and roster use lower values.
+const (
+	kindPart    byte = 66
+	kindRequest byte = 67
+)
+
+// Flow is an open flow of a target.
+type Flow struct {
+	Key packet.Key
+	// Ack is the last acknowledgement number of the caller, which a reset needs.
+	Ack uint32
+}
+
+// Target is the incarnation of a target that has the flows.
+type Target struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Born int64 // start of the target, Unix time in ms; zero if unknown
+}
+
+// Part is a part of a list of flows, as relays report it and controllers return it. All flows of a part belong to
+// the same target.
+type Part struct {
+	_       struct{} `cbor:",toarray"`
+	Process uint64   // random number of the relay process that reported the flows
+	Target  Target
+	Number  uint32 // number of the list; increases with each report of a relay process
+	Part    uint16 // from 0
+	Parts   uint16 // of the report, or of the answer to a request
+	Packed  []byte // flows, see Flows
+}
+
+// Request asks a controller for the flows that other processes of the sending relay reported.
+type Request struct {
+	_       struct{} `cbor:",toarray"`
+	Process uint64
+}
+
+// Flows returns the flows of the part.
+func (p *Part) Flows() []Flow {
+	flows := make([]Flow, 0, len(p.Packed)/flowBytes)
+	for b := p.Packed; len(b) >= flowBytes; b = b[flowBytes:] {
+		flows = append(flows, Flow{Key: packet.ParseKey(b), Ack: binary.BigEndian.Uint32(b[packet.KeyBytes:])})
+	}
+	return flows
+}
+
+// Pack encodes flows in the form of Part.Packed.
+func Pack(flows []Flow) []byte {
+	packed := make([]byte, 0, len(flows)*flowBytes)
+	for _, f := range flows {
+		packed = binary.BigEndian.AppendUint32(f.Key.Append(packed), f.Ack)
+	}
+	return packed
+}
+
+// Split returns the parts of packed flows that have the other fields of template; at least one.
+func Split(template Part, packed []byte) []Part {
+	const size = flowsPerPart * flowBytes
+	count := min(max((len(packed)+size-1)/size, 1), maxParts)
+	parts := make([]Part, count)
+	for i := range parts {
+		parts[i] = template
+		parts[i].Part, parts[i].Parts = uint16(i), uint16(count)
+		parts[i].Packed = packed[i*size : min((i+1)*size, len(packed))]
+	}
+	return parts
+}
+
+// IsMessage reports whether a datagram is a message of this package.
+func IsMessage(b []byte) bool { return len(b) > 0 && (b[0] == kindPart || b[0] == kindRequest) }
+
+// Encode returns the part as a datagram.
+func (p *Part) Encode() ([]byte, error) { return encode(kindPart, p) }
+
+// Encode returns the request as a datagram.
+func (r *Request) Encode() ([]byte, error) { return encode(kindRequest, r) }
+
+func encode(kind byte, message any) ([]byte, error) {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode a flow checkpoint message")
+	}
+	return append([]byte{kind}, body...), nil
+}
+
+// Decode decodes a datagram into a part or a request; the other result is nil. Errors carry result.PacketInvalid.
+func Decode(b []byte) (*Part, *Request, error) {
+	if !IsMessage(b) {
+		return nil, nil, result.New(result.PacketInvalid, "datagram is not a flow checkpoint message")
+	}
+	if b[0] == kindRequest {
+		r := &Request{}
+		if err := cbor.Unmarshal(b[1:], r); err != nil {
+			return nil, nil, result.New(result.PacketInvalid, "decode a request for flows: %v", err)
+		}
+		return nil, r, nil
+	}
+	p := &Part{}
+	if err := cbor.Unmarshal(b[1:], p); err != nil {
+		return nil, nil, result.New(result.PacketInvalid, "decode a list of flows: %v", err)
+	}
+	if p.Parts == 0 || p.Parts > maxParts || p.Part >= p.Parts || len(p.Packed)%flowBytes != 0 {
+		return nil, nil, result.New(result.PacketInvalid, "invalid part %d of %d of a list of flows, %d bytes", p.Part, p.Parts, len(p.Packed))
+	}
+	return p, nil, nil
+}
--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/checkpoint"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/decision"
 	"github.com/greengagelock/greengagelock/internal/hop"
@@ -19,19 +20,53 @@
 	listUpdateDelay = 15 * time.Millisecond
 )
 
-// serveAnnouncements receives and answers the announcements of all processes until ctx is done.
+// serveAnnouncements receives and answers the announcements of all processes, and the flows that relays report and
+// request, until ctx is done.
 func (c *Controller) serveAnnouncements(ctx context.Context) error {
 	return packet.Receive(ctx, c.udp, c.tel.Logger, func(from netip.AddrPort, b []byte) {
-		a, err := roster.DecodeAnnouncement(b)
 		addr, ok := packet.AddrOf(from)
-		if err != nil || !ok {
-			c.tel.Logger.Debug().Str("from", from.String()).Err(err).Msg("received a datagram that is not a valid announcement")
+		if !ok {
 			return
 		}
-		c.handleAnnouncement(from, addr.IP, a)
+		if err := c.handleDatagram(from, addr.IP, b); err != nil {
+			c.tel.Logger.Debug().Str("from", from.String()).Err(err).Msg("malformed datagram of a process dropped")
+		}
 	})
 }
 
+// handleDatagram handles a datagram of an entry VM or a relay, and answers it.
+func (c *Controller) handleDatagram(to netip.AddrPort, from hop.IP, b []byte) error {
+	if checkpoint.IsMessage(b) {
+		return c.handleCheckpointDatagram(to, from, b)
+	}
+	a, err := roster.DecodeAnnouncement(b)
+	if err != nil {
+		return err
+	}
+	c.handleAnnouncement(to, from, a)
+	return nil
+}
+
+// handleCheckpointDatagram records a report of flows, or answers a request for them.
+func (c *Controller) handleCheckpointDatagram(to netip.AddrPort, from hop.IP, b []byte) error {
+	part, request, err := checkpoint.Decode(b)
+	if err != nil {
+		return err
+	}
+	if part != nil {
+		c.flows.RecordPart(time.Since(c.start), from, part)
+		return nil
+	}
+	for _, p := range c.flows.Earlier(from, request.Process) {
+		datagram, err := p.Encode()
+		if err != nil {
+			return err
+		}
+		packet.Send(c.udp, to, datagram, c.tel.Logger)
+	}
+	return nil
+}
+
 // handleAnnouncement records an announcement, answers it, and schedules an update of the entry VMs if the
 // list of targets has changed.
 func (c *Controller) handleAnnouncement(to netip.AddrPort, from hop.IP, a *roster.Announcement) {
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/greengagelock/greengagelock/internal/checkpoint"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/lifecycle"
@@ -90,6 +91,7 @@
 	registry     *roster.Registry
 
 	incarnations *incarnations
+	flows        *checkpoint.Store // reported by relays
 	start        time.Time
 	// peerAddresses are the addresses of all controllers that have called, by member name.
 	peerAddresses map[string]string
@@ -101,7 +103,10 @@
 		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]time.Time{},
 		registry: roster.NewRegistry(), start: time.Now(), peerAddresses: map[string]string{},
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
-		incarnations: loadIncarnations(cfg.DataDir, t.Logger),
+		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
+	}
+	if err := c.flows.Load(cfg.DataDir, 0, c.start); err != nil {
+		t.Logger.Warn().Err(err).Msg("the flow checkpoint is not used")
 	}
 	bootstrapNames := c.bootstrapNames()
 	var err error
@@ -230,6 +235,9 @@
 		lifecycle.WithoutError(c.expireLeases),
 		lifecycle.WithoutError(c.runListUpdates),
 		lifecycle.WithoutError(func(ctx context.Context) { c.incarnations.runSaves(ctx, c.tel.Logger) }),
+		lifecycle.WithoutError(func(ctx context.Context) {
+			c.flows.RunSaves(ctx, c.cfg.DataDir, func() time.Duration { return time.Since(c.start) }, c.tel.Logger)
+		}),
 		lifecycle.WithoutError(c.repairMembers),
 		lifecycle.WithoutError(c.requestMembership),
 	)
--- a/internal/confstore/fuzz_test.go
+++ b/internal/confstore/fuzz_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"testing"
 
+	"github.com/greengagelock/greengagelock/internal/checkpoint"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/loopback"
 	"github.com/greengagelock/greengagelock/internal/roster"
@@ -51,8 +52,8 @@
 	}
 }
 
-// Guards against a controller that ends because of malformed announcements.
-func FuzzAnnouncements(f *testing.F) {
+// Guards against a controller that ends because of malformed datagrams of entry VMs and relays.
+func FuzzDatagrams(f *testing.F) {
 	c, to := newIdleController(f)
 	for _, a := range []roster.Announcement{
 		{Role: roster.RoleEntry, Name: "e", Digest: 3, Loads: true},
@@ -63,9 +64,15 @@
 		testkit.Check(f, err)
 		f.Add(datagram)
 	}
+	part := checkpoint.Part{Process: 1, Target: checkpoint.Target{ID: "t"}, Parts: 1, Packed: make([]byte, 32)}
+	request := checkpoint.Request{Process: 1}
+	for _, encode := range []func() ([]byte, error){part.Encode, request.Encode} {
+		datagram, err := encode()
+		testkit.Check(f, err)
+		f.Add(datagram)
+	}
 	f.Fuzz(func(_ *testing.T, datagram []byte) {
-		if a, err := roster.DecodeAnnouncement(datagram); err == nil {
-			c.handleAnnouncement(to, hop.IP{10, 0, 0, byte(len(datagram))}, a)
-		}
+		// Most inputs are malformed; only a panic is a failure.
+		_ = c.handleDatagram(to, hop.IP{10, 0, 0, byte(len(datagram))}, datagram)
 	})
 }
--- a/internal/confstore/metrics.go
+++ b/internal/confstore/metrics.go
@@ -34,11 +34,23 @@
 			defer c.mu.Unlock()
 			return float64(len(c.registry.OutdatedEntries(version)))
 		}},
+		{"checkpoint_flows", "Flows that relays have reported.", func() float64 { return float64(c.flows.Stats().Flows) }},
 	}
 	var err error
 	for _, g := range gauges {
 		opts := prometheus.GaugeOpts{Name: "greengagelock_store_" + g.name, Help: g.help}
 		err = errors.CombineErrors(err, r.Register(prometheus.NewGaugeFunc(opts, g.read)))
 	}
+	counters := []struct {
+		name, help string
+		read       func() float64
+	}{
+		{"checkpoint_dropped", "Lists of flows dropped because the store of flows was full.", func() float64 { return float64(c.flows.Stats().Dropped) }},
+		{"checkpoint_save_errors", "Failed writes of the file with the flows.", func() float64 { return float64(c.flows.Stats().SaveErrors) }},
+	}
+	for _, counter := range counters {
+		opts := prometheus.CounterOpts{Name: "greengagelock_store_" + counter.name + "_total", Help: counter.help}
+		err = errors.CombineErrors(err, r.Register(prometheus.NewCounterFunc(opts, counter.read)))
+	}
 	return errors.Wrap(err, "register metrics")
 }
--- a/internal/controllerclient/client.go
+++ b/internal/controllerclient/client.go
@@ -3,12 +3,14 @@
 package controllerclient
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"github.com/greengagelock/greengagelock/internal/confstore"
@@ -189,6 +191,17 @@
 	return list
 }
 
+// Nearest returns the controllers, at most count, that come first in the order of a rendezvous hash with the address
+// of a node. Most of them stay the same when a controller is replaced.
+func (cl *Client) Nearest(node netip.Addr, count int) []hop.IP {
+	cl.mu.Lock()
+	list := slices.Clone(cl.members)
+	cl.mu.Unlock()
+	hash := func(ip hop.IP) uint64 { return xxhash.Sum64(append(node.AsSlice(), ip[:]...)) }
+	slices.SortFunc(list, func(a, b hop.IP) int { return cmp.Compare(hash(b), hash(a)) })
+	return list[:min(len(list), count)]
+}
+
 // HandleAnswer handles an answer of a controller.
 func (cl *Client) HandleAnswer(from hop.IP, a *roster.Answer) {
 	cl.mu.Lock()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,6 +9,7 @@
 
 	_ "github.com/greengagelock/greengagelock/internal/testseed"
 
+	"github.com/greengagelock/greengagelock/internal/checkpoint"
 	"github.com/greengagelock/greengagelock/internal/routing"
 )
 
@@ -385,7 +386,7 @@
 func (w *world) injectFault(rt *rapid.T) {
 	target := w.targets[rapid.IntRange(0, len(w.targets)-1).Draw(rt, "target")]
 	e := w.entries[rapid.IntRange(0, len(w.entries)-1).Draw(rt, "entry")]
-	switch rapid.SampledFrom([]string{"entry", "entries", "relay", "relays", "hang", "drain", "restart target", "add", "call"}).Draw(rt, "fault") {
+	switch rapid.SampledFrom([]string{"entry", "entries", "relay", "relays", "hang", "drain", "restart target", "lose power", "stop store", "wipe store", "add", "call"}).Draw(rt, "fault") {
 	case "entry":
 		e.start()
 	case "entries":
@@ -407,6 +408,15 @@
 	case "restart target":
 		target.crash()
 		target.startTarget()
+	case "lose power":
+		target.losePower()
+	case "stop store":
+		// It returns with what it had on disk.
+		s := w.stores[rapid.IntRange(0, storeCount-1).Draw(rt, "store")]
+		s.stopped = true
+		w.after(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "stopped"))*time.Millisecond, func() { s.stopped = false })
+	case "wipe store":
+		w.stores[rapid.IntRange(0, storeCount-1).Draw(rt, "store")].flows = checkpoint.NewStore()
 	case "add":
 		w.addTarget(service)
 	case "call":
--- a/internal/entry/explain_test.go
+++ b/internal/entry/explain_test.go
@@ -110,18 +110,32 @@
 func TestLogsExplainFlowWithoutOwner(t *testing.T) {
 	g := NewWithT(t)
 	w := newLoggedWorld(22, 1, 3)
+	for _, store := range w.stores {
+		store.stopped = true // the restarted relay learns of no flows that it could reset
+	}
 	c := w.openFlow()
 	w.run(time.Second)
 	g.Expect(c.state).To(Equal("open"))
-	c.target.crash()
-	c.target.startRelay() // the restarted relay knows no flows that it could reset
-	c.target.startTarget()
+	c.target.losePower()
 	w.run(2 * time.Second)
 	s, text := w.logs.explain(g, c)
 	g.Expect(s.Causes).To(ContainElement(ContainSubstring("asked all relays, and none has the flow (GGL-2010")))
 	g.Expect(text).To(MatchRegexp(`"component":"entry","kind":"reset",.*"code":"GGL-2010"`))
 }
 
+func TestLogsExplainFlowOfEarlierProcess(t *testing.T) {
+	g := NewWithT(t)
+	w := newLoggedWorld(24, 1, 3)
+	c := w.openFlow()
+	w.run(3 * reportInterval)
+	g.Expect(c.state).To(Equal("open"))
+	c.target.losePower()
+	w.run(time.Second)
+	s, text := w.logs.explain(g, c)
+	g.Expect(s.Causes).To(ContainElement(ContainSubstring("had reported to the controllers (GGL-2011")))
+	g.Expect(text).To(MatchRegexp(`"component":"relay","kind":"reset",.*"code":"GGL-2011"`))
+}
+
 func TestLogsExplainOutdatedConfiguration(t *testing.T) {
 	g := NewWithT(t)
 	w := newLoggedWorld(23, 1, 3)
--- a/internal/entry/target_test.go
+++ b/internal/entry/target_test.go
@@ -58,6 +58,7 @@
 
 func (t *targetVM) startRelay() {
 	t.relay = relay.New(relay.Config{Codec: testCodec{}, Service: t.service, Self: t.ip, Decisions: t.w.logs.newDecisionLog("relay", t.ip)}, t)
+	t.runFlowReports()
 }
 
 func (t *targetVM) armTimer() {
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -85,6 +85,7 @@
 	rosterPaused     bool     // entry VMs receive no lists of targets
 	controllersFresh bool     // the controllers have just started and may not list all relays
 	logs             *logs    // nil for no logs
+	stores           []*flowStore
 }
 
 type event struct {
@@ -131,7 +132,7 @@
 }
 
 func newWorld(seed uint64, entries, targets int) *world {
-	w := &world{rand: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), stores: newFlowStores()}
 	w.setService("service")
 	for range targets {
 		w.addTarget(service)
--- a/internal/flowlog/explain.go
+++ b/internal/flowlog/explain.go
@@ -88,6 +88,8 @@
 func (e *Explanation) explainBroken(end, owner *decision.Line) {
 	code := codeWithName(end.Code)
 	switch {
+	case end.Code == result.TargetReplaced.String():
+		e.addCause("%s started again without the target of the flow, which an earlier process of it had reported to the controllers (%s)", end.Process, code)
 	case end.Component == "relay":
 		e.addCause("the target beside %s ended or was followed by another, which does not have the flow (%s)", end.Process, code)
 	case end.Code == result.FlowUnknown.String():
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -174,7 +174,7 @@
 	r, err := relay.NewProcess(relay.ProcessConfig{
 		Codec: protocol.Codec, Name: s.Name, Zone: s.Zone, Service: s.Service, Target: s.Target,
 		FromTarget: s.FromTarget, CallerPort: s.Callers.Port(), IP: s.IP, Port: s.Port, Seeds: s.ControllerIPs(),
-		HeartbeatInterval: time.Duration(s.HeartbeatMS) * time.Millisecond, Linger: DefaultLinger,
+		HeartbeatInterval: time.Duration(s.HeartbeatMS) * time.Millisecond, Linger: DefaultLinger, ReportFlows: s.ReportFlows,
 	}, p.tel)
 	if err != nil {
 		return err
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -68,6 +68,9 @@
 	Target      netip.AddrPort `json:"target"`
 	FromTarget  netip.AddrPort `json:"from_target"`
 	HeartbeatMS int            `json:"heartbeat_ms"`
+	// ReportFlows makes a relay report the open flows of its target to controllers, which keep them on disk. After
+	// a loss of power the relay resets those that no longer exist. The default is true.
+	ReportFlows bool `json:"report_flows"`
 
 	LogLevel string `json:"log_level"`
 	// MetricsPort is the port at IP that serves the metrics; zero means none.
@@ -85,7 +88,7 @@
 
 // Parse decodes and validates the content of a settings file. path is used in errors only.
 func Parse(path string, data []byte) (*Settings, error) {
-	s := &Settings{LogLevel: "info"}
+	s := &Settings{LogLevel: "info", ReportFlows: true}
 	doc := jsonc.Decode(path, data, s)
 	if doc.Has("") {
 		s.check(doc)
--- /dev/null
+++ b/internal/relay/earlier.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/greengagelock/greengagelock/internal/checkpoint"
+	"github.com/greengagelock/greengagelock/internal/decision"
+	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/result"
+)
+
+// Earlier flows are those that earlier processes of this relay have reported to the controllers (package
+// checkpoint). Once the target that had them is known to be gone, their callers get a reset at once, so that they
+// need not find out with their next request.
+
+const (
+	// earlierFlowsWindow is the time after the first answer of a controller in which earlier flows are requested and
+	// reset.
+	earlierFlowsWindow = 10 * time.Second
+	// maxResetsAtOnce bounds the resets of one call of ResetEarlierFlows, which is made every 50 ms. Callers connect
+	// again right after a reset.
+	maxResetsAtOnce = 100
+)
+
+// earlierFlows collects what the controllers return.
+type earlierFlows struct {
+	firstAnswerAt time.Duration
+	answered      bool
+	complete      map[hop.IP]*receivedParts
+	flows         map[earlierFlow]*confirmation
+}
+
+// receivedParts are the parts that a controller has returned.
+type receivedParts struct {
+	seen    map[uint16]bool
+	missing int
+}
+
+// earlierFlow is a flow of a target that an earlier process of the relay reported.
+type earlierFlow struct {
+	key    packet.Key
+	target checkpoint.Target
+}
+
+// confirmation says which controllers have returned a flow, and the highest acknowledgement number among them.
+type confirmation struct {
+	by  []hop.IP
+	ack uint32
+}
+
+// WantsEarlierFlows reports whether the earlier flows are to be requested from a controller that has answered. It
+// ends when enough controllers have returned them.
+func (r *Relay) WantsEarlierFlows(now time.Duration, controller hop.IP) bool {
+	e := &r.earlier
+	if !e.answered {
+		e.answered, e.firstAnswerAt = true, now
+	}
+	if now-e.firstAnswerAt > earlierFlowsWindow {
+		return false
+	}
+	received := e.complete[controller]
+	return received == nil || received.missing > 0
+}
+
+// RecordEarlierFlows handles a part of the answer of a controller to a request for earlier flows.
+func (r *Relay) RecordEarlierFlows(now time.Duration, from hop.IP, p *checkpoint.Part) {
+	e := &r.earlier
+	if !e.answered || now-e.firstAnswerAt > earlierFlowsWindow {
+		return
+	}
+	received := e.complete[from]
+	if received == nil {
+		received = &receivedParts{seen: map[uint16]bool{}, missing: int(p.Parts)}
+		e.complete[from] = received
+	}
+	if received.missing > 0 && !received.seen[p.Part] {
+		received.seen[p.Part] = true
+		received.missing--
+	}
+	for _, f := range p.Flows() {
+		if len(e.flows) >= maxFlows {
+			break
+		}
+		id := earlierFlow{key: f.Key, target: p.Target}
+		c := e.flows[id]
+		if c == nil {
+			c = &confirmation{ack: f.Ack}
+			e.flows[id] = c
+		}
+		if !slices.Contains(c.by, from) {
+			c.by = append(c.by, from)
+		}
+		if int32(f.Ack-c.ack) > 0 {
+			c.ack = f.Ack
+		}
+	}
+	r.ResetEarlierFlows(now)
+}
+
+// ResetEarlierFlows resets earlier flows at their callers, as far as their target is known to be gone. It is called
+// every 50 ms.
+func (r *Relay) ResetEarlierFlows(now time.Duration) {
+	e := &r.earlier
+	if len(e.flows) == 0 {
+		return
+	}
+	if now-e.firstAnswerAt > earlierFlowsWindow {
+		r.Stats.EarlierSpared += uint64(len(e.flows))
+		clear(e.flows)
+		return
+	}
+	left := maxResetsAtOnce
+	// In a fixed order, to make tests repeatable.
+	for _, id := range slices.SortedFunc(maps.Keys(e.flows), earlierFlow.compare) {
+		c := e.flows[id]
+		switch {
+		case !r.hasEnded(id.target) || len(c.by) < r.confirmationsNeeded() || left == 0:
+		case r.flows[id.key] != nil: // the caller has opened another flow from the same port
+			r.Stats.EarlierSpared++
+			delete(e.flows, id)
+		default:
+			left--
+			r.Stats.EarlierReset++
+			delete(e.flows, id)
+			r.logDecision(now, decision.Reset, id.key, 0, 0, result.TargetReplaced)
+			r.ports.ToCaller(id.key.Caller, r.cfg.Codec.Reset(id.key, c.ack))
+		}
+	}
+}
+
+func (f earlierFlow) compare(other earlierFlow) int { return f.key.Compare(other.key) }
+
+// hasEnded reports whether a target that an earlier process of the relay had beside it has ended: nothing listens
+// at its address, or another target has taken the address and sends heartbeats.
+func (r *Relay) hasEnded(t checkpoint.Target) bool {
+	return r.target.isDown() || (r.target.ID != "" && t != checkpoint.Target{ID: r.target.ID, Born: r.target.Born})
+}
+
+// confirmationsNeeded is the number of controllers that have to return a flow: a majority of those that relays
+// report to. A single one may have missed the newest reports.
+func (r *Relay) confirmationsNeeded() int {
+	return min(max(r.controllerCount, 1), checkpoint.Copies)/2 + 1
+}
+
+// ReportedFlows returns the flows of the target for the controllers: those that have been open for at least minAge.
+// Shorter ones have mostly ended before their report would be used.
+func (r *Relay) ReportedFlows(now, minAge time.Duration) (checkpoint.Target, []checkpoint.Flow) {
+	var flows []checkpoint.Flow
+	for key, f := range r.flows {
+		if f.state == open && !f.callerDone && f.lastAck != 0 && now-f.createdAt >= minAge {
+			flows = append(flows, checkpoint.Flow{Key: key, Ack: f.lastAck})
+		}
+	}
+	slices.SortFunc(flows, func(a, b checkpoint.Flow) int { return a.Key.Compare(b.Key) })
+	return checkpoint.Target{ID: r.target.ID, Born: r.target.Born}, flows
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,6 +87,7 @@
 	// announced. It is kept until knowsAllFlows is decided, see RecordPreviousTarget.
 	previousTargets map[hop.IP]string
 	controllerCount int
+	earlier         earlierFlows
 
 	// probes are the entry VMs that wait for the target to show whether it has a flow.
 	probes map[packet.Key]hop.IP
@@ -116,11 +117,14 @@
 // FindsAnswered counts the flows of answered owner lookups, Unsure those of them that the relay could not
 // decide, Surveys the lookups at many relays on behalf of an entry VM. Queued, QueuedLate and QueuedCopies
 // count queued requests, those dispatched after their objective, and packets that were not queued again.
+// EarlierReset and EarlierSpared count flows that an earlier process of the relay reported and that were reset or
+// not, see ResetEarlierFlows.
 type Stats struct {
 	Admitted, Passed, Refused, Returned, Bounced, WrongService uint64
 	Delivered, ToCallers, Malformed, StaleAnswers              uint64
 	FlowsReset, Opened, FindsAnswered, Unsure, Surveys         uint64
 	Queued, QueuedLate, QueuedCopies                           uint64
+	EarlierReset, EarlierSpared                                uint64
 }
 
 // flowState is the state of a flow at the target.
@@ -169,6 +173,7 @@
 	return &Relay{
 		cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, superseded: map[string]bool{}, previousTargets: map[hop.IP]string{}, fanouts: map[uint32]*fanout{},
 		probes: map[packet.Key]hop.IP{}, returnedFlows: map[packet.Key]struct{}{},
+		earlier: earlierFlows{complete: map[hop.IP]*receivedParts{}, flows: map[earlierFlow]*confirmation{}},
 	}
 }
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -39,6 +39,7 @@
 	AdmissionSuspended Code = 2008
 	FlowUnknown        Code = 2010
 	TargetJoining      Code = 2009
+	TargetReplaced     Code = 2011
 
 	// 3xxx: controllers and sessions.
 	NotLeader        Code = 3001
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -36,6 +36,7 @@
 	{AdmissionSuspended, "AdmissionSuspended", "The target takes no new flows after repeated handshake failures. The request did not run.", "Look at the target's process; admission resumes by itself."},
 	{TargetJoining, "TargetJoining", "The service's only targets are new and not known to every node yet. The request did not run.", "Try again after the time in the refusal, at most 4 s."},
 	{FlowUnknown, "FlowUnknown", "No target has the flow that the packet belongs to: its target was restarted or is gone. An open flow is reset at its caller.", "Look for the target's restart at that time; callers open a new flow."},
+	{TargetReplaced, "TargetReplaced", "The relay of the flow started again and found its target gone. The flow, which an earlier process of the relay had reported to the controllers, is reset at its caller before the next request.", "Look for the loss of power or restart of the VM at that time; callers open a new flow."},
 	{NotLeader, "NotLeader", "The controller is not the leader and knows no other.", "Try again in a few seconds, or name another controller."},
 	{NoQuorum, "NoQuorum", "The controller has no contact to a majority. The command did not run.", "Run `members`; restore members or the network between them."},
 	{Overloaded, "Overloaded", "A bounded queue is full. The command did not run.", "Try again after the time in the answer."},
