Offer flows as soon as the list of targets is complete

Cause: after a loss of power entry VMs waited 70 ms from the first list of targets. Change: an entry VM is ready once a controller has a list that lacks no running relay, which it knows from its record on disk; the 70 ms remain for lists that may be incomplete. Test that failed first: TestFlowsAreOfferedOnceListIsComplete.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,9 +38,9 @@
 	// packets arrive again.
 	maxStartupQueue     = 512
 	startupQueueTimeout = 250 * time.Millisecond
-	// startupDelay is the time from the first list of targets until flows are offered. Relays find a newly
-	// started controller within that time; offering earlier would send the flows of all callers to the
-	// first target listed.
+	// startupDelay is the time from the first list of targets until flows are offered, if the list may lack running
+	// relays. Relays find a newly started controller within that time; offering earlier would send the flows of
+	// all callers to the first target listed.
 	startupDelay = 70 * time.Millisecond
 	// maxFlows bounds the flow cache to about 8 MB.
 	maxFlows = 65536
@@ -209,8 +209,8 @@
 	e.dispatch(now, &v, raw)
 }
 
-// checkReady reports whether packets can be handled: a configuration is in force, and the list of targets
-// arrived at least startupDelay ago.
+// checkReady reports whether packets can be handled: a configuration is in force, and a list of targets has arrived
+// that lacks no running relay, or any list at least startupDelay ago.
 func (e *Entry) checkReady(now time.Duration) bool {
 	if e.ready {
 		return true
@@ -218,7 +218,7 @@
 	if e.firstTargetsAt < 0 && e.View.Len() > 0 {
 		e.firstTargetsAt = now
 	}
-	e.ready = e.table != nil && e.firstTargetsAt >= 0 && now-e.firstTargetsAt >= startupDelay
+	e.ready = e.table != nil && e.firstTargetsAt >= 0 && (e.View.HasCompleteList(now) || now-e.firstTargetsAt >= startupDelay)
 	return e.ready
 }
 
--- a/internal/entry/hold_test.go
+++ b/internal/entry/hold_test.go
@@ -48,6 +48,26 @@
 	g.Expect(c.state).To(Equal("open"))
 }
 
+// Guards against entry VMs that keep callers waiting after a loss of power although they know all targets, and
+// against flows that are all offered to the first target listed.
+func TestFlowsAreOfferedOnceListIsComplete(t *testing.T) {
+	for _, c := range []struct {
+		fresh bool
+		wait  time.Duration // until the first flow has been admitted
+	}{{false, 20 * time.Millisecond}, {true, 100 * time.Millisecond}} {
+		g := NewWithT(t)
+		w := newWorld(44, 1, 3)
+		w.controllersFresh = c.fresh
+		w.entries[0].start()
+		w.run(rosterInterval) // the list arrives
+		first := w.openFlow()
+		w.run(c.wait / 2)
+		g.Expect(first.state == "open").To(Equal(!c.fresh))
+		w.run(c.wait / 2)
+		g.Expect(first.state).To(Equal("open"))
+	}
+}
+
 // Guards against callers that wait for a service that is known to have no target.
 func TestSYNIsRefusedAtOnceWithoutTargets(t *testing.T) {
 	g := NewWithT(t)
