--- a/internal/checkpoint/message.go
+++ b/internal/checkpoint/message.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	// Copies is the number of controllers that a relay reports its flows to. One may lose its disk.
-	Copies = 3
+	// Copies is the number of controllers that a relay reports its flows to, and Confirmations the number that have to
+	// return a flow: one alone may have missed the newest reports. Of five or seven controllers, two or three may
+	// lose their disks.
+	Copies        = 5
+	Confirmations = 2
 	// flowBytes is the size of an encoded flow.
 	flowBytes = packet.KeyBytes + 4
 	// flowsPerPart keeps a part below the MTU of an Ethernet link.
--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -155,7 +155,7 @@
 }
 
 // Guards against resets on the word of a single controller, which may have missed the newest reports.
-func TestEarlierFlowsNeedMajority(t *testing.T) {
+func TestEarlierFlowsNeedTwoControllers(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(63, 3, 3)
 	w.openIdleFlows(60)
--- a/internal/relay/earlier.go
+++ b/internal/relay/earlier.go
@@ -139,11 +139,8 @@
 	return r.target.isDown() || (r.target.ID != "" && t != checkpoint.Target{ID: r.target.ID, Born: r.target.Born})
 }
 
-// confirmationsNeeded is the number of controllers that have to return a flow: a majority of those that relays
-// report to. A single one may have missed the newest reports.
-func (r *Relay) confirmationsNeeded() int {
-	return min(max(r.controllerCount, 1), checkpoint.Copies)/2 + 1
-}
+// confirmationsNeeded is the number of controllers that have to return a flow.
+func (r *Relay) confirmationsNeeded() int { return min(max(r.controllerCount, 1), checkpoint.Confirmations) }
 
 // ReportedFlows returns the flows of the target for the controllers: those that have been open for at least minAge.
 // Shorter ones have mostly ended before their report would be used.
