Report all open flows every 250 ms

Change: relays report flows of any age, every 250 ms and at most 16 KB a second; controllers write their file every 250 ms. Ruled out: lost lists or too few confirmations (no flow older than 1.4 s was missing).

--- a/internal/checkpoint/file.go
+++ b/internal/checkpoint/file.go
@@ -23,7 +23,7 @@
 	fileName      = "flows.cbor"
 	checksumBytes = 8
 	// saveInterval is the time between two writes of the file while lists change.
-	saveInterval = 500 * time.Millisecond
+	saveInterval = 250 * time.Millisecond
 	// maxDiskShare bounds the share of time in which the file is written, so that a slow disk is left to the
 	// replicated log.
 	maxDiskShare = 0.05
--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	reportInterval     = 500 * time.Millisecond
+	reportInterval     = 250 * time.Millisecond
 	earlierFlowsPeriod = 50 * time.Millisecond
 	storeCount         = 3
 )
@@ -42,7 +42,7 @@
 			return
 		}
 		number++
-		target, flows := current.ReportedFlows(w.now, reportInterval)
+		target, flows := current.ReportedFlows()
 		for _, part := range checkpoint.Split(checkpoint.Part{Process: process, Target: target, Number: number}, checkpoint.Pack(flows)) {
 			for _, s := range w.stores {
 				w.deliver(func() {
--- a/internal/relay/earlier.go
+++ b/internal/relay/earlier.go
@@ -142,12 +142,11 @@
 // confirmationsNeeded is the number of controllers that have to return a flow.
 func (r *Relay) confirmationsNeeded() int { return min(max(r.controllerCount, 1), checkpoint.Confirmations) }
 
-// ReportedFlows returns the flows of the target for the controllers: those that have been open for at least minAge.
-// Shorter ones have mostly ended before their report would be used.
-func (r *Relay) ReportedFlows(now, minAge time.Duration) (checkpoint.Target, []checkpoint.Flow) {
+// ReportedFlows returns the open flows of the target for the controllers.
+func (r *Relay) ReportedFlows() (checkpoint.Target, []checkpoint.Flow) {
 	var flows []checkpoint.Flow
 	for key, f := range r.flows {
-		if f.state == open && !f.callerDone && f.lastAck != 0 && now-f.createdAt >= minAge {
+		if f.state == open && !f.callerDone && f.lastAck != 0 {
 			flows = append(flows, checkpoint.Flow{Key: key, Ack: f.lastAck})
 		}
 	}
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -35,9 +35,9 @@
 	// reportInterval is the time between two reports of the open flows to controllers, if they have changed, and
 	// reportRefreshInterval that between two reports of the same flows. reportBytesPerSecond bounds the reports of
 	// many flows, to all controllers together.
-	reportInterval        = 500 * time.Millisecond
+	reportInterval        = 250 * time.Millisecond
 	reportRefreshInterval = 5 * time.Second
-	reportBytesPerSecond  = 8 << 10
+	reportBytesPerSecond  = 16 << 10
 	// checkTimeout bounds a check of the target.
 	checkTimeout = 300 * time.Millisecond
 )
@@ -230,7 +230,7 @@
 	for pause := reportInterval; ctxtime.Sleep(ctx, pause); {
 		var target checkpoint.Target
 		var flows []checkpoint.Flow
-		p.withLock(func(now time.Duration) { target, flows = p.relay.ReportedFlows(now, reportInterval) })
+		p.withLock(func(now time.Duration) { target, flows = p.relay.ReportedFlows() })
 		packed, now := checkpoint.Pack(flows), p.now()
 		pause = reportInterval
 		if target.ID == "" || (target == lastTarget && bytes.Equal(packed, lastPacked) && now-lastSent < reportRefreshInterval) {
