--- a/internal/relay/earlier.go
+++ b/internal/relay/earlier.go
@@ -140,7 +140,9 @@
 }
 
 // confirmationsNeeded is the number of controllers that have to return a flow.
-func (r *Relay) confirmationsNeeded() int { return min(max(r.controllerCount, 1), checkpoint.Confirmations) }
+func (r *Relay) confirmationsNeeded() int {
+	return min(max(r.controllerCount, 1), checkpoint.Confirmations)
+}
 
 // ReportedFlows returns the open flows of the target for the controllers.
 func (r *Relay) ReportedFlows() (checkpoint.Target, []checkpoint.Flow) {
