--- a/internal/relay/earlier.go
+++ b/internal/relay/earlier.go
@@ -27,9 +27,9 @@
 
 // earlierFlows collects what the controllers return.
 type earlierFlows struct {
-	firstAnswerAt time.Duration
+	firstAnswerAt time.Duration // of any controller; valid if answered is set
 	answered      bool
-	complete      map[hop.IP]*receivedParts
+	received      map[hop.IP]*receivedParts // by controller
 	flows         map[earlierFlow]*confirmation
 }
 
@@ -51,8 +51,8 @@
 	ack uint32
 }
 
-// WantsEarlierFlows reports whether the earlier flows are to be requested from a controller that has answered. It
-// ends when enough controllers have returned them.
+// WantsEarlierFlows reports whether the earlier flows are to be requested from a controller that has answered: it has
+// not returned all parts, and the window is open.
 func (r *Relay) WantsEarlierFlows(now time.Duration, controller hop.IP) bool {
 	e := &r.earlier
 	if !e.answered {
@@ -61,7 +61,7 @@
 	if now-e.firstAnswerAt > earlierFlowsWindow {
 		return false
 	}
-	received := e.complete[controller]
+	received := e.received[controller]
 	return received == nil || received.missing > 0
 }
 
@@ -71,10 +71,10 @@
 	if !e.answered || now-e.firstAnswerAt > earlierFlowsWindow {
 		return
 	}
-	received := e.complete[from]
+	received := e.received[from]
 	if received == nil {
 		received = &receivedParts{seen: map[uint16]bool{}, missing: int(p.Parts)}
-		e.complete[from] = received
+		e.received[from] = received
 	}
 	if received.missing > 0 && !received.seen[p.Part] {
 		received.seen[p.Part] = true
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -32,12 +31,6 @@
 	expiriesPerCountersLine = 5
 	// checkPollInterval is the time between two tests whether a check of the target is due.
 	checkPollInterval = 50 * time.Millisecond
-	// reportInterval is the time between two reports of the open flows to controllers, if they have changed, and
-	// reportRefreshInterval that between two reports of the same flows. reportBytesPerSecond bounds the reports of
-	// many flows, to all controllers together.
-	reportInterval        = 250 * time.Millisecond
-	reportRefreshInterval = 5 * time.Second
-	reportBytesPerSecond  = 16 << 10
 	// checkTimeout bounds a check of the target.
 	checkTimeout = 300 * time.Millisecond
 )
@@ -194,57 +187,7 @@
 	p.logFlowKnowledge("a majority of the controllers")
 	if wantsFlows {
 		request := checkpoint.Request{Process: p.incarnation}
-		p.sendEncoded(from, request.Encode)
-	}
-}
-
-// sendEncoded sends a message to a process.
-func (p *Process) sendEncoded(to hop.IP, encode func() ([]byte, error)) {
-	datagram, err := encode()
-	if err != nil {
-		p.tel.Logger.Error().Err(err).Msg("encoding a message to a controller failed")
-		return
-	}
-	p.nodes.ToNode(to, datagram)
-}
-
-// handleEarlierFlows handles the answer of a controller to a request for the flows of earlier processes.
-func (p *Process) handleEarlierFlows(from hop.IP, b []byte) {
-	part, _, err := checkpoint.Decode(b)
-	if err != nil || part == nil {
-		p.tel.Logger.Debug().Str("from", netip.AddrFrom4(from).String()).Err(err).Msg("malformed list of flows dropped")
-		return
-	}
-	p.withLock(func(now time.Duration) { p.relay.RecordEarlierFlows(now, from, part) })
-}
-
-// reportFlows reports the open flows of the target to controllers until ctx is done.
-func (p *Process) reportFlows(ctx context.Context) {
-	if !p.cfg.ReportFlows {
-		return
-	}
-	var lastTarget checkpoint.Target
-	var lastPacked []byte
-	var lastSent time.Duration
-	number := uint32(0)
-	for pause := reportInterval; ctxtime.Sleep(ctx, pause); {
-		var target checkpoint.Target
-		var flows []checkpoint.Flow
-		p.withLock(func(now time.Duration) { target, flows = p.relay.ReportedFlows() })
-		packed, now := checkpoint.Pack(flows), p.now()
-		pause = reportInterval
-		if target.ID == "" || (target == lastTarget && bytes.Equal(packed, lastPacked) && now-lastSent < reportRefreshInterval) {
-			continue
-		}
-		lastTarget, lastPacked, lastSent = target, packed, now
-		number++
-		to := p.controllers.Nearest(p.cfg.IP, checkpoint.Copies)
-		for _, part := range checkpoint.Split(checkpoint.Part{Process: p.incarnation, Target: target, Number: number}, packed) {
-			for _, controller := range to {
-				p.sendEncoded(controller, part.Encode)
-			}
-		}
-		pause = max(pause, time.Duration(len(packed)*len(to))*time.Second/reportBytesPerSecond)
+		p.sendToController(from, request.Encode)
 	}
 }
 
