--- a/internal/process/settings_test.go
+++ b/internal/process/settings_test.go
@@ -41,3 +41,14 @@
 		g.Expect(err.Error()).To(ContainSubstring(c.want), name)
 	}
 }
+
+// Guards against a flow checkpoint that cannot be switched off, or that is off unless a setting asks for it.
+func TestReportFlowsIsOnByDefault(t *testing.T) {
+	g := NewWithT(t)
+	s, err := Parse("settings.jsonc", []byte(validSettings))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ReportFlows).To(BeTrue())
+	s, err = Parse("settings.jsonc", []byte(strings.Replace(validSettings, `"zone": "z"`, `"zone": "z", "report_flows": false`, 1)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ReportFlows).To(BeFalse())
+}
