Check the position of the best candidate before it is used

Cause: a SYN forwarded without candidates but with the load of a best one ended a relay (index out of range in passOn). No process of the system sends such a datagram.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -306,7 +306,7 @@
 	switch {
 	case !m.Final && next < len(m.Candidates):
 		m.At = uint8(next)
-	case !m.Final && !m.Busy && m.BestLoad > 0:
+	case !m.Final && !m.Busy && m.BestLoad > 0 && int(m.Best) < len(m.Candidates):
 		m.Final, m.At = true, m.Best // may be this relay itself
 	default:
 		r.Stats.Refused++
