--- a/internal/checkpoint/file.go
+++ b/internal/checkpoint/file.go
@@ -70,7 +70,7 @@
 			s.bytes += len(l.Packed)
 		}
 	}
-	s.dropOldest()
+	s.dropOldest(now)
 	return nil
 }
 
--- a/internal/checkpoint/message.go
+++ b/internal/checkpoint/message.go
@@ -35,6 +35,7 @@
 const (
 	kindPart    byte = 66
 	kindRequest byte = 67
+	kindResync  byte = 68
 )
 
 // Flow is an open flow of a target.
@@ -51,16 +52,26 @@
 	Born int64 // start of the target, Unix time in ms; zero if unknown
 }
 
-// Part is a part of a list of flows, as relays report it and controllers return it. All flows of a part belong to
+// Part is a part of a report of a relay, or of the answer of a controller to a request. All flows of a part belong to
 // the same target.
 type Part struct {
 	_       struct{} `cbor:",toarray"`
 	Process uint64   // random number of the relay process that reported the flows
 	Target  Target
-	Number  uint32 // number of the list; increases with each report of a relay process
+	Number  uint32 // number of the report; increases with each report of a relay process
 	Part    uint16 // from 0
 	Parts   uint16 // of the report, or of the answer to a request
 	Packed  []byte // flows, see Flows
+	// Base is the number of the report to which this one is the difference: Packed holds the flows that have opened or
+	// changed since, and Closed the keys of those that have ended. Zero for a report of all flows.
+	Base   uint32
+	Closed []byte
+}
+
+// Resync asks a relay to report all flows, because the controller lacks the report to which a difference refers.
+type Resync struct {
+	_       struct{} `cbor:",toarray"`
+	Process uint64   // of the relay
 }
 
 // Request asks a controller for the flows that other processes of the sending relay reported.
@@ -87,21 +98,25 @@
 	return packed
 }
 
-// Split returns the parts of packed flows that have the other fields of template; at least one.
-func Split(template Part, packed []byte) []Part {
-	const size = flowsPerPart * flowBytes
-	count := min(max((len(packed)+size-1)/size, 1), maxParts)
-	parts := make([]Part, count)
+// Split returns the parts of packed flows and packed keys of closed ones that have the other fields of template; at
+// least one.
+func Split(template Part, packed, closed []byte) []Part {
+	var parts []Part
+	for len(parts) == 0 || (len(packed)+len(closed) > 0 && len(parts) < maxParts) {
+		p := template
+		p.Packed = packed[:min(flowsPerPart*flowBytes, len(packed))]
+		p.Closed = closed[:min((flowsPerPart-len(p.Packed)/flowBytes)*packet.KeyBytes, len(closed))]
+		packed, closed = packed[len(p.Packed):], closed[len(p.Closed):]
+		parts = append(parts, p)
+	}
 	for i := range parts {
-		parts[i] = template
-		parts[i].Part, parts[i].Parts = uint16(i), uint16(count)
-		parts[i].Packed = packed[i*size : min((i+1)*size, len(packed))]
+		parts[i].Part, parts[i].Parts = uint16(i), uint16(len(parts))
 	}
 	return parts
 }
 
 // IsMessage reports whether a datagram is a message of this package.
-func IsMessage(b []byte) bool { return len(b) > 0 && (b[0] == kindPart || b[0] == kindRequest) }
+func IsMessage(b []byte) bool { return len(b) > 0 && b[0] >= kindPart && b[0] <= kindResync }
 
 // Encode returns the part as a datagram.
 func (p *Part) Encode() ([]byte, error) { return encode(kindPart, p) }
@@ -109,6 +124,9 @@
 // Encode returns the request as a datagram.
 func (r *Request) Encode() ([]byte, error) { return encode(kindRequest, r) }
 
+// Encode returns the message as a datagram.
+func (r *Resync) Encode() ([]byte, error) { return encode(kindResync, r) }
+
 func encode(kind byte, message any) ([]byte, error) {
 	body, err := cbor.Marshal(message)
 	if err != nil {
@@ -117,24 +135,26 @@
 	return append([]byte{kind}, body...), nil
 }
 
-// Decode decodes a datagram into a part or a request; the other result is nil. Errors carry result.PacketInvalid.
-func Decode(b []byte) (*Part, *Request, error) {
+// Decode decodes a datagram into a *Part, a *Request or a *Resync. Errors carry result.PacketInvalid.
+func Decode(b []byte) (any, error) {
 	if !IsMessage(b) {
-		return nil, nil, result.New(result.PacketInvalid, "datagram is not a flow checkpoint message")
+		return nil, result.New(result.PacketInvalid, "datagram is not a flow checkpoint message")
 	}
-	if b[0] == kindRequest {
-		r := &Request{}
-		if err := cbor.Unmarshal(b[1:], r); err != nil {
-			return nil, nil, result.New(result.PacketInvalid, "decode a request for flows: %v", err)
-		}
-		return nil, r, nil
+	var message any
+	switch b[0] {
+	case kindRequest:
+		message = &Request{}
+	case kindResync:
+		message = &Resync{}
+	default:
+		message = &Part{}
 	}
-	p := &Part{}
-	if err := cbor.Unmarshal(b[1:], p); err != nil {
-		return nil, nil, result.New(result.PacketInvalid, "decode a list of flows: %v", err)
+	if err := cbor.Unmarshal(b[1:], message); err != nil {
+		return nil, result.New(result.PacketInvalid, "decode a flow checkpoint message of kind %d: %v", b[0], err)
 	}
-	if p.Parts == 0 || p.Parts > maxParts || p.Part >= p.Parts || len(p.Packed)%flowBytes != 0 {
-		return nil, nil, result.New(result.PacketInvalid, "invalid part %d of %d of a list of flows, %d bytes", p.Part, p.Parts, len(p.Packed))
+	p, isPart := message.(*Part)
+	if isPart && (p.Parts == 0 || p.Parts > maxParts || p.Part >= p.Parts || len(p.Packed)%flowBytes != 0 || len(p.Closed)%packet.KeyBytes != 0) {
+		return nil, result.New(result.PacketInvalid, "invalid part %d of %d of a list of flows, %d and %d bytes", p.Part, p.Parts, len(p.Packed), len(p.Closed))
 	}
-	return p, nil, nil
+	return message, nil
 }
--- a/internal/checkpoint/store.go
+++ b/internal/checkpoint/store.go
@@ -41,32 +41,36 @@
 // record is what is known of the flows at a relay.
 type record struct {
 	lists    []list // oldest first; at most one for each process of the relay
-	incoming incomingList
+	incoming incomingReport
+	// refusedUntil is the time before which no further list is asked for, after one was dropped because the store was full.
+	refusedUntil time.Duration
 }
 
-// list is a complete list of one relay process.
+// list is the list of the flows of one relay process.
 type list struct {
 	_       struct{} `cbor:",toarray"`
 	Process uint64
 	Target  Target
-	Packed  []byte
+	Number  uint32        // of the last report included
+	Packed  []byte        // in the order of the keys
 	updated time.Duration // of the last report
 }
 
-// incomingList is a list of which some parts are missing.
-type incomingList struct {
-	process uint64
-	number  uint32
-	parts   [][]byte
-	missing int
+// incomingReport is a report of which some parts are missing.
+type incomingReport struct {
+	process      uint64
+	number, base uint32
+	parts        []*Part
+	missing      int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store { return &Store{relays: map[hop.IP]*record{}} }
 
-// RecordPart records a part of the report of a relay. A report replaces the earlier one of the same relay process
-// once all of its parts have arrived.
-func (s *Store) RecordPart(now time.Duration, relay hop.IP, p *Part) {
+// RecordPart records a part of the report of a relay. A report takes effect once all of its parts have arrived: one of
+// all flows replaces the list of the same relay process, a difference changes it. RecordPart returns true if the list to
+// which a difference refers is missing, so that the relay has to report all flows.
+func (s *Store) RecordPart(now time.Duration, relay hop.IP, p *Part) (resync bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.relays[relay]
@@ -74,29 +78,56 @@
 		r = &record{}
 		s.relays[relay] = r
 	}
-	if packed, complete := r.incoming.add(p); complete {
-		s.replace(now, r, list{Process: p.Process, Target: p.Target, Packed: packed, updated: now})
-		s.dropOldest()
+	if !r.incoming.add(p) {
+		return false
 	}
+	defer s.dropOldest(now)
+	packed, closed := r.incoming.content()
+	if p.Base == 0 {
+		s.replace(now, r, list{Process: p.Process, Target: p.Target, Number: p.Number, Packed: packed, updated: now})
+		return false
+	}
+	i := slices.IndexFunc(r.lists, func(l list) bool { return l.Process == p.Process })
+	switch {
+	case i < 0 || r.lists[i].Target != p.Target || r.lists[i].Number < p.Base:
+		return now >= r.refusedUntil
+	case r.lists[i].Number > p.Base:
+		return false // a delayed report
+	}
+	l := &r.lists[i]
+	s.bytes -= len(l.Packed)
+	l.Packed = applyDifference(l.Packed, packed, closed)
+	s.bytes += len(l.Packed)
+	l.Number, l.updated = p.Number, now
+	if len(packed)+len(closed) > 0 {
+		s.change++
+	}
+	return false
 }
 
-// add adds a part. It returns the packed flows once all parts of the newest list are there.
-func (l *incomingList) add(p *Part) (packed []byte, complete bool) {
-	if l.process != p.Process || l.number != p.Number || len(l.parts) != int(p.Parts) {
-		if l.process == p.Process && int32(p.Number-l.number) < 0 {
-			return nil, false // a delayed part of an earlier list
+// add adds a part, and reports whether the report is now complete.
+func (i *incomingReport) add(p *Part) bool {
+	if i.process != p.Process || i.number != p.Number || i.base != p.Base || len(i.parts) != int(p.Parts) {
+		if i.process == p.Process && int32(p.Number-i.number) < 0 {
+			return false // a delayed part of an earlier report
 		}
-		*l = incomingList{process: p.Process, number: p.Number, parts: make([][]byte, p.Parts), missing: int(p.Parts)}
+		*i = incomingReport{process: p.Process, number: p.Number, base: p.Base, parts: make([]*Part, p.Parts), missing: int(p.Parts)}
 	}
-	if l.missing == 0 || l.parts[p.Part] != nil {
-		return nil, false
+	if i.missing == 0 || i.parts[p.Part] != nil {
+		return false
 	}
-	l.parts[p.Part] = append([]byte{}, p.Packed...)
-	l.missing--
-	if l.missing > 0 {
-		return nil, false
+	i.parts[p.Part] = p
+	i.missing--
+	return i.missing == 0
+}
+
+// content returns the flows and the closed keys of a complete report, and releases its parts.
+func (i *incomingReport) content() (packed, closed []byte) {
+	for at, p := range i.parts {
+		packed, closed = append(packed, p.Packed...), append(closed, p.Closed...)
+		i.parts[at] = nil
 	}
-	return slices.Concat(l.parts...), true
+	return packed, closed
 }
 
 // replace stores a list in place of the earlier one of the same process.
@@ -105,7 +136,7 @@
 	switch {
 	case i >= 0:
 		if r.lists[i].Target == next.Target && slices.Equal(r.lists[i].Packed, next.Packed) {
-			r.lists[i].updated = now
+			r.lists[i].Number, r.lists[i].updated = next.Number, now
 			return
 		}
 		s.remove(r, i)
@@ -124,7 +155,7 @@
 }
 
 // dropOldest removes the lists with the oldest reports until the store is within its limit.
-func (s *Store) dropOldest() {
+func (s *Store) dropOldest(now time.Duration) {
 	for s.bytes > maxStoredBytes {
 		var oldest *record
 		at := 0
@@ -136,6 +167,7 @@
 			}
 		}
 		s.remove(oldest, at)
+		oldest.refusedUntil = now + retention
 		s.stats.Dropped++
 	}
 }
@@ -165,7 +197,7 @@
 	if r := s.relays[relay]; r != nil {
 		for _, l := range r.lists {
 			if l.Process != process {
-				parts = append(parts, Split(Part{Process: l.Process, Target: l.Target}, l.Packed)...)
+				parts = append(parts, Split(Part{Process: l.Process, Target: l.Target}, l.Packed, nil)...)
 			}
 		}
 	}
--- a/internal/checkpoint/store_test.go
+++ b/internal/checkpoint/store_test.go
@@ -28,7 +28,7 @@
 
 // report records the flows of a target, as reported by a relay process.
 func (s *Store) report(now time.Duration, from hop.IP, process uint64, target string, number uint32, flows []Flow) {
-	for _, p := range Split(Part{Process: process, Target: Target{ID: target}, Number: number}, Pack(flows)) {
+	for _, p := range Split(Part{Process: process, Target: Target{ID: target}, Number: number}, Pack(flows), nil) {
 		s.RecordPart(now, from, &p)
 	}
 }
@@ -64,7 +64,7 @@
 func TestStoreWaitsForAllParts(t *testing.T) {
 	g := NewWithT(t)
 	s := NewStore()
-	parts := Split(Part{Process: 1, Target: Target{ID: "a"}}, Pack(someFlows(200, 5)))
+	parts := Split(Part{Process: 1, Target: Target{ID: "a"}}, Pack(someFlows(200, 5)), nil)
 	for _, p := range parts[1:] {
 		s.RecordPart(0, relay, &p)
 		s.RecordPart(0, relay, &p) // a duplicate
@@ -124,9 +124,11 @@
 
 // Guards against a process that ends because of a malformed message.
 func FuzzDecode(f *testing.F) {
-	part := Split(Part{Process: 1, Target: Target{ID: "a"}}, Pack(someFlows(2, 5)))[0]
+	part := Split(Part{Process: 1, Target: Target{ID: "a"}}, Pack(someFlows(2, 5)), Pack(someFlows(3, 5))[:3*packet.KeyBytes])[0]
 	request := Request{Process: 1}
-	for _, encode := range []func() ([]byte, error){part.Encode, request.Encode} {
+	difference, resync := part, Resync{Process: 1}
+	difference.Base, difference.Number = 1, 2
+	for _, encode := range []func() ([]byte, error){part.Encode, difference.Encode, request.Encode, resync.Encode} {
 		b, err := encode()
 		if err != nil {
 			f.Fatal(err)
@@ -134,15 +136,19 @@
 		f.Add(b)
 	}
 	f.Fuzz(func(_ *testing.T, b []byte) {
-		p, r, err := Decode(b)
-		switch s := NewStore(); {
-		case err != nil:
-		case p != nil:
-			p.Flows()
-			s.RecordPart(0, relay, p)
-			s.Earlier(relay, p.Process+1)
-		default:
-			s.Earlier(relay, r.Process)
+		message, err := Decode(b)
+		if err != nil {
+			return
+		}
+		s := NewStore()
+		switch m := message.(type) {
+		case *Part:
+			m.Flows()
+			s.report(0, relay, m.Process, m.Target.ID, m.Base, someFlows(5, 5))
+			s.RecordPart(0, relay, m)
+			s.Earlier(relay, m.Process+1)
+		case *Request:
+			s.Earlier(relay, m.Process)
 		}
 	})
 }
--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -16,8 +16,11 @@
 const (
 	// expireInterval is the time between two checks for expired leases.
 	expireInterval = 200 * time.Millisecond
-	// listUpdateDelay is how long changes of the list are collected before they are sent to all entry VMs.
+	// listUpdateDelay is how long changes of the list are collected before they are sent to entry VMs. After a burst it
+	// grows with the changed targets, by listUpdateCost for each, so that changes of the next burst are merged and leave
+	// half of a link of 2 Mbit/s free.
 	listUpdateDelay = 15 * time.Millisecond
+	listUpdateCost  = 500 * time.Microsecond
 )
 
 // serveAnnouncements receives and answers the announcements of all processes, and the flows that relays report and
@@ -49,24 +52,36 @@
 
 // handleCheckpointDatagram records a report of flows, or answers a request for them.
 func (c *Controller) handleCheckpointDatagram(to netip.AddrPort, from hop.IP, b []byte) error {
-	part, request, err := checkpoint.Decode(b)
+	message, err := checkpoint.Decode(b)
 	if err != nil {
 		return err
 	}
-	if part != nil {
-		c.flows.RecordPart(time.Since(c.start), from, part)
-		return nil
-	}
-	for _, p := range c.flows.Earlier(from, request.Process) {
-		datagram, err := p.Encode()
-		if err != nil {
-			return err
+	switch m := message.(type) {
+	case *checkpoint.Part:
+		if c.flows.RecordPart(time.Since(c.start), from, m) {
+			resync := checkpoint.Resync{Process: m.Process}
+			return c.sendEncoded(to, resync.Encode)
+		}
+	case *checkpoint.Request:
+		for _, p := range c.flows.Earlier(from, m.Process) {
+			if err := c.sendEncoded(to, p.Encode); err != nil {
+				return err
+			}
 		}
-		packet.Send(c.udp, to, datagram, c.tel.Logger)
 	}
 	return nil
 }
 
+// sendEncoded sends the datagram that encode returns.
+func (c *Controller) sendEncoded(to netip.AddrPort, encode func() ([]byte, error)) error {
+	datagram, err := encode()
+	if err != nil {
+		return err
+	}
+	packet.Send(c.udp, to, datagram, c.tel.Logger)
+	return nil
+}
+
 // handleAnnouncement records an announcement, answers it, and schedules an update of the entry VMs if the
 // list of targets has changed.
 func (c *Controller) handleAnnouncement(to netip.AddrPort, from hop.IP, a *roster.Announcement) {
@@ -79,7 +94,7 @@
 			c.incarnations.markLeft(from)
 		}
 	}
-	answers := c.registry.AnswersFor(base, a.Role, a.Digest, a.Loads)
+	answers := c.registry.AnswersFor(time.Since(c.start), base, from, a)
 	c.mu.Unlock()
 	for i := range answers {
 		c.sendAnswer(to, &answers[i])
@@ -102,7 +117,7 @@
 	}
 }
 
-// runListUpdates sends the changes of the list of targets to the entry VMs until ctx is done.
+// runListUpdates sends the changes of the list of targets to entry VMs until ctx is done.
 func (c *Controller) runListUpdates(ctx context.Context) {
 	for {
 		select {
@@ -111,7 +126,7 @@
 		case <-c.listDirty:
 		}
 		ctxtime.Sleep(ctx, listUpdateDelay)
-		c.sendListUpdate()
+		ctxtime.Sleep(ctx, time.Duration(c.sendListUpdate())*listUpdateCost)
 	}
 }
 
@@ -129,12 +144,9 @@
 }
 
 func (c *Controller) sendAnswer(to netip.AddrPort, a *roster.Answer) {
-	datagram, err := a.Encode()
-	if err != nil {
+	if err := c.sendEncoded(to, a.Encode); err != nil {
 		c.tel.Logger.Error().Err(err).Msg("cannot encode an answer")
-		return
 	}
-	packet.Send(c.udp, to, datagram, c.tel.Logger)
 }
 
 // expireLeases removes processes whose lease has expired, because they stopped announcing themselves.
@@ -154,17 +166,30 @@
 	}
 }
 
-// sendListUpdate sends all entry VMs the changes of the list since the last update.
-func (c *Controller) sendListUpdate() {
+// sendListUpdate sends the changes of the list since the last update to the entry VMs that have asked for them. It
+// returns the number of changed targets.
+func (c *Controller) sendListUpdate() int {
 	base := c.baseAnswer()
+	base.Controllers = nil
 	c.mu.Lock()
-	entries := c.registry.Nodes(roster.RoleEntry)
-	answers := c.registry.ChangeAnswers(base)
+	entries := c.registry.PushedEntries()
+	answers, changed := c.registry.PushAnswers(base)
 	c.mu.Unlock()
+	for i := range answers {
+		c.sendToAll(entries, &answers[i])
+	}
+	return changed
+}
+
+// sendToAll sends an answer to several entry VMs.
+func (c *Controller) sendToAll(entries []hop.IP, a *roster.Answer) {
+	datagram, err := a.Encode()
+	if err != nil {
+		c.tel.Logger.Error().Err(err).Msg("cannot encode an answer")
+		return
+	}
 	for _, ip := range entries {
-		for i := range answers {
-			c.sendAnswer(netip.AddrPortFrom(netip.AddrFrom4(ip), c.cfg.Port), &answers[i])
-		}
+		packet.Send(c.udp, netip.AddrPortFrom(netip.AddrFrom4(ip), c.cfg.Port), datagram, c.tel.Logger)
 	}
 }
 
@@ -176,10 +201,7 @@
 	}
 	base := c.baseAnswer()
 	c.mu.Lock()
-	entries := c.registry.Nodes(roster.RoleEntry)
-	_, base.Digest = c.registry.Targets()
+	entries := c.registry.Entries()
 	c.mu.Unlock()
-	for _, ip := range entries {
-		c.sendAnswer(netip.AddrPortFrom(netip.AddrFrom4(ip), c.cfg.Port), &base)
-	}
+	c.sendToAll(entries, &base)
 }
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -1,9 +1,11 @@
 package confstore
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -101,7 +103,7 @@
 func New(cfg Config, t telemetry.Handle) (*Controller, error) {
 	c := &Controller{
 		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]time.Time{},
-		registry: roster.NewRegistry(), start: time.Now(), peerAddresses: map[string]string{},
+		registry: roster.NewRegistry(newRun()), start: time.Now(), peerAddresses: map[string]string{},
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
 		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
 	}
@@ -144,6 +146,9 @@
 	return c, nil
 }
 
+// newRun returns a random number other than zero that identifies a controller process.
+func newRun() uint64 { return max(mathrand.Uint64(), 1) }
+
 // Name returns the name of the member.
 func (c *Controller) Name() string { return c.name }
 
@@ -356,7 +361,7 @@
 	return s.Contact && s.QuorumAge <= maxQuorumAge
 }
 
-// controllerIPs returns the IPv4 addresses of this controller and of all members, each once.
+// controllerIPs returns the IPv4 addresses of this controller and of all members, each once, in ascending order.
 func (c *Controller) controllerIPs() []hop.IP {
 	ips := []hop.IP{hop.IP(c.cfg.IP.As4())}
 	for _, m := range c.log.Status().Members {
@@ -368,6 +373,7 @@
 			ips = append(ips, ipv4)
 		}
 	}
+	slices.SortFunc(ips, func(a, b hop.IP) int { return bytes.Compare(a[:], b[:]) })
 	return ips
 }
 
--- a/internal/confstore/fuzz_test.go
+++ b/internal/confstore/fuzz_test.go
@@ -56,7 +56,7 @@
 func FuzzDatagrams(f *testing.F) {
 	c, to := newIdleController(f)
 	for _, a := range []roster.Announcement{
-		{Role: roster.RoleEntry, Name: "e", Digest: 3, Loads: true},
+		{Role: roster.RoleEntry, Name: "e", Digest: 3, Answers: 9, Push: true, Loads: true},
 		{Role: roster.RoleRelay, Name: "r", Process: 1, Target: &roster.Target{ID: "t", State: roster.Ready}},
 		{Role: roster.RoleRelay, Name: "r", Process: 1, Gone: true, Target: &roster.Target{ID: "t"}},
 	} {
--- a/internal/confstore/incarnations.go
+++ b/internal/confstore/incarnations.go
@@ -1,22 +1,24 @@
 package confstore
 
 import (
-	"context"
-	"errors"
 	"os"
-	"path/filepath"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 
 	"github.com/greengagelock/greengagelock/internal/hop"
-	"github.com/greengagelock/greengagelock/internal/replica"
 )
 
 const (
-	// incarnationsFile is the file in the data folder with the last target of each relay.
-	incarnationsFile = "targets.cbor"
+	// incarnationsFile is the file in the data folder with the last target of each relay, and incarnationChangesFile
+	// that with the changes since it was written.
+	incarnationsFile       = "targets.cbor"
+	incarnationChangesFile = "targets.log"
+	// minChangesBytes is the size of the file of changes up to which it is always kept. Beyond that it is emptied once it
+	// is twice as large as the other file.
+	minChangesBytes = 64 << 10
+	// maxSaveShare bounds the share of time in which changes are written, so that the disk is left to the replicated log.
+	maxSaveShare = 0.05
 	// maxIncarnations is the largest number of relays on record. It is twice the number of targets in the
 	// largest supported fleet and bounds the file to about 1 MB.
 	maxIncarnations = 8192
@@ -39,7 +41,13 @@
 	// zero for those of the file.
 	changes   uint64
 	changedAt map[hop.IP]uint64
-	loaded    bool // the file existed and could be read
+	loaded    bool // a file existed and could be read
+	// unsaved are the relays whose records have changed since the last save.
+	unsaved map[hop.IP]struct{}
+
+	// Used by the goroutine of runSaves only.
+	changesFile             *os.File // nil before the first save and after an error
+	snapshotBytes, logBytes int
 }
 
 // incarnation is the last announced process and target of a relay.
@@ -58,17 +66,12 @@
 func loadIncarnations(folder string, logger *log.Logger) *incarnations {
 	n := &incarnations{
 		folder: folder, dirty: make(chan struct{}, 1), relays: map[hop.IP]incarnation{}, awaited: map[hop.IP]struct{}{},
-		changedAt: map[hop.IP]uint64{},
-	}
-	data, err := os.ReadFile(filepath.Join(folder, incarnationsFile))
-	if err == nil {
-		err = cbor.Unmarshal(data, &n.relays)
+		changedAt: map[hop.IP]uint64{}, unsaved: map[hop.IP]struct{}{},
 	}
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err := n.load(); err != nil {
 		logger.Warn().Err(err).Msg("cannot read the last targets of the relays")
-		n.relays = map[hop.IP]incarnation{}
+		n.relays, n.loaded = map[hop.IP]incarnation{}, false
 	}
-	n.loaded = err == nil
 	for ip, last := range n.relays {
 		if !last.Left {
 			n.awaited[ip] = struct{}{}
@@ -103,6 +106,12 @@
 	}
 	n.changes++
 	n.relays[relay], n.changedAt[relay] = next, n.changes
+	n.unsaved[relay] = struct{}{}
+	n.markDirty()
+}
+
+// markDirty schedules a save.
+func (n *incarnations) markDirty() {
 	select {
 	case n.dirty <- struct{}{}:
 	default:
@@ -123,6 +132,7 @@
 	delete(n.relays, oldest)
 	delete(n.changedAt, oldest)
 	delete(n.awaited, oldest)
+	delete(n.unsaved, oldest)
 }
 
 // record stores an announcement and returns the ID of the target that the previous process of the relay
@@ -145,23 +155,3 @@
 	}
 	return next.Previous
 }
-
-// runSaves writes the file after each change until ctx is done.
-func (n *incarnations) runSaves(ctx context.Context, logger *log.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.dirty:
-		}
-		n.mu.Lock()
-		data, err := cbor.Marshal(n.relays)
-		n.mu.Unlock()
-		if err == nil {
-			err = replica.WriteDurable(n.folder, incarnationsFile, data)
-		}
-		if err != nil {
-			logger.Warn().Err(err).Msg("cannot save the last targets of the relays")
-		}
-	}
-}
--- a/internal/confstore/incarnations_test.go
+++ b/internal/confstore/incarnations_test.go
@@ -95,3 +95,53 @@
 		}
 	}
 }
+
+// Guards against a file that is written whole for each change of a target, which took most of the syncs of a controller
+// during a release, and against a record that is lost with the end of a damaged file.
+func TestChangesAreAppended(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	n := loadIncarnations(folder, telemetry.Discard().Logger)
+	relay := func(i int) hop.IP { return hop.IP{10, 0, byte(i >> 8), byte(i)} }
+	for i := range 4100 {
+		n.record(relay(i), 1, "0123456789abcdef")
+	}
+	g.Expect(n.save()).To(Succeed())
+	written := func() int {
+		info, err := os.Stat(filepath.Join(folder, incarnationChangesFile))
+		g.Expect(err).NotTo(HaveOccurred())
+		return int(info.Size())
+	}
+	for i := range 10 {
+		n.record(relay(i), 2, "b")
+		g.Expect(n.save()).To(Succeed())
+	}
+	g.Expect(written()).To(BeNumerically("<", 10*100))
+	n.record(relay(4000), 2, "c")
+	g.Expect(n.save()).To(Succeed())
+	n.closeChanges()
+
+	frames, err := os.ReadFile(filepath.Join(folder, incarnationChangesFile))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.WriteFile(filepath.Join(folder, incarnationChangesFile), frames[:len(frames)-1], 0o600)).To(Succeed())
+	n = loadIncarnations(folder, telemetry.Discard().Logger)
+	g.Expect(n.loaded).To(BeTrue())
+	g.Expect(n.record(relay(9), 3, "")).To(Equal("b"))
+	g.Expect(n.record(relay(4000), 3, "")).To(Equal("0123456789abcdef"), "the last frame is cut off")
+
+	// The damaged end must not hide what is saved later.
+	g.Expect(n.save()).To(Succeed())
+	n.record(relay(1), 4, "d")
+	g.Expect(n.save()).To(Succeed())
+	n.closeChanges()
+	n = loadIncarnations(folder, telemetry.Discard().Logger)
+	g.Expect(n.record(relay(1), 5, "")).To(Equal("d"))
+
+	// The file of changes does not grow without bound.
+	for i := range 5000 {
+		n.record(relay(i%100), uint64(10+i), "0123456789abcdef")
+		g.Expect(n.save()).To(Succeed())
+	}
+	g.Expect(written()).To(BeNumerically("<", 3*max(minChangesBytes, n.snapshotBytes)))
+	n.closeChanges()
+}
--- a/internal/confstore/metrics.go
+++ b/internal/confstore/metrics.go
@@ -25,8 +25,7 @@
 		{"targets", "Targets that announce themselves.", func() float64 {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			list, _ := c.registry.Targets()
-			return float64(len(list))
+			return float64(c.registry.Len())
 		}},
 		{"entries_behind", "Entry VMs with an older configuration in force.", func() float64 {
 			version := c.state.version()
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -127,7 +127,7 @@
 	*reply = Status{Name: c.name, Leader: logStatus.Leader, Version: c.state.version(), Current: c.IsCurrent(), Members: logStatus.Members}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	reply.Targets, _ = c.registry.Targets()
+	reply.Targets = c.registry.Targets()
 	reply.Behind = c.registry.OutdatedEntries(reply.Version)
 	return nil
 }
--- a/internal/controllerclient/client.go
+++ b/internal/controllerclient/client.go
@@ -52,9 +52,12 @@
 	// Announce returns the announcement for a controller.
 	Announce func(to hop.IP) roster.Announcement
 	// Parse decodes a configuration, and Apply puts it in force. If Parse is nil, no configuration is fetched.
-	Parse  func(body []byte) (*routing.Document, error)
-	Apply  func(*routing.Table)
-	Logger *log.Logger
+	Parse func(body []byte) (*routing.Document, error)
+	Apply func(*routing.Table)
+	// Incomplete reports whether a controller that answers has information that this process still needs, so that it is
+	// announced to at short intervals during discoveryWindow; may be nil.
+	Incomplete func(hop.IP) bool
+	Logger     *log.Logger
 }
 
 // Client tracks the controllers and the configuration of a process.
@@ -121,9 +124,10 @@
 // controller answers that time is short, so that service resumes as soon as controllers are back.
 func (cl *Client) announceDue() time.Duration {
 	all := cl.contacts()
+	incomplete := cl.incomplete(all) // calls back, so outside of the lock
 	now := cl.clock()
 	cl.mu.Lock()
-	unresponsive, discovering := cl.unresponsive(now, all)
+	unresponsive, discovering := cl.unresponsive(now, all, incomplete)
 	announceAll := now.Sub(cl.lastAnnounced) >= roster.AnnounceInterval || len(unresponsive) == len(all)
 	if announceAll {
 		cl.lastAnnounced = now
@@ -142,11 +146,19 @@
 	return next
 }
 
-// unresponsive returns the controllers that do not answer, and whether to announce to them at short
-// intervals.
-func (cl *Client) unresponsive(now time.Time, all []hop.IP) (list []hop.IP, discovering bool) {
+// incomplete returns the controllers that have more information for this process.
+func (cl *Client) incomplete(all []hop.IP) []hop.IP {
+	if cl.cfg.Incomplete == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(ip hop.IP) bool { return !cl.cfg.Incomplete(ip) })
+}
+
+// unresponsive returns the controllers that do not answer or have more information, and whether to announce to them
+// at short intervals.
+func (cl *Client) unresponsive(now time.Time, all, incomplete []hop.IP) (list []hop.IP, discovering bool) {
 	for _, ip := range all {
-		if c := cl.controllers[ip]; c == nil || now.Sub(c.lastHeard) > controllerTimeout {
+		if c := cl.controllers[ip]; c == nil || now.Sub(c.lastHeard) > controllerTimeout || slices.Contains(incomplete, ip) {
 			list = append(list, ip)
 		}
 	}
@@ -156,9 +168,14 @@
 // Announce sends an announcement to every controller now.
 func (cl *Client) Announce() { cl.announce(cl.contacts()) }
 
+// AnnounceTo sends an announcement to some controllers now.
+func (cl *Client) AnnounceTo(to []hop.IP) { cl.announce(to) }
+
 func (cl *Client) announce(to []hop.IP) {
+	members := cl.membersDigest()
 	for _, ip := range to {
 		a := cl.cfg.Announce(ip)
+		a.MembersDigest = members
 		datagram, err := a.Encode()
 		if err != nil {
 			cl.cfg.Logger.Error().Err(err).Msg("encoding an announcement failed")
@@ -168,6 +185,16 @@
 	}
 }
 
+// membersDigest returns the digest of the members that are known, zero for none.
+func (cl *Client) membersDigest() uint64 {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if len(cl.members) == 0 {
+		return 0
+	}
+	return roster.MembersDigest(cl.members)
+}
+
 // contacts returns the controllers to announce to. It also logs which have become lost.
 func (cl *Client) contacts() []hop.IP {
 	cl.mu.Lock()
@@ -220,7 +247,9 @@
 	c.version, c.lastHeard, c.lost = a.Version, now, false
 	if a.Current {
 		cl.majorityAnswered = true
-		cl.members = slices.Clone(a.Controllers)
+		if len(a.Controllers) > 0 {
+			cl.members = slices.Clone(a.Controllers)
+		}
 	}
 	if a.Version > cl.newestVersion {
 		if cl.versionInForce >= cl.newestVersion {
--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -35,22 +36,15 @@
 // relay process ends.
 func (t *targetVM) runFlowReports() {
 	w, current, process := t.w, t.relay, t.w.rand.Uint64()
-	number := uint32(0)
+	reporter := checkpoint.NewReporter(process)
 	var report, request func()
 	report = func() {
 		if t.relay != current {
 			return
 		}
-		number++
 		target, flows := current.ReportedFlows()
-		for _, part := range checkpoint.Split(checkpoint.Part{Process: process, Target: target, Number: number}, checkpoint.Pack(flows)) {
-			for _, s := range w.stores {
-				w.deliver(func() {
-					if !s.stopped && target.ID != "" {
-						s.flows.RecordPart(w.now, t.ip, &part)
-					}
-				})
-			}
+		if target.ID != "" {
+			t.sendReports(reporter, reporter.Reports(w.now, target, flows, w.storeIPs()))
 		}
 		w.after(reportInterval, report)
 	}
@@ -81,6 +75,28 @@
 	w.after(earlierFlowsPeriod, request)
 }
 
+// sendReports delivers reports to the controllers.
+func (t *targetVM) sendReports(reporter *checkpoint.Reporter, reports []checkpoint.Report) {
+	for _, r := range reports {
+		i := slices.IndexFunc(t.w.stores, func(s *flowStore) bool { return s.ip == r.To })
+		s := t.w.stores[i]
+		t.w.deliver(func() {
+			if !s.stopped && s.flows.RecordPart(t.w.now, t.ip, &r.Part) {
+				t.w.deliver(func() { reporter.Resync(s.ip) })
+			}
+		})
+	}
+}
+
+// storeIPs returns the addresses of all controllers.
+func (w *world) storeIPs() []hop.IP {
+	var ips []hop.IP
+	for _, s := range w.stores {
+		ips = append(ips, s.ip)
+	}
+	return ips
+}
+
 // losePower restarts the VM of a target.
 func (t *targetVM) losePower() {
 	t.crash()
@@ -171,3 +187,30 @@
 	w.run(200 * time.Millisecond)
 	g.Expect(w.waitingCallers()).To(BeZero())
 }
+
+// Guards against several resets of a flow: after a loss of power of all VMs, answers of further controllers brought
+// flows in again that had been reset on the word of the first two. A late reset may meet another flow from the same
+// port of the caller.
+func TestEarlierFlowIsResetOnce(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(64, 3, 7)
+	for len(w.stores) < 5 {
+		w.stores = append(w.stores, &flowStore{ip: hop.IP{10, 0, 3, byte(len(w.stores) + 1)}, flows: checkpoint.NewStore()})
+	}
+	w.openIdleFlows(200)
+	for _, s := range w.stores[2:] {
+		s.stopped = true
+	}
+	for _, v := range w.targets {
+		v.losePower()
+	}
+	w.run(300 * time.Millisecond)
+	g.Expect(w.waitingCallers()).To(BeZero())
+	for _, s := range w.stores[2:] {
+		s.stopped = false
+		w.run(200 * time.Millisecond)
+	}
+	for _, c := range w.callers {
+		g.Expect(c.resets).To(Equal(1), "resets of %v", c.addr)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -171,7 +171,7 @@
 // New returns an Entry without a configuration or targets.
 func New(cfg Config, picker *targetpicker.Picker, ports Ports) *Entry {
 	return &Entry{
-		cfg: cfg, ports: ports, picker: picker, View: roster.NewView(),
+		cfg: cfg, ports: ports, picker: picker, View: roster.NewView(cfg.Self),
 		flows: map[packet.Key]*flow{}, nextDue: -1, firstTargetsAt: -1,
 		offerRetries: retryPolicy{retryBudget: retryBurst}, queries: newQueryBatcher(cfg.LinkBytesPerSecond),
 	}
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -170,7 +170,7 @@
 		e.probe(now, key, f)
 	case !f.queriedAll:
 		e.queryAll(now, key, f)
-	case e.pendingProbes(f) == 0 && !f.repliesMissing && e.View.HasCompleteList(now):
+	case e.pendingProbes(f) == 0 && !f.repliesMissing && e.View.KnowsAllRelays(now):
 		e.resetUnowned(now, key, f)
 	case e.pendingProbes(f) == 0 && !f.repliesMissing && f.fanouts < maxFanouts:
 		f.state, f.queriedAll = queryingAll, false
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -127,14 +127,14 @@
 	})
 }
 
-// mayBecomeKnown reports whether a target for the flow may become known while its SYN is held: no controller has
-// a complete list, or a relay of the service still waits for the first heartbeat of its target. Otherwise the
+// mayBecomeKnown reports whether a target for the flow may become known while its SYN is held: not all running
+// relays are known, or a relay of the service still waits for the first heartbeat of its target. Otherwise the
 // service is known to have no target that accepts flows.
 func (e *Entry) mayBecomeKnown(now time.Duration, f *flow) bool {
 	if f.route == nil || now-f.startedAt >= f.maxHoldTime() {
 		return false
 	}
-	return !e.View.HasCompleteList(now) || slices.ContainsFunc(e.View.Targets(f.service), func(k *roster.KnownTarget) bool {
+	return !e.View.KnowsAllRelays(now) || slices.ContainsFunc(e.View.Targets(f.service), func(k *roster.KnownTarget) bool {
 		return k.State == roster.Unknown && !k.Lost
 	})
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -89,7 +89,7 @@
 	}
 	p.controllers = controllerclient.New(controllerclient.Config{
 		Port: cfg.Port, Seeds: cfg.Seeds, Logger: t.Logger, Parse: cfg.Parse,
-		Send: p.nodes.Send, Announce: p.announcement, Apply: p.setTable,
+		Send: p.nodes.Send, Announce: p.announcement, Apply: p.setTable, Incomplete: p.listIncomplete,
 	})
 	return p, nil
 }
@@ -141,7 +141,16 @@
 
 func (p *Process) fromController(from hop.IP, a *roster.Answer) {
 	p.controllers.HandleAnswer(from, a)
-	p.withEntry(func(now time.Duration) { p.entry.View.HandleAnswer(now, from, a) })
+	var announceTo []hop.IP
+	p.withEntry(func(now time.Duration) { announceTo = p.entry.View.HandleAnswer(now, from, a) })
+	p.controllers.AnnounceTo(announceTo)
+}
+
+// listIncomplete reports whether the list of a controller that answers has not arrived yet.
+func (p *Process) listIncomplete(controller hop.IP) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entry.View.Incomplete(p.now(), controller)
 }
 
 // armTimer sets the timer to the given time, unless it is set to an earlier one.
@@ -191,12 +200,15 @@
 	defer p.mu.Unlock()
 	// One controller per interval is asked for the loads, which are most of its answer.
 	now := p.now()
-	loads := p.entry.View.HeardFrom(now, to) && now-p.loadsRequestedAt >= roster.AnnounceInterval/2
+	view := p.entry.View
+	loads := view.WantsPush(now, to) && now-p.loadsRequestedAt >= roster.AnnounceInterval/2
 	if loads {
 		p.loadsRequestedAt = now
 	}
+	position, digest, answers := view.Position(now, to)
 	return roster.Announcement{
-		Loads: loads, Role: roster.RoleEntry, Name: p.cfg.Name, Version: p.entry.Version(), Digest: p.entry.View.Digest(to),
+		Loads: loads, Role: roster.RoleEntry, Name: p.cfg.Name, Version: p.entry.Version(),
+		Position: position, Digest: digest, Answers: answers, Push: view.WantsPush(now, to),
 	}
 }
 
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -189,7 +189,11 @@
 	for i, t := range list {
 		loads[i] = w.targetAt(t.Relay).relay.Load(w.now).ExpectedSixteenths()
 	}
-	a := roster.Answer{Version: w.table.Version, Current: true, Fresh: w.controllersFresh, Parts: 1, Digest: uint64(w.now) + 1, Targets: list, Loads: loads}
+	// Each list is that of a new controller process, so that it replaces the list before.
+	a := roster.Answer{
+		Version: w.table.Version, Current: true, Fresh: w.controllersFresh, Run: uint64(w.now) + 1, To: 1, Head: 1,
+		Targets: list, Loads: roster.PackLoads(loads), Last: true,
+	}
 	for _, e := range w.entries {
 		if e.entry != nil && !w.rosterPaused {
 			e.entry.View.HandleAnswer(w.now, hop.IP{10, 0, 3, 1}, &a)
--- a/internal/relay/earlier.go
+++ b/internal/relay/earlier.go
@@ -31,6 +31,8 @@
 	answered      bool
 	received      map[hop.IP]*receivedParts // by controller
 	flows         map[earlierFlow]*confirmation
+	// settled are the flows that were reset or spared. Other controllers may return them again later.
+	settled map[earlierFlow]struct{}
 }
 
 // receivedParts are the parts that a controller has returned.
@@ -85,6 +87,9 @@
 			break
 		}
 		id := earlierFlow{key: f.Key, target: p.Target}
+		if _, settled := e.settled[id]; settled {
+			continue
+		}
 		c := e.flows[id]
 		if c == nil {
 			c = &confirmation{ack: f.Ack}
@@ -110,6 +115,7 @@
 	if now-e.firstAnswerAt > earlierFlowsWindow {
 		r.Stats.EarlierSpared += uint64(len(e.flows))
 		clear(e.flows)
+		clear(e.settled)
 		return
 	}
 	left := maxResetsAtOnce
@@ -120,17 +126,23 @@
 		case !r.hasEnded(id.target) || len(c.by) < r.confirmationsNeeded() || left == 0:
 		case r.flows[id.key] != nil: // the caller has opened another flow from the same port
 			r.Stats.EarlierSpared++
-			delete(e.flows, id)
+			e.settle(id)
 		default:
 			left--
 			r.Stats.EarlierReset++
-			delete(e.flows, id)
+			e.settle(id)
 			r.logDecision(now, decision.Reset, id.key, 0, 0, result.TargetReplaced)
 			r.ports.ToCaller(id.key.Caller, r.cfg.Codec.Reset(id.key, c.ack))
 		}
 	}
 }
 
+// settle ends the handling of a flow.
+func (e *earlierFlows) settle(id earlierFlow) {
+	delete(e.flows, id)
+	e.settled[id] = struct{}{}
+}
+
 func (f earlierFlow) compare(other earlierFlow) int { return f.key.Compare(other.key) }
 
 // hasEnded reports whether a target that an earlier process of the relay had beside it has ended: nothing listens
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -73,19 +73,23 @@
 
 	mu             sync.Mutex
 	relay          *Relay
+	reporter       *checkpoint.Reporter
 	timer          *time.Timer
 	timerSet       bool
 	targetGone     bool         // the target has ended; part of the last announcement
 	announcedState roster.State // as last announced
 	loggedKnowsAll bool         // KnowsAllFlows as last logged
+	// confirmedTargets are the digests of the target as the controllers have last confirmed it.
+	confirmedTargets map[hop.IP]uint64
 }
 
 // NewProcess opens the sockets and registers the metrics.
 func NewProcess(cfg ProcessConfig, t telemetry.Handle) (*Process, error) {
-	p := &Process{cfg: cfg, tel: t, start: time.Now(), incarnation: rand.Uint64(), decisions: decision.New(t.Logger)}
+	p := &Process{cfg: cfg, tel: t, start: time.Now(), incarnation: rand.Uint64(), decisions: decision.New(t.Logger), confirmedTargets: map[hop.IP]uint64{}}
 	p.relay = New(Config{
 		Codec: cfg.Codec, Service: routing.ServiceIDOf(cfg.Service), Self: cfg.IP.As4(), Decisions: p.decisions,
 	}, p)
+	p.reporter = checkpoint.NewReporter(p.incarnation)
 	if err := stats.Register(t.Metrics, "greengagelock_relay", p.StatsNow); err != nil {
 		return nil, err
 	}
@@ -168,7 +172,7 @@
 
 func (p *Process) handleDatagram(from hop.IP, b []byte) {
 	if checkpoint.IsMessage(b) {
-		p.handleEarlierFlows(from, b)
+		p.handleCheckpointDatagram(from, b)
 		return
 	}
 	p.withLock(func(now time.Duration) {
@@ -179,12 +183,17 @@
 
 func (p *Process) handleAnswer(from hop.IP, a *roster.Answer) {
 	p.controllers.HandleAnswer(from, a)
-	wantsFlows := false
+	wantsFlows, forgotten := false, false
 	p.withLock(func(now time.Duration) {
+		forgotten = p.confirmedTargets[from] != 0 && a.TargetDigest == 0
+		p.confirmedTargets[from] = a.TargetDigest
 		p.relay.RecordPreviousTarget(from, a.Previous, len(a.Controllers))
 		wantsFlows = p.cfg.ReportFlows && p.relay.WantsEarlierFlows(now, from)
 	})
 	p.logFlowKnowledge("a majority of the controllers")
+	if forgotten {
+		p.controllers.AnnounceTo([]hop.IP{from})
+	}
 	if wantsFlows {
 		request := checkpoint.Request{Process: p.incarnation}
 		p.sendToController(from, request.Encode)
@@ -214,12 +223,19 @@
 // ToNode implements Ports.
 func (p *Process) ToNode(to hop.IP, datagram []byte) { p.nodes.ToNode(to, datagram) }
 
-func (p *Process) announcement(hop.IP) roster.Announcement {
+// announcement returns the announcement for a controller, without what the controller has confirmed.
+func (p *Process) announcement(to hop.IP) roster.Announcement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	t := p.relay.AnnouncedTarget(now, p.cfg.Zone)
-	return roster.Announcement{Role: roster.RoleRelay, Name: p.cfg.Name, Target: &t, Load: p.relay.Load(now), Process: p.incarnation, Gone: p.targetGone}
+	a := roster.Announcement{
+		Role: roster.RoleRelay, TargetDigest: t.Digest(), Load: p.relay.Load(now), Process: p.incarnation, Gone: p.targetGone,
+	}
+	if p.targetGone || p.confirmedTargets[to] != a.TargetDigest {
+		a.Name, a.Target = p.cfg.Name, &t
+	}
+	return a
 }
 
 // Heartbeat handles a heartbeat of the target.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -173,7 +173,9 @@
 	return &Relay{
 		cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, superseded: map[string]bool{}, previousTargets: map[hop.IP]string{}, fanouts: map[uint32]*fanout{},
 		probes: map[packet.Key]hop.IP{}, returnedFlows: map[packet.Key]struct{}{},
-		earlier: earlierFlows{received: map[hop.IP]*receivedParts{}, flows: map[earlierFlow]*confirmation{}},
+		earlier: earlierFlows{
+			received: map[hop.IP]*receivedParts{}, flows: map[earlierFlow]*confirmation{}, settled: map[earlierFlow]struct{}{},
+		},
 	}
 }
 
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"net/netip"
 	"time"
@@ -12,62 +11,55 @@
 )
 
 const (
-	// reportInterval is the time between two reports of the open flows to controllers, if they have changed, and
-	// reportRefreshInterval that between two reports of the same flows.
-	reportInterval        = 250 * time.Millisecond
-	reportRefreshInterval = 5 * time.Second
+	// reportInterval is the time between two reports of the open flows to controllers.
+	reportInterval = 250 * time.Millisecond
 	// reportBytesPerSecond bounds the reports of many flows, to all controllers together.
 	reportBytesPerSecond = 16 << 10
 )
 
-// flowReport is the last report of the open flows.
-type flowReport struct {
-	target checkpoint.Target
-	packed []byte
-	sentAt time.Duration
-	number uint32
-}
-
 // reportFlows reports the open flows of the target to controllers until ctx is done.
 func (p *Process) reportFlows(ctx context.Context) {
 	if !p.cfg.ReportFlows {
 		return
 	}
-	var last flowReport
 	for pause := reportInterval; ctxtime.Sleep(ctx, pause); {
-		pause = max(reportInterval, p.reportOnce(&last))
+		pause = max(reportInterval, p.reportOnce())
 	}
 }
 
-// reportOnce reports the open flows if they have changed or the last report is too old. It returns the time for which
-// the bytes sent take up the limit.
-func (p *Process) reportOnce(last *flowReport) time.Duration {
-	var target checkpoint.Target
-	var flows []checkpoint.Flow
-	p.withLock(func(time.Duration) { target, flows = p.relay.ReportedFlows() })
-	packed, now := checkpoint.Pack(flows), p.now()
-	unchanged := target == last.target && bytes.Equal(packed, last.packed)
-	if target.ID == "" || (unchanged && now-last.sentAt < reportRefreshInterval) {
-		return 0
-	}
-	*last = flowReport{target: target, packed: packed, sentAt: now, number: last.number + 1}
+// reportOnce reports what has changed in the open flows. It returns the time for which the bytes sent take up the
+// limit.
+func (p *Process) reportOnce() time.Duration {
 	controllers := p.controllers.Nearest(p.cfg.IP, checkpoint.Copies)
-	for _, part := range checkpoint.Split(checkpoint.Part{Process: p.incarnation, Target: target, Number: last.number}, packed) {
-		for _, controller := range controllers {
-			p.sendToController(controller, part.Encode)
+	var reports []checkpoint.Report
+	p.withLock(func(now time.Duration) {
+		target, flows := p.relay.ReportedFlows()
+		if target.ID != "" {
+			reports = p.reporter.Reports(now, target, flows, controllers)
 		}
+	})
+	size := 0
+	for i := range reports {
+		part := &reports[i].Part
+		p.sendToController(reports[i].To, part.Encode)
+		size += len(part.Packed) + len(part.Closed)
 	}
-	return time.Duration(len(packed)*len(controllers)) * time.Second / reportBytesPerSecond
+	return time.Duration(size) * time.Second / reportBytesPerSecond
 }
 
-// handleEarlierFlows handles the answer of a controller to a request for the flows of earlier processes.
-func (p *Process) handleEarlierFlows(from hop.IP, b []byte) {
-	part, _, err := checkpoint.Decode(b)
-	if err != nil || part == nil {
-		p.tel.Logger.Debug().Str("from", netip.AddrFrom4(from).String()).Err(err).Msg("malformed list of flows dropped")
-		return
+// handleCheckpointDatagram handles a message of a controller: flows of earlier processes, or that it lacks a report.
+func (p *Process) handleCheckpointDatagram(from hop.IP, b []byte) {
+	message, err := checkpoint.Decode(b)
+	switch m := message.(type) {
+	case *checkpoint.Part:
+		p.withLock(func(now time.Duration) { p.relay.RecordEarlierFlows(now, from, m) })
+	case *checkpoint.Resync:
+		if m.Process == p.incarnation {
+			p.withLock(func(time.Duration) { p.reporter.Resync(from) })
+		}
+	default:
+		p.tel.Logger.Debug().Str("from", netip.AddrFrom4(from).String()).Err(err).Msg("unexpected flow checkpoint message dropped")
 	}
-	p.withLock(func(now time.Duration) { p.relay.RecordEarlierFlows(now, from, part) })
 }
 
 // sendToController sends a message that encode returns.
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -122,9 +122,11 @@
 }
 
 // RecordPreviousTarget handles what a controller says of the target that an earlier process of this relay
-// announced: its ID, empty if the controller knows none, and the number of controllers.
+// announced: its ID, empty if the controller knows none, and the number of controllers, zero if it has not changed.
 func (r *Relay) RecordPreviousTarget(from hop.IP, target string, controllers int) {
-	r.controllerCount = controllers
+	if controllers > 0 {
+		r.controllerCount = controllers
+	}
 	if r.knowsAllFlows || target == "" {
 		return
 	}
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -20,10 +21,12 @@
 	AnnounceInterval = 400 * time.Millisecond
 	// Lease is the time for which an announcement is valid. Four in a row may get lost.
 	Lease = 2 * time.Second
-	// targetsPerPart keeps a part of the list below the MTU of an Ethernet link.
-	targetsPerPart = 16
-	// maxParts bounds the memory that a damaged answer can claim; 4,100 targets need 257 parts.
-	maxParts = 512
+	// targetsPerAnswer and loadsPerAnswer keep an answer below the MTU of an Ethernet link.
+	targetsPerAnswer = 16
+	loadsPerAnswer   = 2000
+	// maxAnswers bounds the answers to one announcement. They take 80 ms on a link of 2 Mbit/s; the receiver asks for
+	// the rest when it has the last of them.
+	maxAnswers = 16
 )
 
 // State is the state of a target; it decides whether the target gets new flows.
@@ -82,10 +85,20 @@
 	Role    Role
 	Name    string
 	Version uint64 // version of the configuration in force
-	// Digest is the digest of the last list of targets received from this controller.
+	// Position is the place of an entry VM in the changes of this controller's list.
+	Position Position
+	// Digest is the digest of the newest list that an entry VM has from any controller. A controller that has the same
+	// list sends no targets.
 	Digest uint64
-	Target *Target // set by relays
-	Load   hop.Load
+	// Answers is the number of datagrams with changes that an entry VM accepts, and Push asks for changes as they occur.
+	Answers uint8
+	Push    bool
+	// Target is set by relays. It is left out, as is Name, once the controller has confirmed TargetDigest.
+	Target       *Target
+	TargetDigest uint64
+	// MembersDigest is the digest of the addresses of the controllers that the process knows, see MembersDigest.
+	MembersDigest uint64
+	Load          hop.Load
 	// Gone marks the last announcement of a relay whose target has ended; nobody needs to look up flows
 	// there.
 	Gone bool
@@ -95,24 +108,42 @@
 	Process uint64
 }
 
+// Position is a place in the sequence of changes of a controller's list of targets.
+type Position struct {
+	_   struct{} `cbor:",toarray"`
+	Run uint64   // random number of the controller process; zero for no list
+	Seq uint64   // number of the last change that the list includes
+	// Base is the number of the newest change when the transfer of the whole list began. Removals up to it need not be
+	// sent.
+	Base uint64
+}
+
 // Answer is what a controller sends for each announcement, and at once after the commit of a configuration.
 type Answer struct {
 	_       struct{} `cbor:",toarray"`
 	Version uint64   // newest version that the controller knows to be committed
 	// Current says that the controller is in contact with a majority.
-	Current     bool
+	Current bool
+	// Controllers are the addresses of all controllers in ascending order; empty if the process knows them.
 	Controllers []hop.IP
-	// Digest identifies the list. Targets is part number Part (from 0) of Parts, in the order of the list; it
-	// is empty if the announcement carried the same digest. Loads holds, if requested, the requests in
-	// progress at each target in sixteenths, in the order of the list.
-	Digest  uint64
-	Part    uint16
-	Parts   uint16
-	Targets []Target
-	Loads   []uint16
-	// Base is the digest of the list to which Targets and Removed are changes; zero for a whole list.
-	Base    uint64
-	Removed []hop.IP
+	// TargetDigest is the digest of the target that the controller has from the receiving relay; zero if it has none.
+	TargetDigest uint64
+	// Run is the random number of the controller process, zero if the answer says nothing about the list of targets.
+	// Targets and Removed are the changes after From up to To; Head is the number of the newest change, and Digest the
+	// digest of the list there.
+	Run            uint64
+	From, To, Head uint64
+	Digest         uint64
+	Targets        []Target
+	Removed        []hop.IP
+	// Restart says that changes after the receiver's position are no longer known: its copy of the list is void.
+	Restart bool
+	// Last marks the last answer to an announcement.
+	Last bool
+	// Loads are the loads of the targets at Head in the order of their relays, beginning with number LoadsFrom, in the
+	// levels of loadLevels, two to a byte.
+	Loads     []byte
+	LoadsFrom uint16
 	// Fresh is set by a controller that has run for less than a lease and has not heard relays that existed
 	// before. Its list may lack running relays, so a missing relay must not count as lost.
 	Fresh bool
@@ -121,6 +152,15 @@
 	Previous string
 }
 
+// MembersDigest returns the digest of the addresses of controllers in ascending order.
+func MembersDigest(controllers []hop.IP) uint64 {
+	var b []byte
+	for _, ip := range controllers {
+		b = append(b, ip[:]...)
+	}
+	return xxhash.Sum64(b)
+}
+
 // Kinds of datagrams; package hop uses the values below.
 const (
 	kindAnnouncement byte = 64
@@ -163,7 +203,7 @@
 	switch {
 	case a.Role != RoleEntry && a.Role != RoleRelay:
 		return nil, result.New(result.PacketInvalid, "announcement of %q with unknown role %d", a.Name, a.Role)
-	case (a.Role == RoleRelay) != (a.Target != nil):
+	case (a.Role == RoleRelay) != (a.Target != nil || a.TargetDigest != 0):
 		return nil, result.New(result.PacketInvalid, "announcement of %q with role %d: only relays have a target", a.Name, a.Role)
 	}
 	return a, nil
@@ -172,14 +212,14 @@
 // Encode returns the answer as a datagram.
 func (a *Answer) Encode() ([]byte, error) { return encode(kindAnswer, a) }
 
-// DecodeAnswer decodes the datagram of an answer. It fails if the part number is out of range.
+// DecodeAnswer decodes the datagram of an answer. It fails if the numbers of its changes are not in order.
 func DecodeAnswer(b []byte) (*Answer, error) {
 	a := &Answer{}
 	if err := decode(kindAnswer, b, a); err != nil {
 		return nil, err
 	}
-	if a.Parts > maxParts || (a.Parts > 0 && a.Part >= a.Parts) {
-		return nil, result.New(result.PacketInvalid, "invalid part %d of %d of the list of targets", a.Part, a.Parts)
+	if a.From > a.To || a.To > a.Head {
+		return nil, result.New(result.PacketInvalid, "changes %d to %d of %d of the list of targets", a.From, a.To, a.Head)
 	}
 	return a, nil
 }
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -1,38 +1,50 @@
 package roster
 
 import (
-	"bytes"
 	"slices"
+	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/greengagelock/greengagelock/internal/hop"
 )
 
+const (
+	// removalTTL is the time for which removals are kept. An entry VM that was out of contact for longer gets the whole
+	// list.
+	removalTTL = time.Minute
+	// minObsoleteChanges is the number of obsolete entries that the list of changes may always hold.
+	minObsoleteChanges = 64
+	// loadsTTL is the time for which packed loads are reused for further entry VMs.
+	loadsTTL = 50 * time.Millisecond
+)
+
 // Registry is a controller's list of running processes and targets. It has no clock; times are durations
 // since the start of the controller.
+//
+// It numbers the changes of its list. Each target has the number of its last change only, so that what a receiver
+// gets grows with the targets that have changed since its position, however often they did.
 type Registry struct {
+	run       uint64
 	processes map[hop.IP]*process
-	list      []Target // sorted by relay address
-	digest    uint64
-	dirty     bool // list and digest have to be rebuilt
-	// lastSent is the list at the last call of ChangeAnswers; history holds earlier lists, newest last.
-	lastSent listVersion
-	history  []listVersion
-}
+	targets   targetSet
+	seq       uint64                   // number of the newest change
+	changedAt map[hop.IP]uint64        // number of the last change of each relay's target
+	removals  map[hop.IP]time.Duration // times of the removals that are kept
+	changes   []change                 // in ascending order; obsolete once the relay has a later change
+	// forgotten is the number of the newest removal that is not kept.
+	forgotten uint64
+	pushed    uint64 // changes up to this number were returned by PushAnswers
 
-// listVersion is a list of targets with its digest.
-type listVersion struct {
-	digest uint64
-	list   []Target
+	packedLoads []byte
+	loadsAt     time.Duration
+	loadsValid  bool
 }
 
-// maxHistory is the number of earlier lists from which a process can be updated with a delta. During a
-// rolling release the list changes several times within an announcement interval.
-const maxHistory = 12
+// change says that the target of a relay has changed or was removed.
+type change struct {
+	seq   uint64
+	relay hop.IP
+}
 
 // process is the last announcement of a process.
 type process struct {
@@ -40,35 +52,74 @@
 	lastHeard time.Duration
 }
 
-// NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{processes: map[hop.IP]*process{}} }
+// confirms reports whether the process is known with the target of an announcement that leaves it out.
+func (p *process) confirms(a *Announcement) bool {
+	return p != nil && p.Target != nil && p.Process == a.Process && p.TargetDigest == a.TargetDigest
+}
+
+// NewRegistry returns an empty registry. run is a random number other than zero that identifies the controller process.
+func NewRegistry(run uint64) *Registry {
+	return &Registry{
+		run: run, processes: map[hop.IP]*process{}, targets: newTargetSet(),
+		changedAt: map[hop.IP]uint64{}, removals: map[hop.IP]time.Duration{},
+	}
+}
 
 // RecordAnnouncement records an announcement. It reports whether the list of targets has changed.
 func (r *Registry) RecordAnnouncement(now time.Duration, from hop.IP, a *Announcement) bool {
 	if a.Gone {
-		_, known := r.processes[from]
 		delete(r.processes, from)
-		r.dirty = r.dirty || known
-		return known
+		return r.removeTarget(now, from)
 	}
 	p := r.processes[from]
+	if a.Role == RoleRelay && a.Target == nil {
+		if p.confirms(a) {
+			p.Load, p.lastHeard = a.Load, now
+		}
+		return false
+	}
 	if p == nil {
 		p = &process{}
 		r.processes[from] = p
 	}
-	changed := !sameTarget(p.Target, a.Target)
 	p.Announcement, p.lastHeard = *a, now
-	r.dirty = r.dirty || changed
-	return changed
+	if a.Target == nil {
+		return r.removeTarget(now, from)
+	}
+	t := *a.Target
+	t.Relay = from
+	p.TargetDigest = t.Digest()
+	if old, known := r.targets.byRelay[from]; known && old == t {
+		return false
+	}
+	r.targets.put(t)
+	delete(r.removals, from)
+	r.addChange(from)
+	return true
 }
 
-func sameTarget(a, b *Target) bool {
-	if a == nil || b == nil {
-		return a == b
+func (r *Registry) removeTarget(now time.Duration, relay hop.IP) bool {
+	if !r.targets.remove(relay) {
+		return false
 	}
-	return *a == *b
+	r.removals[relay] = now
+	r.addChange(relay)
+	return true
 }
 
+// addChange numbers a change of the target of a relay.
+func (r *Registry) addChange(relay hop.IP) {
+	r.seq++
+	r.changedAt[relay] = r.seq
+	r.changes = append(r.changes, change{r.seq, relay})
+	r.loadsValid = false
+	if len(r.changes) > 2*len(r.changedAt)+minObsoleteChanges {
+		r.changes = slices.DeleteFunc(r.changes, r.isObsolete)
+	}
+}
+
+func (r *Registry) isObsolete(c change) bool { return r.changedAt[c.relay] != c.seq }
+
 // Expire removes processes whose lease has ended, and returns the announcements of the relays among them.
 func (r *Registry) Expire(now time.Duration) []Announcement {
 	var relays []Announcement
@@ -79,24 +130,41 @@
 		delete(r.processes, ip)
 		if p.Target != nil {
 			relays = append(relays, p.Announcement)
+			r.removeTarget(now, ip)
+		}
+	}
+	for relay, at := range r.removals {
+		if now-at > removalTTL {
+			r.forgotten = max(r.forgotten, r.changedAt[relay])
+			delete(r.removals, relay)
+			delete(r.changedAt, relay)
 		}
 	}
-	r.dirty = r.dirty || len(relays) > 0
 	return relays
 }
 
-// Nodes returns the addresses of the processes with a role, sorted.
-func (r *Registry) Nodes(role Role) []hop.IP {
+// nodes returns the addresses of the processes that match, sorted.
+func (r *Registry) nodes(matches func(*process) bool) []hop.IP {
 	var ips []hop.IP
 	for ip, p := range r.processes {
-		if p.Role == role {
+		if matches(p) {
 			ips = append(ips, ip)
 		}
 	}
-	slices.SortFunc(ips, func(a, b hop.IP) int { return bytes.Compare(a[:], b[:]) })
+	slices.SortFunc(ips, compareIPs)
 	return ips
 }
 
+// Entries returns the addresses of all entry VMs, sorted.
+func (r *Registry) Entries() []hop.IP {
+	return r.nodes(func(p *process) bool { return p.Role == RoleEntry })
+}
+
+// PushedEntries returns the addresses of the entry VMs that have asked for changes as they occur, sorted.
+func (r *Registry) PushedEntries() []hop.IP {
+	return r.nodes(func(p *process) bool { return p.Role == RoleEntry && p.Push })
+}
+
 // OutdatedEntries returns the names of the entry VMs whose configuration in force is older than version.
 func (r *Registry) OutdatedEntries(version uint64) []string {
 	var names []string
@@ -109,105 +177,120 @@
 	return names
 }
 
-// Targets returns the list of targets and its digest. The list must not be changed.
-func (r *Registry) Targets() ([]Target, uint64) {
-	if !r.dirty {
-		return r.list, r.digest
-	}
-	r.dirty = false
-	list := make([]Target, 0, len(r.processes))
-	for ip, p := range r.processes {
-		if p.Target != nil {
-			t := *p.Target
-			t.Relay = ip
-			list = append(list, t)
-		}
-	}
-	sortTargets(list)
-	encoded, err := cbor.Marshal(list)
-	if err != nil {
-		panic(errors.Wrap(err, "encode the list of targets")) // plain values always encode
-	}
-	if r.digest != 0 {
-		r.history = append(r.history, listVersion{r.digest, r.list})
-		r.history = r.history[max(len(r.history)-maxHistory, 0):]
+// Len returns the number of targets.
+func (r *Registry) Len() int { return len(r.targets.byRelay) }
+
+// Targets returns the targets in the order of their relays.
+func (r *Registry) Targets() []Target {
+	list := make([]Target, 0, r.Len())
+	for _, relay := range r.targets.relays() {
+		list = append(list, r.targets.byRelay[relay])
 	}
-	r.list, r.digest = list, max(xxhash.Sum64(encoded), 1)
-	return r.list, r.digest
+	return list
 }
 
-// ChangeAnswers returns the answers that carry the changes of the list since the last call; nil if there are
-// none.
-func (r *Registry) ChangeAnswers(template Answer) []Answer {
-	list, digest := r.Targets()
-	old := r.lastSent
-	r.lastSent = listVersion{digest, list}
-	if digest == old.digest {
-		return nil
-	}
-	template.Digest = digest
-	if a, fits := deltaAnswer(template, old, r.lastSent); fits && old.digest != 0 {
-		return []Answer{a}
+// PushAnswers returns the answers with the changes since the last call, and the number of changed targets.
+func (r *Registry) PushAnswers(template Answer) (answers []Answer, changed int) {
+	answers = r.changeAnswers(template, Position{Run: r.run, Seq: r.pushed, Base: r.pushed}, -1)
+	r.pushed = r.seq
+	for i := range answers {
+		changed += len(answers[i].Targets) + len(answers[i].Removed)
 	}
-	return fullAnswers(template, list)
+	return answers, changed
 }
 
-// deltaAnswer returns the answer that turns one list into another. fits says that it fits into one datagram.
-func deltaAnswer(template Answer, from, to listVersion) (a Answer, fits bool) {
-	template.Base = from.digest
-	before := map[hop.IP]Target{}
-	for _, t := range from.list {
-		before[t.Relay] = t
+// AnswersFor returns the answers to an announcement of a process. Entry VMs get the changes of the list after their position, as
+// far as they accept them, and the loads of all targets if they ask for them. Relays get no list.
+func (r *Registry) AnswersFor(now time.Duration, template Answer, from hop.IP, a *Announcement) []Answer {
+	template.Last = true
+	if a.MembersDigest == MembersDigest(template.Controllers) {
+		template.Controllers = nil
 	}
-	for _, t := range to.list {
-		if b, ok := before[t.Relay]; !ok || b != t {
-			template.Targets = append(template.Targets, t)
+	if a.Role != RoleEntry {
+		if p := r.processes[from]; p != nil && p.Target != nil && p.Process == a.Process {
+			template.TargetDigest = p.TargetDigest
 		}
-		delete(before, t.Relay)
+		return []Answer{template}
+	}
+	position := a.Position
+	if position.Run != r.run || position.Seq > r.seq {
+		position = Position{Run: r.run, Base: r.seq}
+	}
+	limit := min(int(a.Answers), maxAnswers)
+	if a.Digest == r.targets.digest && position.Seq < r.seq {
+		limit = 0 // the entry VM has the list from another controller
 	}
-	for relay := range before {
-		template.Removed = append(template.Removed, relay)
+	answers := r.changeAnswers(template, position, limit)
+	last := &answers[len(answers)-1]
+	if a.Loads && (last.To == r.seq || a.Digest == r.targets.digest) {
+		answers = r.addLoads(now, template, answers)
 	}
-	return template, len(template.Targets)+len(template.Removed)/8 <= targetsPerPart
+	return answers
 }
 
-// AnswersFor returns the answers for a process that holds the list with the given digest: the loads if it holds
-// the current list and requests them, a delta or the whole list if it holds another one. Relays get no list.
-func (r *Registry) AnswersFor(template Answer, role Role, digest uint64, loads bool) []Answer {
-	list, current := r.Targets()
-	template.Digest = current
-	switch {
-	case role != RoleEntry:
-		template.Digest = 0
-		return []Answer{template}
-	case digest == current:
-		if loads {
-			template.Loads = make([]uint16, len(list))
-			for i := range list {
-				template.Loads[i] = r.processes[list[i].Relay].Load.ExpectedSixteenths()
-			}
-		}
-		return []Answer{template}
+// changeAnswers returns the answers with the changes after a position, at least one and at most limit; a negative limit
+// is none. With limit zero the answer has no changes.
+func (r *Registry) changeAnswers(template Answer, position Position, limit int) []Answer {
+	template.Run, template.Head, template.Digest = r.run, r.seq, r.targets.digest
+	if limit != 0 && position.Base < r.forgotten && position.Seq > 0 {
+		position, template.Restart = Position{Run: r.run, Base: r.seq}, true
+	}
+	template.From, template.To = position.Seq, position.Seq
+	answers := []Answer{template}
+	if limit == 0 {
+		return answers
 	}
-	for _, old := range r.history {
-		if old.digest == digest {
-			if a, fits := deltaAnswer(template, old, listVersion{current, list}); fits {
-				return []Answer{a}
+	start := sort.Search(len(r.changes), func(i int) bool { return r.changes[i].seq > position.Seq })
+	for _, c := range r.changes[start:] {
+		if r.isObsolete(c) {
+			continue
+		}
+		a := &answers[len(answers)-1]
+		if len(a.Targets)+len(a.Removed)/8 >= targetsPerAnswer {
+			if len(answers) == limit {
+				return markLast(answers)
 			}
+			next := template
+			next.From, next.To, next.Restart = a.To, a.To, false
+			answers = append(answers, next)
+			a = &answers[len(answers)-1]
+		}
+		if t, listed := r.targets.byRelay[c.relay]; listed {
+			a.Targets = append(a.Targets, t)
+		} else if c.seq > position.Base {
+			a.Removed = append(a.Removed, c.relay)
 		}
+		a.To = c.seq
 	}
-	return fullAnswers(template, list)
+	answers[len(answers)-1].To = r.seq
+	return markLast(answers)
 }
 
-// fullAnswers returns the whole list in parts.
-func fullAnswers(template Answer, list []Target) []Answer {
-	parts := max((len(list)+targetsPerPart-1)/targetsPerPart, 1)
-	answers := make([]Answer, 0, parts)
-	for part := range parts {
-		a := template
-		a.Part, a.Parts = uint16(part), uint16(parts)
-		a.Targets = list[part*targetsPerPart : min((part+1)*targetsPerPart, len(list))]
-		answers = append(answers, a)
+func markLast(answers []Answer) []Answer {
+	for i := range answers {
+		answers[i].Last = i == len(answers)-1
 	}
 	return answers
 }
+
+// addLoads adds the loads of all targets to the last answer if it has no changes, and else to further ones.
+func (r *Registry) addLoads(now time.Duration, template Answer, answers []Answer) []Answer {
+	if !r.loadsValid || now-r.loadsAt > loadsTTL {
+		loads := make([]uint16, 0, r.Len())
+		for _, relay := range r.targets.relays() {
+			loads = append(loads, r.processes[relay].Load.ExpectedSixteenths())
+		}
+		r.packedLoads, r.loadsAt, r.loadsValid = PackLoads(loads), now, true
+	}
+	for from := 0; from < len(r.packedLoads); from += loadsPerAnswer / 2 {
+		last := &answers[len(answers)-1]
+		if len(last.Targets)+len(last.Removed)+len(last.Loads) > 0 {
+			next := template
+			next.Run, next.From, next.To, next.Head, next.Digest = r.run, r.seq, r.seq, r.seq, r.targets.digest
+			answers = append(answers, next)
+			last = &answers[len(answers)-1]
+		}
+		last.Loads, last.LoadsFrom = r.packedLoads[from:min(from+loadsPerAnswer/2, len(r.packedLoads))], uint16(from*2)
+	}
+	return markLast(answers)
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -8,117 +8,449 @@
 	"pgregory.net/rapid"
 
 	"github.com/greengagelock/greengagelock/internal/hop"
+	"github.com/greengagelock/greengagelock/internal/routing"
 	_ "github.com/greengagelock/greengagelock/internal/testseed"
 )
 
-var (
-	controllerA = hop.IP{10, 0, 0, 1}
-	controllerB = hop.IP{10, 0, 0, 2}
-)
+func relayIP(n int) hop.IP { return hop.IP{10, 1, byte(n >> 8), byte(n)} }
+
+func controllerIP(n int) hop.IP { return hop.IP{10, 0, 0, byte(n)} }
 
-func relayIP(n int) hop.IP { return hop.IP{10, 1, 0, byte(n)} }
+// fleet is some controllers, their relays, and an entry VM, which exchange datagrams without delay.
+type fleet struct {
+	now         time.Duration
+	controllers []*testController
+	targets     map[int]Target
+	view        *View
+	down        map[int]bool // controllers that neither hear nor answer
+	loss        func() bool  // whether the next datagram is lost
+	fresh       bool
+	bytes       int // sent to the entry VM
+}
 
-func announce(r *Registry, now time.Duration, n int, t Target) {
-	r.RecordAnnouncement(now, relayIP(n), &Announcement{Role: RoleRelay, Target: &t})
+type testController struct {
+	ip       hop.IP
+	registry *Registry
 }
 
-// deliverAnswers passes answers through their encoding to a view.
-func deliverAnswers(t *rapid.T, now time.Duration, v *View, from hop.IP, answers []Answer) {
+func newFleet(controllers int) *fleet {
+	f := &fleet{targets: map[int]Target{}, view: NewView(hop.IP{10, 2, 0, 1}), down: map[int]bool{}, loss: func() bool { return false }}
+	for n := range controllers {
+		f.controllers = append(f.controllers, &testController{controllerIP(n), NewRegistry(uint64(n + 1))})
+	}
+	return f
+}
+
+// restart replaces the process of a controller.
+func (f *fleet) restart(n int) {
+	f.controllers[n].registry = NewRegistry(f.controllers[n].registry.run + 100)
+}
+
+func testTarget(id string, state State) Target {
+	return Target{ID: id, Service: 1, State: state, Zone: "zone-a", Slots: 2, Born: 1_700_000_000_000}
+}
+
+// set changes the target of a relay, which announces that to all controllers.
+func (f *fleet) set(n int, t Target) {
+	f.targets[n] = t
+	f.announce(n)
+}
+
+func (f *fleet) announce(n int) {
+	for i, c := range f.controllers {
+		if !f.down[i] && !f.loss() {
+			t := f.targets[n]
+			c.registry.RecordAnnouncement(f.now, relayIP(n), &Announcement{Role: RoleRelay, Target: &t})
+		}
+	}
+}
+
+func (f *fleet) announceAll() {
+	for n := range f.targets {
+		f.announce(n)
+	}
+}
+
+// deliver passes an answer to the view through its encoding.
+func (f *fleet) deliver(from *testController, answers []Answer) (announceTo []hop.IP) {
 	for i := range answers {
 		b, err := answers[i].Encode()
 		if err != nil {
-			t.Fatal(err)
+			panic(err)
 		}
+		if f.loss() {
+			continue
+		}
+		f.bytes += len(b) + 28 // with the IP and UDP headers
 		a, err := DecodeAnswer(b)
 		if err != nil {
-			t.Fatal(err)
+			panic(err)
 		}
-		v.HandleAnswer(now, from, a)
+		announceTo = append(announceTo, f.view.HandleAnswer(f.now, from.ip, a)...)
 	}
+	return announceTo
 }
 
-// The list of an entry VM must match that of its controller after changes that were sent as deltas, some of
-// which got lost.
-func TestViewFollowsTheRegistry(t *testing.T) {
+// ask announces the entry VM to a controller, and to those that the answers call for.
+func (f *fleet) ask(n int) {
+	pending := []hop.IP{f.controllers[n].ip}
+	for round := 0; len(pending) > 0; round++ {
+		if round > 1000 {
+			panic("the entry VM announces itself again and again")
+		}
+		ip := pending[0]
+		pending = pending[1:]
+		i := int(ip[3])
+		if f.down[i] || f.loss() {
+			continue
+		}
+		c := f.controllers[i]
+		position, digest, answers := f.view.Position(f.now, ip)
+		a := Announcement{
+			Role: RoleEntry, Position: position, Digest: digest, Answers: answers, Push: f.view.WantsPush(f.now, ip),
+			Loads: f.view.WantsPush(f.now, ip),
+		}
+		c.registry.RecordAnnouncement(f.now, f.view.self, &a)
+		pending = append(pending, f.deliver(c, c.registry.AnswersFor(f.now, Answer{Fresh: f.fresh}, f.view.self, &a))...)
+		f.now += time.Millisecond
+	}
+}
+
+func (f *fleet) askAll() {
+	for n := range f.controllers {
+		f.ask(n)
+	}
+}
+
+// push sends the changes to the entry VM if it has asked for them.
+func (f *fleet) push() {
+	for i, c := range f.controllers {
+		answers, _ := c.registry.PushAnswers(Answer{Fresh: f.fresh})
+		if len(c.registry.PushedEntries()) > 0 && !f.down[i] {
+			f.deliver(c, answers)
+		}
+	}
+}
+
+// expectLists fails unless the entry VM has the lists of all controllers.
+func (f *fleet) expectLists(t interface{ Fatalf(string, ...any) }) {
+	for i, c := range f.controllers {
+		l := f.view.lists[c.ip]
+		if f.down[i] {
+			continue
+		}
+		if l == nil || !l.established || l.targets.digest != c.registry.targets.digest {
+			t.Fatalf("the list of controller %d has not arrived", i)
+		}
+		for relay, target := range c.registry.targets.byRelay {
+			if l.targets.byRelay[relay] != target {
+				t.Fatalf("the target at %v is %+v, want %+v", relay, l.targets.byRelay[relay], target)
+			}
+			if k := f.view.Get(relay); k == nil || k.Lost {
+				t.Fatalf("the target at %v is missing", relay)
+			}
+		}
+	}
+}
+
+// Guards against lists that differ from those of the controllers after changes in any order, lost datagrams,
+// restarts of controllers, and relays that some controllers do not hear.
+func TestViewFollowsTheControllers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		r, v := NewRegistry(), NewView()
-		now := time.Duration(0)
+		f := newFleet(rapid.IntRange(1, 5).Draw(rt, "controllers"))
+		lossPercent := rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(rt, "loss")
+		f.loss = func() bool { return lossPercent > 0 && rapid.IntRange(0, 99).Draw(rt, "lost") < lossPercent }
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
-			now += 50 * time.Millisecond
-			n := rapid.IntRange(0, 59).Draw(rt, "target")
-			announce(r, now, n, Target{
-				ID: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "id"), Service: 1,
-				State: rapid.SampledFrom([]State{Ready, Draining}).Draw(rt, "state"), Cold: rapid.Bool().Draw(rt, "cold"),
-			})
-			r.Expire(now)
-			if changes := r.ChangeAnswers(Answer{}); rapid.IntRange(0, 9).Draw(rt, "lost") > 2 {
-				deliverAnswers(rt, now, v, controllerA, changes)
-			}
-			if rapid.IntRange(0, 3).Draw(rt, "announces") == 0 {
-				deliverAnswers(rt, now, v, controllerA, r.AnswersFor(Answer{}, RoleEntry, v.Digest(controllerA), true))
+			f.now += 50 * time.Millisecond
+			switch rapid.IntRange(0, 7).Draw(rt, "step") {
+			case 0:
+				f.askAll()
+			case 1:
+				f.ask(rapid.IntRange(0, len(f.controllers)-1).Draw(rt, "controller"))
+			case 2:
+				f.restart(rapid.IntRange(0, len(f.controllers)-1).Draw(rt, "controller"))
+			case 3:
+				n := rapid.IntRange(0, 59).Draw(rt, "gone")
+				delete(f.targets, n)
+				for _, c := range f.controllers {
+					c.registry.RecordAnnouncement(f.now, relayIP(n), &Announcement{Role: RoleRelay, Target: &Target{}, Gone: true})
+				}
+			case 4:
+				f.now += rapid.SampledFrom([]time.Duration{time.Second, 90 * time.Second}).Draw(rt, "pause")
+				for _, c := range f.controllers {
+					c.registry.Expire(f.now)
+				}
+			default:
+				f.set(rapid.IntRange(0, 59).Draw(rt, "target"), Target{
+					ID: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "id"), Service: 1,
+					State: rapid.SampledFrom([]State{Ready, Draining}).Draw(rt, "state"), Cold: rapid.Bool().Draw(rt, "cold"),
+				})
 			}
+			f.push()
+		}
+		lossPercent = 0
+		for range 8 {
+			f.now += AnnounceInterval
+			f.announceAll()
+			f.askAll()
+		}
+		f.expectLists(rt)
+	})
+}
+
+// bytesForChanges returns the bytes that an entry VM gets from five controllers while some targets of a fleet change one
+// after the other.
+func bytesForChanges(targets, changes int) int {
+	f := newFleet(5)
+	for n := range targets {
+		f.set(n, testTarget("0123456789abcdef", Ready))
+	}
+	for range 3 {
+		f.askAll()
+		f.push()
+	}
+	f.bytes = 0
+	for n := range changes {
+		f.now += 20 * time.Millisecond
+		f.set(n, testTarget("0123456789abcdef", Draining))
+		f.push()
+		if n%20 == 19 {
+			f.askAll()
 		}
-		deliverAnswers(rt, now, v, controllerA, r.AnswersFor(Answer{}, RoleEntry, v.Digest(controllerA), true))
-		list, digest := r.Targets()
-		if v.Digest(controllerA) != digest {
-			rt.Fatalf("the view has the list %d, the registry %d", v.Digest(controllerA), digest)
+	}
+	return f.bytes
+}
+
+// Guards against an entry VM that gets the whole list for a few changes, which grew with the square of the fleet in a
+// rolling release: the bytes must depend on the changes and not on the number of targets.
+func TestBytesOfChangesDoNotGrowWithTheList(t *testing.T) {
+	g := NewWithT(t)
+	small, large := bytesForChanges(100, 60), bytesForChanges(4100, 60)
+	loads := 3 * pushers * 4100 / 2 // three rounds in which both pushing controllers are asked for loads
+	g.Expect(large-loads).To(BeNumerically("<", small*3/2), "%d bytes in a fleet of 100 targets, %d of 4,100", small, large)
+}
+
+// Guards against the whole list for an entry VM that was out of contact during a release: what it missed must be merged.
+func TestMissedChangesAreMerged(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1)
+	for n := range 1000 {
+		f.set(n, testTarget("0123456789abcdef", Ready))
+	}
+	f.ask(0)
+	whole := f.bytes
+	for range 40 { // more changes than the list has targets, of a few targets
+		for n := range 30 {
+			f.set(n, testTarget("0123456789abcdef", Draining))
+			f.set(n, testTarget("0123456789abcdef", Ready))
 		}
-		for i := range list {
-			k := v.Get(list[i].Relay)
-			if k == nil || k.Lost {
-				rt.Fatalf("the target at %v is missing", list[i].Relay)
+	}
+	f.bytes = 0
+	f.ask(0)
+	f.expectLists(t)
+	g.Expect(f.bytes).To(BeNumerically("<", whole/10))
+}
+
+// Guards against five copies of the list for an entry VM that starts: the lists of the other controllers are equal to
+// the first one. The bound is a list and a half at the design size of 4,100 targets.
+func TestListIsTransferredOnce(t *testing.T) {
+	g := NewWithT(t)
+	one, five := newFleet(1), newFleet(5)
+	for _, f := range []*fleet{one, five} {
+		for n := range 4100 {
+			f.set(n, testTarget("0123456789abcdef", Ready))
+		}
+		for n := range f.controllers {
+			f.ask(n)
+		}
+		f.expectLists(t)
+	}
+	g.Expect(five.bytes).To(BeNumerically("<", one.bytes*3/2))
+}
+
+// Guards against answers to one announcement that fill the link of an entry VM.
+func TestAnswersToOneAnnouncementAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1)
+	for n := range 4100 {
+		f.set(n, testTarget("0123456789abcdef", Ready))
+	}
+	size := 0
+	for _, a := range f.controllers[0].registry.AnswersFor(0, Answer{}, f.view.self, &Announcement{Role: RoleEntry, Answers: 255}) {
+		b, err := a.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(len(b)).To(BeNumerically("<=", 1472), "the MTU of an Ethernet link")
+		size += len(b)
+	}
+	g.Expect(size).To(BeNumerically("<=", 25_000), "a tenth of a second of a link of 2 Mbit/s")
+}
+
+// Guards against an entry VM that waits for a controller that stopped in the middle of a transfer.
+func TestTransferContinuesFromAnotherController(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	for n := range 1000 {
+		f.set(n, testTarget("0123456789abcdef", Ready))
+	}
+	// The first controller answers the first announcement and becomes the source, and stops then.
+	c := f.controllers[0]
+	g.Expect(f.deliver(c, c.registry.AnswersFor(f.now, Answer{}, f.view.self, &Announcement{Role: RoleEntry}))).To(Equal([]hop.IP{c.ip}))
+	f.down[0] = true
+	f.ask(1)
+	g.Expect(f.view.Len()).To(BeZero())
+	f.now += transferTimeout
+	f.ask(1)
+	f.expectLists(t)
+}
+
+// Guards against lost updates when one of the controllers that send changes stops: another one must send them.
+func TestAnotherControllerPushes(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(5)
+	f.set(1, testTarget("a", Ready))
+	pushing := func() (list []int) {
+		for range 3 {
+			f.askAll()
+			f.now += AnnounceInterval
+		}
+		for n, c := range f.controllers {
+			if !f.down[n] && len(c.registry.PushedEntries()) > 0 {
+				list = append(list, n)
 			}
 		}
-	})
+		return list
+	}
+	before := pushing()
+	g.Expect(before).To(HaveLen(pushers))
+	for _, n := range before {
+		f.down[n] = true
+	}
+	g.Expect(pushing()).To(HaveLen(pushers))
+}
+
+// Guards against loads that are attributed to other targets.
+func TestLoadsBelongToTheirTargets(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	load := func(n int) uint16 { return uint16(n % 20 * 16) }
+	for n := range 2500 {
+		target := testTarget("a", Ready)
+		for _, c := range f.controllers {
+			c.registry.RecordAnnouncement(0, relayIP(n), &Announcement{
+				Role: RoleRelay, Target: &target, Load: hop.Load{Busy: load(n) / 16, Mean: load(n)},
+			})
+		}
+	}
+	f.askAll()
+	f.askAll()
+	for n := range 2500 {
+		got := f.view.Get(relayIP(n)).Load
+		g.Expect(got).To(Equal(loadLevels[loadLevel(load(n))]), "target %d", n)
+		g.Expect(load(n) - got).To(BeNumerically("<=", max(load(n)/3, 16)))
+	}
 }
 
 // Targets must not vanish because one controller has just started or is cut off, and must not stay listed
 // when no controller hears them.
 func TestViewMergesControllers(t *testing.T) {
 	g := NewWithT(t)
-	both, one := NewRegistry(), NewRegistry()
-	announce(both, 0, 1, Target{ID: "a", Service: 1, State: Ready})
-	announce(both, 0, 2, Target{ID: "b", Service: 1, State: Ready})
-	announce(one, 0, 1, Target{ID: "a", Service: 1, State: Ready})
-	v := NewView()
-	answer := func(now time.Duration, from hop.IP, r *Registry) {
-		for _, a := range r.AnswersFor(Answer{}, RoleEntry, v.Digest(from), true) {
-			v.HandleAnswer(now, from, &a)
-		}
+	f := newFleet(2)
+	f.set(1, testTarget("a", Ready))
+	f.down[1] = true
+	f.set(2, testTarget("b", Ready))
+	f.down[1] = false
+	f.askAll()
+	g.Expect(f.view.KnowsAllRelays(f.now)).To(BeFalse(), "the second list differs and has not arrived")
+	for range 4 {
+		f.now += AnnounceInterval
+		f.askAll()
 	}
-	answer(0, controllerA, both)
-	answer(0, controllerB, one)
-	g.Expect(v.Lost(relayIP(2))).To(BeFalse())
-	for now := time.Duration(0); now <= 3*time.Second; now += AnnounceInterval {
-		answer(now, controllerB, one)
+	g.Expect(f.view.KnowsAllRelays(f.now)).To(BeTrue())
+	g.Expect(f.view.Lost(relayIP(2))).To(BeFalse())
+	f.down[0] = true
+	for range 8 {
+		f.now += AnnounceInterval
+		f.askAll()
 	}
-	g.Expect(v.Lost(relayIP(1))).To(BeFalse())
-	g.Expect(v.Lost(relayIP(2))).To(BeTrue())
-	g.Expect(v.Targets(1)).To(HaveLen(2), "a lost target is still asked for its flows")
+	g.Expect(f.view.Lost(relayIP(1))).To(BeFalse())
+	g.Expect(f.view.Lost(relayIP(2))).To(BeTrue())
+	g.Expect(f.view.Targets(1)).To(HaveLen(2), "a lost target is still asked for its flows")
 }
 
 // Lookups waited two seconds for a relay that had left together with its target.
 func TestGoneRelayIsRemovedAtOnce(t *testing.T) {
 	g := NewWithT(t)
-	r := NewRegistry()
-	announce(r, 0, 1, Target{ID: "a", Service: 1, State: Draining})
-	announce(r, 0, 2, Target{ID: "b", Service: 1, State: Ready})
+	f := newFleet(1)
+	f.set(1, testTarget("a", Draining))
+	f.set(2, testTarget("b", Ready))
+	f.askAll()
+	r := f.controllers[0].registry
 	g.Expect(r.RecordAnnouncement(0, relayIP(1), &Announcement{Role: RoleRelay, Target: &Target{ID: "a"}, Gone: true})).To(BeTrue())
-	list, _ := r.Targets()
-	g.Expect(list).To(HaveLen(1))
+	g.Expect(r.Targets()).To(HaveLen(1))
 	g.Expect(r.RecordAnnouncement(0, relayIP(1), &Announcement{Role: RoleRelay, Target: &Target{ID: "a"}, Gone: true})).To(BeFalse())
+	f.push()
+	g.Expect(f.view.Lost(relayIP(1))).To(BeTrue())
 }
 
-// The view must not be emptied when all controllers are down.
+// The view must not be emptied when all controllers are down, nor when they have just started and list nothing.
 func TestViewIsKeptWithoutControllers(t *testing.T) {
 	g := NewWithT(t)
-	r, v := NewRegistry(), NewView()
-	announce(r, 0, 1, Target{ID: "a", Service: 1, State: Ready})
-	for _, a := range r.AnswersFor(Answer{}, RoleEntry, 0, true) {
-		v.HandleAnswer(0, controllerA, &a)
+	f := newFleet(2)
+	f.set(1, testTarget("a", Ready))
+	f.askAll()
+	f.now += time.Minute
+	g.Expect(f.view.Lost(relayIP(1))).To(BeFalse())
+	f.restart(0)
+	f.restart(1)
+	f.fresh = true
+	for range 4 {
+		f.now += AnnounceInterval
+		f.askAll()
+	}
+	g.Expect(f.view.Lost(relayIP(1))).To(BeFalse())
+	g.Expect(f.view.Targets(routing.ServiceID(1))[0].Admits()).To(BeTrue())
+}
+
+// Guards against a target that is missing or outdated at a controller because the relay leaves out what the controller
+// does not know: after a restart of the controller or of the relay, and after a change of the target.
+func TestShortAnnouncements(t *testing.T) {
+	g := NewWithT(t)
+	relay := relayIP(1)
+	target := testTarget("a", Ready)
+	target.Relay = relay
+	whole := Announcement{Role: RoleRelay, Name: "r", Target: &target, TargetDigest: target.Digest(), Process: 7}
+	short := Announcement{Role: RoleRelay, TargetDigest: target.Digest(), Process: 7, Load: hop.Load{Busy: 3}}
+	confirmed := func(r *Registry, a Announcement) uint64 {
+		r.RecordAnnouncement(0, relay, &a)
+		return r.AnswersFor(0, Answer{}, relay, &a)[0].TargetDigest
+	}
+	r := NewRegistry(1)
+	g.Expect(confirmed(r, short)).To(BeZero(), "a controller that has started since")
+	g.Expect(r.Len()).To(BeZero())
+	g.Expect(confirmed(r, whole)).To(Equal(target.Digest()))
+	g.Expect(confirmed(r, short)).To(Equal(target.Digest()))
+	g.Expect(r.processes[relay].Load.Busy).To(BeEquivalentTo(3))
+	g.Expect(r.processes[relay].Name).To(Equal("r"))
+
+	changed, restarted := short, short
+	changed.TargetDigest++
+	restarted.Process++
+	g.Expect(confirmed(r, changed)).NotTo(Equal(changed.TargetDigest))
+	g.Expect(confirmed(r, restarted)).To(BeZero())
+	for range 4 {
+		r.RecordAnnouncement(Lease/2, relay, &short)
 	}
-	g.Expect(v.Lost(relayIP(1))).To(BeFalse())
-	g.Expect(v.Targets(1)[0].Admits()).To(BeTrue())
+	r.Expire(Lease + 1)
+	g.Expect(r.Len()).To(Equal(1), "short announcements extend the lease")
+	r.Expire(2 * Lease)
+	g.Expect(confirmed(r, short)).To(BeZero())
+
+	size := func(a Announcement) int {
+		b, err := a.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		return len(b)
+	}
+	g.Expect(size(short)).To(BeNumerically("<", size(whole)/2+10))
 }
 
 // A late list must not give flows to a draining target again, and an earlier incarnation must not replace a
@@ -134,7 +466,7 @@
 
 // Bytes that are not a valid message must not end the process.
 func FuzzDecodeAnswer(f *testing.F) {
-	a := Answer{Version: 1, Parts: 1, Digest: 2, Targets: []Target{{ID: "a"}}}
+	a := Answer{Version: 1, Run: 1, To: 1, Head: 1, Digest: 2, Targets: []Target{{ID: "a"}}, Loads: []byte{17}, LoadsFrom: 1}
 	b, err := a.Encode()
 	if err != nil {
 		f.Fatal(err)
@@ -142,7 +474,11 @@
 	f.Add(b)
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		if a, err := DecodeAnswer(b); err == nil {
-			NewView().HandleAnswer(0, controllerA, a)
+			v := NewView(hop.IP{10, 2, 0, 1})
+			for range 2 {
+				v.HandleAnswer(0, controllerIP(1), a)
+				v.Position(0, controllerIP(1))
+			}
 		}
 	})
 }
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/routing"
 )
@@ -16,6 +19,8 @@
 	// controllerTimeout is the time after which a controller without answers no longer counts: four
 	// announcements.
 	controllerTimeout = 4 * AnnounceInterval
+	// lostCheckInterval is the time between two passes over all targets for lost ones.
+	lostCheckInterval = AnnounceInterval
 )
 
 // KnownTarget is a target as an entry VM knows it.
@@ -23,7 +28,7 @@
 	Target
 	// Load is the number of requests that a new one would find, in sixteenths.
 	Load uint16
-	// Listed is the last time at which a controller listed the target.
+	// Listed is the last time at which a controller was known to list the target.
 	Listed time.Duration
 	// Lost says that a controller with a complete list answers and no controller lists the target.
 	Lost bool
@@ -35,130 +40,76 @@
 // View merges the lists of all controllers. A target is listed if any controller lists it, because a
 // controller that has just started or is cut off knows fewer targets. While no controller answers, the view
 // stays as it is.
+//
+// The list is transferred from one controller only; see transfer.go for the others.
 type View struct {
+	self    hop.IP
 	lists   map[hop.IP]*controllerList
 	targets map[hop.IP]*KnownTarget
 	// services holds the targets of each service, sorted by relay; nil after a change until the next use.
 	services map[routing.ServiceID][]*KnownTarget
+	// lostCheckedAt is the time of the last check for lost targets; lostCheckDue says that targets were removed since.
+	lostCheckedAt time.Duration
+	lostCheckDue  bool
+	source        transferSource
 }
 
-// controllerList is the last list of targets from one controller.
-type controllerList struct {
-	digest       uint64
-	list         []Target // sorted by relay
-	lastHeard    time.Duration
-	fresh        bool
-	partsDigest  uint64 // digest of the list that is arriving in parts
-	parts        [][]Target
-	missingParts int
-}
-
-// NewView returns an empty view.
-func NewView() *View {
-	return &View{lists: map[hop.IP]*controllerList{}, targets: map[hop.IP]*KnownTarget{}}
+// NewView returns an empty view of an entry VM with an address.
+func NewView(self hop.IP) *View {
+	return &View{self: self, lists: map[hop.IP]*controllerList{}, targets: map[hop.IP]*KnownTarget{}}
 }
 
-// Digest returns the digest of the last list from a controller; zero if there is none.
-func (v *View) Digest(controller hop.IP) uint64 {
-	if l := v.lists[controller]; l != nil {
-		return l.digest
+// HandleAnswer handles an answer of a controller. It returns the controllers to announce to at once: that one if it has
+// more changes or is to send them as they occur from now on, and those whose lists may be equal to one that has just
+// arrived.
+func (v *View) HandleAnswer(now time.Duration, from hop.IP, a *Answer) (announceTo []hop.IP) {
+	if a.Run == 0 {
+		return nil
 	}
-	return 0
-}
-
-// HandleAnswer handles an answer of a controller. It reports whether the targets have changed.
-func (v *View) HandleAnswer(now time.Duration, from hop.IP, a *Answer) bool {
 	l := v.lists[from]
 	if l == nil {
 		l = &controllerList{}
 		v.lists[from] = l
 	}
-	switch {
-	case a.Base != 0:
-		if a.Base != l.digest {
-			return false // the answer to the next announcement brings the whole list
-		}
-		l.applyDelta(a)
-	case a.Parts > 0:
-		if !l.addPart(a) {
-			return false
-		}
-	case a.Digest != l.digest:
-		return false
-	}
 	l.lastHeard, l.fresh = now, a.Fresh
-	changed := false
-	for i := range l.list {
-		changed = v.markListed(now, &l.list[i]) || changed
-	}
-	if len(a.Loads) == len(l.list) {
-		for i := range l.list {
-			v.SetLoad(l.list[i].Relay, a.Loads[i])
-		}
-	}
-	changed = v.updateLost(now) || changed
-	if changed {
-		v.services = nil
+	before := l.established
+	v.follow(now, from, l, a)
+	if l.established && l.position.Seq == a.Head {
+		v.applyLoads(l, a)
 	}
-	return changed
-}
-
-// addPart stores one part of a list. It reports whether the list is complete.
-func (l *controllerList) addPart(a *Answer) bool {
-	if l.partsDigest != a.Digest || len(l.parts) != int(a.Parts) {
-		l.partsDigest, l.parts, l.missingParts = a.Digest, make([][]Target, a.Parts), int(a.Parts)
+	if v.lostCheckDue || now-v.lostCheckedAt >= lostCheckInterval {
+		v.checkLost(now)
 	}
-	if l.parts[a.Part] == nil {
-		l.parts[a.Part] = append([]Target{}, a.Targets...)
-		l.missingParts--
+	if v.wantsMore(now, from, l, a) {
+		return []hop.IP{from}
 	}
-	if l.missingParts > 0 {
-		return false
+	if !l.established || before {
+		return nil
 	}
-	l.list = nil
-	for _, part := range l.parts {
-		l.list = append(l.list, part...)
+	announceTo = v.incompleteLists(now)
+	if v.WantsPush(now, from) {
+		announceTo = append(announceTo, from)
 	}
-	l.digest, l.partsDigest, l.parts = a.Digest, 0, nil
-	return true
+	return announceTo
 }
 
-// applyDelta applies the changes in an answer to the list.
-func (l *controllerList) applyDelta(a *Answer) {
-	next := make([]Target, 0, len(l.list)+len(a.Targets))
-	for _, t := range l.list {
-		if !slices.Contains(a.Removed, t.Relay) && !containsRelay(a.Targets, t.Relay) {
-			next = append(next, t)
-		}
-	}
-	next = append(next, a.Targets...)
-	sortTargets(next)
-	l.list, l.digest = next, a.Digest
-}
-
-func containsRelay(list []Target, relay hop.IP) bool {
-	return slices.ContainsFunc(list, func(t Target) bool { return t.Relay == relay })
-}
-
-func sortTargets(list []Target) {
-	slices.SortFunc(list, func(a, b Target) int { return bytes.Compare(a.Relay[:], b.Relay[:]) })
-}
-
-// markListed records that a controller lists a target. It reports whether that changed the view.
-func (v *View) markListed(now time.Duration, t *Target) bool {
+// markListed records that a controller lists a target.
+func (v *View) markListed(now time.Duration, t *Target) {
 	k := v.targets[t.Relay]
 	if k == nil {
 		v.targets[t.Relay] = &KnownTarget{Target: *t, Listed: now}
-		return true
+		v.services = nil
+		return
+	}
+	if k.Lost {
+		k.Lost = false
+		v.services = nil
 	}
-	changed := k.Lost
-	k.Lost = false
 	if k.Target != *t && supersedes(&k.Target, t) {
 		k.Target = *t
-		changed = true
+		v.services = nil
 	}
 	k.Listed = now
-	return changed
 }
 
 // supersedes reports whether t is newer than old, a target of the same relay. The later start wins if both
@@ -171,35 +122,47 @@
 	return old.ID != t.ID || old.State != Draining || t.State == Draining || t.State == Down
 }
 
-// updateLost marks targets as lost that no controller lists, and removes them after lostTargetTTL. It does
-// nothing unless a controller with a complete list answers.
-func (v *View) updateLost(now time.Duration) bool {
-	if !v.HasCompleteList(now) {
-		return false
-	}
-	changed := false
-	listed := map[hop.IP]bool{}
-	for _, l := range v.lists {
-		if now-l.lastHeard > controllerTimeout {
-			continue
-		}
-		for i := range l.list {
-			listed[l.list[i].Relay] = true
+// applyLoads records the loads in an answer that refers to exactly this list.
+func (v *View) applyLoads(l *controllerList, a *Answer) {
+	relays := l.targets.relays()
+	for i := range 2 * len(a.Loads) {
+		if at := int(a.LoadsFrom) + i; at < len(relays) {
+			v.SetLoad(relays[at], unpackLoad(a.Loads, i))
 		}
 	}
+}
+
+// checkLost marks targets as lost that no controller lists, and removes them after lostTargetTTL. It does
+// nothing unless all running relays are known.
+func (v *View) checkLost(now time.Duration) {
+	if !v.KnowsAllRelays(now) {
+		return
+	}
+	v.lostCheckedAt, v.lostCheckDue = now, false
 	for ip, k := range v.targets {
-		if listed[ip] {
-			continue
-		}
-		if now-k.Listed > lostTargetTTL {
+		switch {
+		case v.isListed(now, ip):
+			k.Listed = now
+			if k.Lost {
+				k.Lost, v.services = false, nil
+			}
+		case now-k.Listed > lostTargetTTL:
 			delete(v.targets, ip)
-			changed = true
-		} else if !k.Lost {
-			k.Lost = true
-			changed = true
+			v.services = nil
+		case !k.Lost:
+			k.Lost, v.services = true, nil
+		}
+	}
+}
+
+// isListed reports whether a controller that answers lists the target of a relay.
+func (v *View) isListed(now time.Duration, relay hop.IP) bool {
+	for _, l := range v.lists {
+		if _, listed := l.targets.byRelay[relay]; listed && now-l.lastHeard <= controllerTimeout {
+			return true
 		}
 	}
-	return changed
+	return false
 }
 
 // SetLoad records the load of a target, in sixteenths of a request.
@@ -239,22 +202,27 @@
 	return v.services[service]
 }
 
-// HeardFrom reports whether a controller has confirmed its list within the last four announcement intervals.
-func (v *View) HeardFrom(now time.Duration, controller hop.IP) bool {
-	l := v.lists[controller]
-	return l != nil && now-l.lastHeard <= controllerTimeout
-}
-
 // HasCompleteList reports whether some controller that answers has a list that lacks no running relay.
 func (v *View) HasCompleteList(now time.Duration) bool {
 	for _, l := range v.lists {
-		if now-l.lastHeard <= controllerTimeout && !l.fresh {
+		if l.established && !l.fresh && now-l.lastHeard <= controllerTimeout {
 			return true
 		}
 	}
 	return false
 }
 
+// KnowsAllRelays reports whether a relay that is in no list is known not to run: HasCompleteList is true, and no
+// controller that answers has a complete list that has not arrived here.
+func (v *View) KnowsAllRelays(now time.Duration) bool {
+	for _, l := range v.lists {
+		if !l.established && !l.fresh && now-l.lastHeard <= controllerTimeout {
+			return false
+		}
+	}
+	return v.HasCompleteList(now)
+}
+
 // Age returns the time since any controller last confirmed its list.
 func (v *View) Age(now time.Duration) time.Duration {
 	age := now
@@ -266,3 +234,10 @@
 
 // Len returns the number of targets, lost ones included.
 func (v *View) Len() int { return len(v.targets) }
+
+// rank orders controllers for this entry VM; the order differs among entry VMs.
+func (v *View) rank(controller hop.IP) uint64 {
+	return xxhash.Sum64(append(slices.Clone(v.self[:]), controller[:]...))
+}
+
+func (v *View) compareRanks(a, b hop.IP) int { return cmp.Compare(v.rank(b), v.rank(a)) }
