Send whole targets during a transfer of the list

Change: states are sent only to a receiver whose transfer has ended, which the position now says, and are taken only by a list that had arrived. An entry VM compares the digest of its list with that of the controller at the same position; a list that differs is transferred again, counted, and proves nothing about flows until then.

--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -184,19 +184,21 @@
 
 // sendRosters sends the list of targets to all entry VMs, and repeats that periodically.
 func (w *world) sendRosters() {
-	list := w.listedTargets()
-	loads := make([]uint16, len(list))
-	for i, t := range list {
-		loads[i] = w.targetAt(t.Relay).relay.Load(w.now).ExpectedSixteenths()
-	}
 	// Each list is that of a new controller process, so that it replaces the list before.
-	a := roster.Answer{
-		Version: w.table.Version, Current: true, Fresh: w.controllersFresh, Run: uint64(w.now) + 1, To: 1, Head: 1,
-		Targets: list, Loads: roster.PackLoads(loads), Last: true,
+	registry := roster.NewRegistry(uint64(w.now) + 1)
+	for _, t := range w.listedTargets() {
+		registry.RecordAnnouncement(w.now, t.Relay, &roster.Announcement{
+			Role: roster.RoleRelay, Target: &t, Load: w.targetAt(t.Relay).relay.Load(w.now),
+		})
 	}
+	answers := registry.AnswersFor(w.now, roster.Answer{Version: w.table.Version, Current: true, Fresh: w.controllersFresh}, hop.IP{},
+		&roster.Announcement{Role: roster.RoleEntry, Answers: 255, Loads: true})
 	for _, e := range w.entries {
-		if e.entry != nil && !w.rosterPaused {
-			e.entry.View.HandleAnswer(w.now, hop.IP{10, 0, 3, 1}, &a)
+		if e.entry == nil || w.rosterPaused {
+			continue
+		}
+		for i := range answers {
+			e.entry.View.HandleAnswer(w.now, hop.IP{10, 0, 3, 1}, &answers[i])
 		}
 	}
 	w.after(rosterInterval, w.sendRosters)
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -117,6 +117,8 @@
 	// Base is the number of the newest change when the transfer of the whole list began. Removals up to it need not be
 	// sent.
 	Base uint64
+	// Complete says that the transfer has ended. Until then the list may lack targets that changed after Base.
+	Complete bool
 }
 
 // Answer is what a controller sends for each announcement, and at once after the commit of a configuration.
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -213,7 +213,7 @@
 
 // PushAnswers returns the answers with the changes since the last call, and the number of changed targets.
 func (r *Registry) PushAnswers(template Answer) (answers []Answer, changed int) {
-	answers = r.changeAnswers(template, Position{Run: r.run, Seq: r.pushed, Base: r.pushed}, -1)
+	answers = r.changeAnswers(template, Position{Run: r.run, Seq: r.pushed, Base: r.pushed, Complete: true}, -1)
 	r.pushed = r.seq
 	for i := range answers {
 		changed += answers[i].changes()
@@ -300,7 +300,7 @@
 		}
 		t, listed := r.targets.byRelay[c.relay]
 		switch {
-		case listed && r.renewedAt[c.relay] > position.Seq:
+		case listed && (!position.Complete || r.renewedAt[c.relay] > position.Seq):
 			a.Targets = append(a.Targets, t)
 		case listed:
 			a.States = appendState(a.States, &t)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -158,6 +158,9 @@
 func TestViewFollowsTheControllers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newFleet(rapid.IntRange(1, 5).Draw(rt, "controllers"))
+		for n := range rapid.SampledFrom([]int{0, 100}).Draw(rt, "targets") { // 100 targets need several answers
+			f.set(n, Target{ID: "a", Service: 1, State: Ready, Cold: true})
+		}
 		lossPercent := rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(rt, "loss")
 		f.loss = func() bool { return lossPercent > 0 && rapid.IntRange(0, 99).Draw(rt, "lost") < lossPercent }
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
@@ -195,9 +198,58 @@
 			f.askAll()
 		}
 		f.expectLists(rt)
+		if f.view.Stats.ListMismatches > 0 {
+			rt.Fatalf("%d lists had to be transferred again", f.view.Stats.ListMismatches)
+		}
 	})
 }
 
+// Guards against a list without a target whose state changed while the list was being transferred: only the state was
+// sent. On ma-bogota-lb-large quiet-1 restarted entry VMs then reset live flows of targets that drained during a release.
+func TestStateChangesDuringTransfer(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1)
+	for n := range 1000 {
+		f.set(n, testTarget("a", Ready))
+	}
+	r, ip := f.controllers[0].registry, f.controllers[0].ip
+	announce := func() []Answer {
+		position, digest, answers := f.view.Position(f.now, ip)
+		return r.AnswersFor(f.now, Answer{}, f.view.self, &Announcement{Role: RoleEntry, Position: position, Digest: digest, Answers: answers})
+	}
+	f.deliver(f.controllers[0], announce()) // becomes the source
+	first := announce()
+	f.set(900, testTarget("a", Draining)) // not sent yet
+	f.deliver(f.controllers[0], first[:1])
+	f.set(990, testTarget("a", Draining))
+	pushed, _ := r.PushAnswers(Answer{})
+	f.deliver(f.controllers[0], pushed)
+	for range 10 {
+		f.deliver(f.controllers[0], announce())
+	}
+	f.expectLists(t)
+	g.Expect(f.view.Get(relayIP(900)).State).To(Equal(Draining))
+	g.Expect(f.view.Stats.ListMismatches).To(BeZero())
+}
+
+// Guards against a list that stays wrong after a fault of any kind.
+func TestWrongListIsTransferredAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1)
+	for n := range 100 {
+		f.set(n, testTarget("a", Ready))
+	}
+	f.askAll()
+	l := f.view.lists[f.controllers[0].ip]
+	l.targets.remove(relayIP(50))
+	for range 3 {
+		f.now += AnnounceInterval
+		f.askAll()
+	}
+	f.expectLists(t)
+	g.Expect(f.view.Stats.ListMismatches).To(BeEquivalentTo(1))
+}
+
 // bytesForChanges returns the bytes that an entry VM gets from five controllers while some targets of a fleet change one
 // after the other.
 func bytesForChanges(targets, changes int) int {
--- a/internal/roster/transfer.go
+++ b/internal/roster/transfer.go
@@ -27,9 +27,9 @@
 
 // ViewStats counts events since the start of an entry VM. ListTransfers counts transfers of a whole list that were begun,
 // ListsAdopted the lists that were equal to that of another controller, ListGaps announcements because of missing
-// changes.
+// changes, ListMismatches lists that differed from that of their controller at the same position, which is a fault.
 type ViewStats struct {
-	ListTransfers, ListsAdopted, ListGaps uint64
+	ListTransfers, ListsAdopted, ListGaps, ListMismatches uint64
 }
 
 // controllerList is the copy of the list of one controller.
@@ -66,7 +66,7 @@
 	}
 	position := l.position
 	if l.established {
-		position.Base = position.Seq
+		position.Base, position.Complete = position.Seq, true
 	}
 	return &position, digest, answers
 }
@@ -102,7 +102,8 @@
 	if l.position.Run != a.Run || (a.Restart && a.From == 0) {
 		l.restart(now, a)
 	}
-	if a.From <= l.position.Seq && a.To > l.position.Seq {
+	// States are of use only for a list that had arrived.
+	if a.From <= l.position.Seq && a.To > l.position.Seq && (l.established || len(a.States) == 0) {
 		l.position.Seq = a.To
 		for i := range a.Targets {
 			l.targets.put(a.Targets[i])
@@ -125,7 +126,13 @@
 	if l.position.Seq < a.Head {
 		v.adopt(now, l, a)
 	}
-	if l.position.Seq >= a.Head {
+	switch {
+	case l.position.Seq != a.Head:
+	case l.targets.digest != a.Digest:
+		// A fault; the list is transferred again.
+		v.Stats.ListMismatches++
+		l.restart(now, a)
+	default:
 		l.established = true
 		if v.source.controller == from {
 			v.source.active = false
--- a/internal/targetpicker/targetpicker_test.go
+++ b/internal/targetpicker/targetpicker_test.go
@@ -20,17 +20,18 @@
 
 // viewOf returns a view of targets numbered from 1.
 func viewOf(targets int, change func(n int, t *roster.Target), load func(n int) uint16) *roster.View {
-	a := roster.Answer{Run: 1, To: 1, Head: 1, Last: true}
-	var loads []uint16
+	registry := roster.NewRegistry(1)
 	for n := 1; n <= targets; n++ {
 		t := roster.Target{Relay: ip(n), Service: service, Zone: "here", ID: "i", State: roster.Ready, Slots: 2}
 		change(n, &t)
-		a.Targets = append(a.Targets, t)
-		loads = append(loads, load(n))
+		registry.RecordAnnouncement(0, t.Relay, &roster.Announcement{
+			Role: roster.RoleRelay, Target: &t, Load: hop.Load{Busy: load(n) / 16, Mean: load(n)},
+		})
 	}
-	a.Loads = roster.PackLoads(loads)
 	v := roster.NewView(hop.IP{2})
-	v.HandleAnswer(0, hop.IP{1}, &a)
+	for _, a := range registry.AnswersFor(0, roster.Answer{}, hop.IP{2}, &roster.Announcement{Role: roster.RoleEntry, Answers: 255, Loads: true}) {
+		v.HandleAnswer(0, hop.IP{1}, &a)
+	}
 	return v
 }
 
