--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -240,14 +240,15 @@
 		position = *a.Position
 	}
 	limit := min(int(a.Answers), maxAnswers)
-	if a.Digest == r.targets.digest && position.Seq < r.seq {
+	equal := a.Digest == r.targets.digest && a.Digest != 0 // zero stands for no list
+	if equal && position.Seq < r.seq {
 		limit = 0 // the entry VM has the list from another controller
 		r.Stats.ListsEqual++
 	}
 	answers := r.changeAnswers(template, position, limit)
 	last := &answers[len(answers)-1]
 	r.count(answers)
-	if a.Loads && (last.To == r.seq || a.Digest == r.targets.digest) {
+	if a.Loads && (last.To == r.seq || equal) {
 		answers = r.addLoads(now, template, answers)
 	}
 	return answers
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -24,17 +24,24 @@
 	view        *View
 	down        map[int]bool // controllers that neither hear nor answer
 	loss        func() bool  // whether the next datagram is lost
+	late        func() bool  // whether the next answer is delivered at the next call of deliverLate
+	lateAnswers []lateAnswer
 	fresh       bool
 	bytes       int // sent to the entry VM
 }
 
+type lateAnswer struct {
+	from hop.IP
+	a    *Answer
+}
+
 type testController struct {
 	ip       hop.IP
 	registry *Registry
 }
 
 func newFleet(controllers int) *fleet {
-	f := &fleet{targets: map[int]Target{}, view: NewView(hop.IP{10, 2, 0, 1}), down: map[int]bool{}, loss: func() bool { return false }}
+	f := &fleet{targets: map[int]Target{}, view: NewView(hop.IP{10, 2, 0, 1}), down: map[int]bool{}, loss: func() bool { return false }, late: func() bool { return false }}
 	for n := range controllers {
 		f.controllers = append(f.controllers, &testController{controllerIP(n), NewRegistry(uint64(n + 1))})
 	}
@@ -86,11 +93,22 @@
 		if err != nil {
 			panic(err)
 		}
+		if f.late() {
+			f.lateAnswers = append(f.lateAnswers, lateAnswer{from.ip, a})
+			continue
+		}
 		announceTo = append(announceTo, f.view.HandleAnswer(f.now, from.ip, a)...)
 	}
 	return announceTo
 }
 
+func (f *fleet) deliverLate() {
+	for _, l := range f.lateAnswers {
+		f.view.HandleAnswer(f.now, l.from, l.a)
+	}
+	f.lateAnswers = nil
+}
+
 // ask announces the entry VM to a controller, and to those that the answers call for.
 func (f *fleet) ask(n int) {
 	pending := []hop.IP{f.controllers[n].ip}
@@ -153,7 +171,7 @@
 	}
 }
 
-// Guards against lists that differ from those of the controllers after changes in any order, lost datagrams,
+// Guards against lists that differ from those of the controllers after changes in any order, lost and late datagrams,
 // restarts of controllers, and relays that some controllers do not hear.
 func TestViewFollowsTheControllers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -163,8 +181,11 @@
 		}
 		lossPercent := rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(rt, "loss")
 		f.loss = func() bool { return lossPercent > 0 && rapid.IntRange(0, 99).Draw(rt, "lost") < lossPercent }
+		latePercent := rapid.SampledFrom([]int{0, 20}).Draw(rt, "late")
+		f.late = func() bool { return latePercent > 0 && rapid.IntRange(0, 99).Draw(rt, "delayed") < latePercent }
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			f.now += 50 * time.Millisecond
+			f.deliverLate()
 			switch rapid.IntRange(0, 7).Draw(rt, "step") {
 			case 0:
 				f.askAll()
@@ -191,7 +212,8 @@
 			}
 			f.push()
 		}
-		lossPercent = 0
+		lossPercent, latePercent = 0, 0
+		f.deliverLate()
 		for range 8 {
 			f.now += AnnounceInterval
 			f.announceAll()
