--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -1,5 +1,6 @@
-// Command experiment runs the simulations of package experiment, which compare policies for admitting
-// requests and for assigning flows to targets, and prints their tables as Markdown.
+// Command experiment runs the calculations of package experiment and prints their tables as Markdown: simulations that
+// compare policies for admitting requests and for assigning flows to targets, and the outcome of an outage that no
+// balancer can exceed.
 package main
 
 import (
@@ -8,20 +9,65 @@
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/olekukonko/tablewriter"
 	"github.com/olekukonko/tablewriter/renderer"
 	"github.com/olekukonko/tablewriter/tw"
+	"github.com/spf13/cobra"
 
 	"github.com/greengagelock/greengagelock/internal/experiment"
 )
 
 func main() {
-	if err := run(os.Stdout); err != nil {
+	root := &cobra.Command{
+		Use:           "experiment",
+		Short:         "Compare policies of admission and of assigning flows",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(c *cobra.Command, _ []string) error { return run(c.OutOrStdout()) },
+	}
+	root.AddCommand(&cobra.Command{
+		Use:   "bound FILE...",
+		Short: "Calculate what any balancer could serve during an outage, from files as in docs/bounds",
+		Args:  cobra.MinimumNArgs(1),
+		RunE:  func(c *cobra.Command, files []string) error { return boundTable(c.OutOrStdout(), files) },
+	})
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "experiment:", err)
 		os.Exit(1)
 	}
 }
 
+// boundTable prints, for each file, what any balancer could have served and what was served.
+func boundTable(out io.Writer, files []string) error {
+	table := newTable(out, []string{"scenario", "requests", "in objective", "late", "failed"})
+	for _, file := range files {
+		s, err := experiment.LoadBoundScenario(file)
+		if err != nil {
+			return err
+		}
+		row := func(name string, o experiment.Outcome) error {
+			return table.Append([]string{s.Name, name, fmt.Sprintf("%.0f", o.InObjective), fmt.Sprintf("%.0f", o.Late), fmt.Sprintf("%.0f", o.Failed)})
+		}
+		var all experiment.Outcome
+		for _, r := range s.Rows() {
+			if err := row("bound, "+r.Kind, r.Outcome); err != nil {
+				return err
+			}
+			all = r.Outcome
+		}
+		served := experiment.Outcome{InObjective: s.Served.InObjective, Late: s.Served.Late, Failed: s.Served.Failed}
+		difference := experiment.Outcome{
+			InObjective: served.InObjective - all.InObjective, Late: served.Late - all.Late, Failed: served.Failed - all.Failed,
+		}
+		if err := errors.CombineErrors(row("served", served), row("served less bound", difference)); err != nil {
+			return err
+		}
+	}
+	return table.Render()
+}
+
 func run(out io.Writer) error {
 	for _, mean := range experiment.Means {
 		if err := loadTable(out, mean); err != nil {
