--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -16,8 +16,10 @@
 const (
 	// expireInterval is the time between two checks for expired leases.
 	expireInterval = 200 * time.Millisecond
-	// callInterval is the time between two calls of the processes that have not announced themselves since the start.
-	callInterval = 50 * time.Millisecond
+	// minCallInterval is the time between two calls of the processes that have not announced themselves since the start,
+	// if they are few; callCost is the part of that time for each of them, which bounds the calls to 40,000 a second.
+	minCallInterval = 20 * time.Millisecond
+	callCost        = 25 * time.Microsecond
 	// listUpdateDelay is how long changes of the list are collected before they are sent to entry VMs. After a burst it
 	// grows with the changed targets, by listUpdateCost for each, so that changes of the next burst are merged and leave
 	// half of a link of 2 Mbit/s free.
@@ -117,10 +119,13 @@
 // callProcesses asks the processes that were running when this controller stopped to announce themselves. After a loss
 // of power they know only their seeds, which may start later than this controller. It ends after a lease.
 func (c *Controller) callProcesses(ctx context.Context) {
-	for time.Since(c.start) < roster.Lease && ctxtime.Sleep(ctx, callInterval) {
+	pause := minCallInterval
+	for time.Since(c.start) < roster.Lease && ctxtime.Sleep(ctx, pause) {
 		call := c.baseAnswer()
 		call.Call = true
-		c.sendToAll(c.incarnations.notHeard(), &call)
+		processes := c.incarnations.notHeard()
+		c.sendToAll(processes, &call)
+		pause = max(minCallInterval, time.Duration(len(processes))*callCost)
 	}
 }
 
