--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -154,7 +154,6 @@
 func (c *Controller) baseAnswer() roster.Answer {
 	return roster.Answer{
 		Version: c.state.version(), Current: c.IsCurrent(), Controllers: c.controllerIPs(), Fresh: c.listMayBeIncomplete(),
-		Awaited: uint16(min(c.incarnations.countAwaited(), roster.MaxAwaited)),
 	}
 }
 
--- a/internal/confstore/incarnations.go
+++ b/internal/confstore/incarnations.go
@@ -9,7 +9,6 @@
 	"github.com/phuslu/log"
 
 	"github.com/greengagelock/greengagelock/internal/hop"
-	"github.com/greengagelock/greengagelock/internal/roster"
 )
 
 const (
@@ -98,17 +97,6 @@
 	return n.loaded && len(n.awaited) == 0
 }
 
-// countAwaited returns the number of relays that were running when the controller stopped and have not announced
-// themselves since; roster.MaxAwaited if the file could not be read.
-func (n *incarnations) countAwaited() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.loaded {
-		return roster.MaxAwaited
-	}
-	return len(n.awaited)
-}
-
 // notHeard returns the processes that were running when the controller stopped and have not announced themselves since.
 func (n *incarnations) notHeard() []hop.IP {
 	n.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -210,7 +210,7 @@
 }
 
 // checkReady reports whether packets can be handled: a configuration is in force, and a list of targets has arrived
-// that lacks few running relays, or any list at least startupDelay ago.
+// that lacks no running relay, or any list at least startupDelay ago.
 func (e *Entry) checkReady(now time.Duration) bool {
 	if e.ready {
 		return true
@@ -218,7 +218,7 @@
 	if e.firstTargetsAt < 0 && e.View.Len() > 0 {
 		e.firstTargetsAt = now
 	}
-	e.ready = e.table != nil && e.firstTargetsAt >= 0 && (e.View.HasMostTargets(now) || now-e.firstTargetsAt >= startupDelay)
+	e.ready = e.table != nil && e.firstTargetsAt >= 0 && (e.View.HasCompleteList(now) || now-e.firstTargetsAt >= startupDelay)
 	return e.ready
 }
 
--- a/internal/entry/hold_test.go
+++ b/internal/entry/hold_test.go
@@ -68,21 +68,6 @@
 	}
 }
 
-// Guards against a few VMs that return late after a loss of power and keep all callers waiting: on ma-bogota-lb-large
-// trouble-2 nine tenths of the relays ran 80 ms before the last one.
-func TestFlowsAreOfferedOnceMostTargetsAreListed(t *testing.T) {
-	for awaited, open := range map[int]bool{2: true, 3: false} {
-		g := NewWithT(t)
-		w := newWorld(46, 1, 20)
-		w.controllersFresh, w.awaitedRelays = true, awaited
-		w.entries[0].start()
-		w.run(rosterInterval)
-		c := w.openFlow()
-		w.run(20 * time.Millisecond)
-		g.Expect(c.state == "open").To(Equal(open), "%d relays are awaited", awaited)
-	}
-}
-
 // Guards against callers that wait for a service that is known to have no target.
 func TestSYNIsRefusedAtOnceWithoutTargets(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -84,7 +84,6 @@
 	wrongReplies     int      // answers of a target that does not own the flow
 	rosterPaused     bool     // entry VMs receive no lists of targets
 	controllersFresh bool     // the controllers have just started and may not list all relays
-	awaitedRelays    int      // relays that such controllers know to be missing
 	logs             *logs    // nil for no logs
 	stores           []*flowStore
 }
@@ -133,7 +132,7 @@
 }
 
 func newWorld(seed uint64, entries, targets int) *world {
-	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), stores: newFlowStores(), awaitedRelays: roster.MaxAwaited}
+	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), stores: newFlowStores()}
 	w.setService("service")
 	for range targets {
 		w.addTarget(service)
@@ -192,9 +191,7 @@
 			Role: roster.RoleRelay, Target: &t, Load: w.targetAt(t.Relay).relay.Load(w.now),
 		})
 	}
-	answers := registry.AnswersFor(w.now, roster.Answer{
-		Version: w.table.Version, Current: true, Fresh: w.controllersFresh, Awaited: uint16(w.awaitedRelays),
-	}, hop.IP{},
+	answers := registry.AnswersFor(w.now, roster.Answer{Version: w.table.Version, Current: true, Fresh: w.controllersFresh}, hop.IP{},
 		&roster.Announcement{Role: roster.RoleEntry, Answers: 255, Loads: true})
 	for _, e := range w.entries {
 		if e.entry == nil || w.rosterPaused {
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -4,7 +4,6 @@
 package roster
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -152,8 +151,6 @@
 	// Fresh is set by a controller that has run for less than a lease and has not heard relays that existed
 	// before. Its list may lack running relays, so a missing relay must not count as lost.
 	Fresh bool
-	// Awaited is the number of these relays; MaxAwaited if it is not known.
-	Awaited uint16
 	// Call asks the receiver to announce itself: the controller has started and remembers it from before.
 	Call bool
 	// Previous is the ID of the target that an earlier process of the receiving relay announced last; empty
@@ -170,9 +167,6 @@
 	return uint32(xxhash.Sum64(b))
 }
 
-// MaxAwaited is the largest number in Answer.Awaited.
-const MaxAwaited = math.MaxUint16
-
 // stateBytes is the size of a target's state in Answer.States: the address of its relay, and State with coldFlag.
 const (
 	stateBytes = 5
--- a/internal/roster/transfer.go
+++ b/internal/roster/transfer.go
@@ -40,7 +40,6 @@
 	established bool
 	lastHeard   time.Duration
 	fresh       bool          // see Answer.Fresh
-	awaited     int           // see Answer.Awaited
 	startedAt   time.Duration // first answer of the controller process
 	gapAt       time.Duration // last announcement because of missing changes
 }
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -19,9 +19,6 @@
 	// controllerTimeout is the time after which a controller without answers no longer counts: four
 	// announcements.
 	controllerTimeout = 4 * AnnounceInterval
-	// minListedPerAwaited is the number of listed targets for each awaited relay from which on a list counts as having most
-	// targets. Flows can then be placed nearly as well as with all of them.
-	minListedPerAwaited = 9
 	// lostCheckInterval is the time between two passes over all targets for lost ones.
 	lostCheckInterval = AnnounceInterval
 )
@@ -76,7 +73,7 @@
 		l = &controllerList{}
 		v.lists[from] = l
 	}
-	l.lastHeard, l.fresh, l.awaited = now, a.Fresh, int(a.Awaited)
+	l.lastHeard, l.fresh = now, a.Fresh
 	before := l.established
 	v.follow(now, from, l, a)
 	if l.established && l.position.Seq == a.Head {
@@ -217,17 +214,6 @@
 	return false
 }
 
-// HasMostTargets reports whether some controller that answers has a list that lacks few running relays.
-func (v *View) HasMostTargets(now time.Duration) bool {
-	for _, l := range v.lists {
-		few := !l.fresh || l.awaited*minListedPerAwaited <= len(l.targets.byRelay)
-		if l.established && few && now-l.lastHeard <= controllerTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // KnowsAllRelays reports whether a relay that is in no list is known not to run: HasCompleteList is true, and no
 // controller that answers has a complete list that has not arrived here.
 func (v *View) KnowsAllRelays(now time.Duration) bool {
