--- a/internal/checkpoint/reporter.go
+++ b/internal/checkpoint/reporter.go
@@ -44,7 +44,7 @@
 	changed, closed := difference(r.packed, packed)
 	r.packed = packed
 	base := r.number
-	if len(changed)+len(closed) > 0 || now-r.sentAt >= refreshInterval || r.number == 0 {
+	if len(changed)+len(closed) > 0 || now-r.sentAt >= refreshInterval {
 		r.number++
 	}
 	var reports []Report
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -43,7 +43,8 @@
 	Stats RegistryStats
 }
 
-// RegistryStats counts events since the start of the controller. ListsSent counts answers with the begin of a whole list,
+// RegistryStats counts events since the start of the controller. ListsSent counts whole lists of which the first part
+// was sent,
 // TargetsSent, StatesSent and RemovalsSent the changes in answers to announcements, TargetsPushed those that were sent as
 // they occurred, once for all entry VMs. ListsEqual counts answers without changes because the entry VM had the list from
 // another controller, AnswersCut those that reached the limit of datagrams.
@@ -160,6 +161,7 @@
 			r.forgotten = max(r.forgotten, r.changedAt[relay])
 			delete(r.removals, relay)
 			delete(r.changedAt, relay)
+			delete(r.renewedAt, relay)
 		}
 	}
 	return expired
@@ -222,8 +224,8 @@
 	return answers, changed
 }
 
-// AnswersFor returns the answers to an announcement of a process. Entry VMs get the changes of the list after their position, as
-// far as they accept them, and the loads of all targets if they ask for them. Relays get no list.
+// AnswersFor returns the answers to an announcement of a process. Entry VMs get the changes of the list after their
+// position, as far as they accept them, and the loads of all targets if they ask for them. Relays get no list.
 func (r *Registry) AnswersFor(now time.Duration, template Answer, from hop.IP, a *Announcement) []Answer {
 	template.Last = true
 	if a.MembersDigest == MembersDigest(template.Controllers) {
@@ -247,7 +249,7 @@
 	}
 	answers := r.changeAnswers(template, position, limit)
 	last := &answers[len(answers)-1]
-	r.count(answers)
+	r.countSent(answers)
 	if a.Loads && (last.To == r.seq || equal) {
 		answers = r.addLoads(now, template, answers)
 	}
@@ -257,8 +259,8 @@
 // changes returns the number of targets that have changed.
 func (a *Answer) changes() int { return len(a.Targets) + len(a.States)/stateBytes + len(a.Removed) }
 
-// count counts what answers to an announcement carry.
-func (r *Registry) count(answers []Answer) {
+// countSent adds the answers to an announcement to the counters.
+func (r *Registry) countSent(answers []Answer) {
 	if answers[0].From == 0 && answers[0].To > 0 {
 		r.Stats.ListsSent++
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -300,7 +300,7 @@
 func TestBytesOfChangesDoNotGrowWithTheList(t *testing.T) {
 	g := NewWithT(t)
 	small, large := bytesForChanges(100, 60), bytesForChanges(4100, 60)
-	loads := 3 * pushers * 4100 / 2 // three rounds in which both pushing controllers are asked for loads
+	loads := 3 * pushingControllers * 4100 / 2 // three rounds in which both pushing controllers are asked for loads
 	g.Expect(large-loads).To(BeNumerically("<", small*3/2), "%d bytes in a fleet of 100 targets, %d of 4,100", small, large)
 }
 
@@ -395,11 +395,11 @@
 		return list
 	}
 	before := pushing()
-	g.Expect(before).To(HaveLen(pushers))
+	g.Expect(before).To(HaveLen(pushingControllers))
 	for _, n := range before {
 		f.down[n] = true
 	}
-	g.Expect(pushing()).To(HaveLen(pushers))
+	g.Expect(pushing()).To(HaveLen(pushingControllers))
 }
 
 // Guards against loads that are attributed to other targets.
--- a/internal/roster/transfer.go
+++ b/internal/roster/transfer.go
@@ -18,9 +18,9 @@
 	adoptTimeout = 2 * AnnounceInterval
 	// gapRetryInterval is the time between two announcements because of missing changes.
 	gapRetryInterval = 40 * time.Millisecond
-	// pushers is the number of controllers that send changes as they occur. The others send what is then still missing
-	// with their answers.
-	pushers = 2
+	// pushingControllers is the number of controllers that send changes as they occur. The others send what is then still
+	// missing with their answers.
+	pushingControllers = 2
 	// pusherTimeout is the time without an answer after which another controller is asked to push.
 	pusherTimeout = AnnounceInterval + 200*time.Millisecond
 )
@@ -83,7 +83,7 @@
 			ahead++
 		}
 	}
-	return ahead < pushers
+	return ahead < pushingControllers
 }
 
 // newestList returns the established list of the controller that was heard last, or nil.
@@ -127,7 +127,7 @@
 		v.adopt(now, l, a)
 	}
 	switch {
-	case l.position.Seq != a.Head:
+	case l.position.Seq != a.Head: // changes are still missing
 	case l.targets.digest != a.Digest:
 		// A fault; the list is transferred again.
 		v.Stats.ListMismatches++
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -41,7 +41,7 @@
 // controller that has just started or is cut off knows fewer targets. While no controller answers, the view
 // stays as it is.
 //
-// The list is transferred from one controller only; see transfer.go for the others.
+// Usually the list is transferred from one controller only, see transfer.go.
 type View struct {
 	self    hop.IP
 	lists   map[hop.IP]*controllerList
@@ -141,6 +141,11 @@
 		return
 	}
 	v.lostCheckedAt, v.lostCheckDue = now, false
+	for controller, l := range v.lists {
+		if now-l.lastHeard > lostTargetTTL {
+			delete(v.lists, controller) // it has been replaced
+		}
+	}
 	for ip, k := range v.targets {
 		switch {
 		case v.isListed(now, ip):
