--- a/internal/confstore/incarnations.go
+++ b/internal/confstore/incarnations.go
@@ -26,9 +26,9 @@
 	maxIncarnations = 8192
 )
 
-// incarnations records on disk the addresses of all processes and the last target of each relay. A relay process that has just started learns
-// from it whether the target restarted after the previous relay process had announced it. Only then is it
-// certain that the target has no older flows. The record is local to this controller and not replicated; a
+// incarnations records on disk the addresses of all processes and the last target of each relay. A relay process that
+// has just started learns from it whether the target restarted after the previous relay process had announced it. Only
+// then is it certain that the target has no older flows. The record is local to this controller and not replicated; a
 // relay asks a majority of the controllers.
 type incarnations struct {
 	folder string
