Add a soak of the real processes of the datagram path

The stand-ins of TestWholePath and TestIdleFlowIsResetAfterLossOfPower move to platform/standin and serve both; TestWholePath now also checks that the answer is that of the flow's target.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: build test format lint unit race demo trial tun-check capacity bench fuzz
+.PHONY: build test format lint unit race demo trial tun-check capacity bench fuzz soak
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -42,6 +42,12 @@
 trial: build
 	$(BIN)/demo --serve $(if $(DIR),--dir $(DIR))
 
+# Faults against the real processes, for SEEDS seeds from SEED on; about 20 s each. Folders of failed runs stay in soak-out.
+SEED ?= 1
+SEEDS ?= 10
+soak: build
+	$(BIN)/soak run --seed $(SEED) --seeds $(SEEDS)
+
 # Measures the slopes of docs/CAPACITY.md and rewrites its tables and plots, in under 4 minutes.
 capacity:
 	$(GO) run ./cmd/capacity
--- a/cmd/greengagelockd/main_test.go
+++ b/cmd/greengagelockd/main_test.go
@@ -25,7 +25,7 @@
 		t.Fatalf("go list does not name both commands:\n%s", out)
 	}
 	for _, name := range strings.Fields(string(out)) {
-		if strings.Contains(name, "gvisor") || strings.Contains(name, "internal/standin") {
+		if strings.Contains(name, "gvisor") || strings.HasSuffix(name, "/standin") {
 			t.Errorf("a product binary links %s", name)
 		}
 	}
--- a/internal/experiment/bound.go
+++ b/internal/experiment/bound.go
@@ -53,12 +53,12 @@
 var synCopies = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
 const (
-	synTimeout   = 1400 * time.Millisecond
-	maxAttempts  = 3
-	boundStep    = time.Millisecond
-	resetCopies  = 2 // controllers that have to run before flows of lost targets can be reset
-	neverServed  = time.Duration(-1)
-	handshakeRTT = 2 // round trips of a request on a new flow
+	synTimeout      = 1400 * time.Millisecond
+	flowsPerRequest = 3
+	boundStep       = time.Millisecond
+	resetCopies     = 2 // controllers that have to run before flows of lost targets can be reset
+	neverServed     = time.Duration(-1)
+	handshakeRTT    = 2 // round trips of a request on a new flow
 )
 
 // Bound returns the outcome that no balancer can exceed for the requests that begin between two times around an
@@ -103,7 +103,7 @@
 
 // onNewFlow returns when a request is answered for which a caller sends the first SYN at t.
 func (o *Outage) onNewFlow(k *RequestKind, t, serving time.Duration) time.Duration {
-	for attempt := range maxAttempts {
+	for attempt := range flowsPerRequest {
 		for _, after := range synCopies {
 			if sent := t + time.Duration(attempt)*synTimeout + after; sent >= serving {
 				return sent + handshakeRTT*o.RoundTrip + k.Work
--- /dev/null
+++ b/internal/soak/deployment.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/greengagelock/greengagelock/internal/loopback"
+)
+
+// Groups of addresses in the block of a deployment.
+const (
+	storeGroup = iota
+	entryGroup
+	relayGroup
+	callerGroup
+)
+
+// Ports, the same at every address.
+const (
+	nodePort      = 20001
+	callerPort    = 20002
+	readinessPort = 20003
+	operatorPort  = 20004 // of controllers, and of relays for heartbeats
+	targetPort    = 20005
+	outboundPort  = 20006
+	metricsPort   = 20007
+)
+
+const (
+	heartbeatInterval = 300 * time.Millisecond
+	// stopTimeout is the time in which a process has to end after SIGTERM.
+	stopTimeout = 6 * time.Second
+	// maxResidentBytes and maxFiles bound a process.
+	maxResidentBytes = 88 << 20
+	maxFiles         = 1024
+)
+
+// deployment is a set of processes on a block of loopback addresses.
+type deployment struct {
+	binary, dir string
+	untimed     bool
+	block       *loopback.Block
+	check       *checker
+
+	mu        sync.Mutex
+	processes map[string]*program
+}
+
+// program is a process of the system and its successors.
+type program struct {
+	d        *deployment
+	name     string
+	role     string
+	ip       netip.Addr
+	settings map[string]any
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
+	ending  bool // the end of the process is wanted
+	starts  int
+	since   time.Time // of the last start
+
+	restarting sync.Mutex // held during a restart, so that two events do not overlap
+}
+
+func (d *deployment) address(group, index, port int) netip.AddrPort {
+	return netip.AddrPortFrom(d.block.IP(group, index+1), uint16(port))
+}
+
+// add adds a process without starting it.
+func (d *deployment) add(role string, group, index int, settings map[string]any) *program {
+	ip := d.block.IP(group, index+1)
+	p := &program{d: d, name: fmt.Sprintf("%s-%d", role, index), role: role, ip: ip, settings: map[string]any{
+		"name": fmt.Sprintf("%s-%d", role, index), "role": role, "ip": ip.String(), "zone": "z", "port": nodePort, "transport": "plain",
+		"log_level": "info", "metrics_port": metricsPort,
+	}}
+	var seeds []string
+	for i := range storeCount {
+		seeds = append(seeds, d.address(storeGroup, i, operatorPort).String())
+	}
+	p.settings["controllers"] = seeds
+	for k, v := range settings {
+		p.settings[k] = v
+	}
+	d.mu.Lock()
+	d.processes[p.name] = p
+	d.mu.Unlock()
+	return p
+}
+
+// start starts the process. Its log is appended to a file.
+func (p *program) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.starts++
+	p.since = time.Now()
+	if p.role == "store" {
+		p.settings["first_start"] = p.starts == 1
+	}
+	data, err := json.Marshal(p.settings)
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	file := filepath.Join(p.d.dir, p.name+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	logFile, err := os.OpenFile(filepath.Join(p.d.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open the log")
+	}
+	command := exec.Command(p.d.binary, "node", "--settings", file)
+	command.Stdout, command.Stderr = logFile, logFile
+	if err := command.Start(); err != nil {
+		return errors.CombineErrors(errors.Wrapf(err, "start %s", p.name), logFile.Close())
+	}
+	done := make(chan struct{})
+	p.command, p.done, p.ending = command, done, false
+	go func() {
+		defer close(done)
+		err := command.Wait()
+		_ = logFile.Close()
+		p.mu.Lock()
+		wanted := p.ending
+		p.mu.Unlock()
+		if !wanted {
+			p.d.check.violate("%s ended by itself: %v", p.name, err)
+		}
+	}()
+	return nil
+}
+
+// runsLongerThan reports whether the process of a start has run for a time and still does.
+func (p *program) runsLongerThan(d time.Duration, start int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts == start && !p.ending && time.Since(p.since) > d
+}
+
+// signal sends a signal to the process.
+func (p *program) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		p.ending = true
+	}
+	_ = p.command.Process.Signal(s) // it may have ended
+}
+
+// kill ends the process at once.
+func (p *program) kill() {
+	p.signal(syscall.SIGKILL)
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	<-done
+}
+
+// terminate asks the process to end, and kills it if it does not end in time, which is a violation.
+func (p *program) terminate() {
+	p.signal(syscall.SIGTERM)
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(stopTimeout):
+		if !p.d.untimed {
+			p.d.check.violate("%s did not end within %v of SIGTERM", p.name, stopTimeout)
+		}
+		p.kill()
+	}
+}
+
+// checkResources checks the memory and the open files of the process.
+func (p *program) checkResources() {
+	p.mu.Lock()
+	pid := p.command.Process.Pid
+	p.mu.Unlock()
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return // it has ended
+	}
+	fields := strings.Fields(string(statm))
+	if len(fields) > 1 {
+		pages, err := strconv.Atoi(fields[1])
+		if err == nil && pages*os.Getpagesize() > maxResidentBytes {
+			p.d.check.violate("%s uses %d MB", p.name, pages*os.Getpagesize()>>20)
+		}
+	}
+	if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil && len(files) > maxFiles {
+		p.d.check.violate("%s has %d open files", p.name, len(files))
+	}
+}
+
+// metric returns the value of a metric of the process, and its number of starts, which tells processes apart.
+func (p *program) metric(ctx context.Context, name string) (value float64, start int, ok bool) {
+	p.mu.Lock()
+	start = p.starts
+	p.mu.Unlock()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/metrics", netip.AddrPortFrom(p.ip, metricsPort)), nil)
+	if err != nil {
+		return 0, start, false
+	}
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, start, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if rest, found := bytes.CutPrefix(lines.Bytes(), []byte(name+" ")); found {
+			value, err = strconv.ParseFloat(string(rest), 64)
+			return value, start, err == nil
+		}
+	}
+	return 0, start, false
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,155 @@
+// Package soak runs the real programs of the datagram path as separate processes on loopback addresses, injects faults
+// from outside by signals, lost data folders and lost packets, and checks what callers, targets and operators see.
+//
+// A plan is drawn from a seed before the run and saved, so that a failed one can be shortened by hand and played again.
+package soak
+
+import (
+	"cmp"
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind is the kind of an event.
+type Kind string
+
+// Kinds of events. Planned work may not break an open flow; the others are faults.
+const (
+	TermEntry     Kind = "term_entry"      // planned: SIGTERM to entry VM Index, and a new process
+	TermRelay     Kind = "term_relay"      // planned, for a relay
+	TermStore     Kind = "term_store"      // planned, for a controller
+	DrainTarget   Kind = "drain_target"    // planned: the target drains, ends and starts again under another ID
+	ReplaceConfig Kind = "replace_config"  // planned: Count configurations in a row
+	KillEntry     Kind = "kill_entry"      // SIGKILL, and a new process after ForMS
+	KillRelay     Kind = "kill_relay"      // the same for a relay
+	KillStore     Kind = "kill_store"      // the same for a controller
+	WipeStore     Kind = "wipe_store"      // the same, with an empty data folder
+	PauseEntry    Kind = "pause_entry"     // SIGSTOP for ForMS
+	PauseRelay    Kind = "pause_relay"     // the same for a relay
+	PauseStore    Kind = "pause_store"     // the same for a controller
+	KillStores    Kind = "kill_all_stores" // all controllers at once
+	KillAll       Kind = "kill_all"        // all processes at once
+	CrashTarget   Kind = "crash_target"    // the target ends without notice; another starts after ForMS
+	LosePackets   Kind = "lose_packets"    // a share of Count percent of the callers' packets for ForMS
+)
+
+// Event is an entry of a plan.
+type Event struct {
+	AtMS  int  `json:"at_ms"` // from the start of traffic
+	Kind  Kind `json:"kind"`
+	Index int  `json:"index,omitempty"` // of the process or target, from 0
+	ForMS int  `json:"for_ms,omitempty"`
+	Count int  `json:"count,omitempty"`
+}
+
+// planned reports whether the event is planned work.
+func (e *Event) planned() bool {
+	return slices.Contains([]Kind{TermEntry, TermRelay, TermStore, DrainTarget, ReplaceConfig}, e.Kind)
+}
+
+// end returns the time at which the event is over.
+func (e *Event) end() int { return e.AtMS + e.ForMS }
+
+// Plan is the plan of a run.
+type Plan struct {
+	Seed     uint64  `json:"seed"`
+	LengthMS int     `json:"length_ms"` // of the part with events
+	Events   []Event `json:"events"`
+}
+
+// Sizes of the deployment.
+const (
+	storeCount = 3
+	entryCount = 3
+	relayCount = 5
+	// relaysOfX is the number of relays of service x, to which the route leads; the others are of service y.
+	relaysOfX = 3
+)
+
+const (
+	// eventsPerSecond is the mean rate of events in a plan.
+	eventsPerSecond = 0.6
+	maxFaultMS      = 2500
+	// storeFaultGapMS is the least time between the end of a fault of one controller and the next one. A majority of
+	// three bears one at a time.
+	storeFaultGapMS = 3000
+)
+
+// NewPlan draws a plan.
+func NewPlan(seed uint64, lengthMS int) *Plan {
+	r := rand.New(rand.NewPCG(seed, 1))
+	p := &Plan{Seed: seed, LengthMS: lengthMS}
+	kinds := []Kind{
+		TermEntry, TermRelay, TermStore, DrainTarget, ReplaceConfig, ReplaceConfig, KillEntry, KillRelay, KillStore, WipeStore,
+		PauseEntry, PauseRelay, PauseStore, KillStores, KillAll, CrashTarget, LosePackets,
+	}
+	for range max(int(float64(lengthMS)/1000*eventsPerSecond), 1) {
+		e := Event{AtMS: r.IntN(lengthMS), Kind: kinds[r.IntN(len(kinds))], ForMS: 200 + r.IntN(maxFaultMS)}
+		switch e.Kind {
+		case TermEntry, KillEntry, PauseEntry:
+			e.Index = r.IntN(entryCount)
+		case TermRelay, KillRelay, PauseRelay, DrainTarget, CrashTarget:
+			e.Index = r.IntN(relayCount)
+		case TermStore, KillStore, WipeStore, PauseStore:
+			e.Index = r.IntN(storeCount)
+		case ReplaceConfig:
+			e.Count = 1 + r.IntN(5)
+		case LosePackets:
+			e.Count = 2 + r.IntN(20)
+		}
+		p.Events = append(p.Events, e)
+	}
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	p.separateStoreFaults()
+	return p
+}
+
+// separateStoreFaults delays faults of controllers that would take away a majority.
+func (p *Plan) separateStoreFaults() {
+	free := 0
+	for i := range p.Events {
+		e := &p.Events[i]
+		if !slices.Contains([]Kind{TermStore, KillStore, WipeStore, PauseStore}, e.Kind) {
+			continue
+		}
+		e.AtMS = max(e.AtMS, free)
+		free = e.end() + storeFaultGapMS
+	}
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.AtMS, b.AtMS) })
+}
+
+// Load reads a plan from a file.
+func Load(file string) (*Plan, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the plan")
+	}
+	p := &Plan{}
+	if err := json.Unmarshal(data, p); err != nil {
+		return nil, errors.Wrapf(err, "decode the plan %s", file)
+	}
+	for i, e := range p.Events {
+		limit := map[Kind]int{
+			TermEntry: entryCount, KillEntry: entryCount, PauseEntry: entryCount, TermRelay: relayCount, KillRelay: relayCount,
+			PauseRelay: relayCount, DrainTarget: relayCount, CrashTarget: relayCount, TermStore: storeCount, KillStore: storeCount,
+			WipeStore: storeCount, PauseStore: storeCount, ReplaceConfig: 1, KillStores: 1, KillAll: 1, LosePackets: 1,
+		}[e.Kind]
+		if e.Index < 0 || e.Index >= limit || e.AtMS < 0 || e.ForMS < 0 {
+			return nil, errors.Newf("event %d of %s is invalid: %+v", i, file, e)
+		}
+	}
+	return p, nil
+}
+
+// Save writes the plan to a file.
+func (p *Plan) Save(file string) error {
+	data, err := json.MarshalIndent(p, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode the plan")
+	}
+	return errors.Wrap(os.WriteFile(file, append(data, '\n'), 0o600), "write the plan")
+}
