--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -31,6 +31,10 @@
 	// pollInterval is the time between two looks at readiness, and at the configuration in force.
 	pollInterval = 200 * time.Millisecond
 	callerCount  = 24
+	// bindTimeout bounds the time in which the address of a target may be in use, and bindRetryInterval is the time
+	// between two attempts.
+	bindTimeout       = 2 * time.Second
+	bindRetryInterval = 5 * time.Millisecond
 	// drainTime is the time between the acknowledgement of a drain and the end of the target.
 	drainTime = 1500 * time.Millisecond
 )
@@ -175,8 +179,17 @@
 	return "y"
 }
 
-// startTarget starts another incarnation of a target.
+// startTarget starts another incarnation of a target. Its address may be in use for a moment: a process that is being
+// started holds the closed sockets of this one until it runs its own program.
 func (r *run) startTarget(i int) error {
+	err := r.tryStartTarget(i)
+	for deadline := time.Now().Add(bindTimeout); err != nil && time.Now().Before(deadline); err = r.tryStartTarget(i) {
+		time.Sleep(bindRetryInterval)
+	}
+	return err
+}
+
+func (r *run) tryStartTarget(i int) error {
 	id := fmt.Sprintf("i-%d-%d", i, r.incarnated.Add(1))
 	t, err := standin.StartTarget(standin.TargetConfig{
 		ID: id, Service: serviceOf(i), Number: i + 1,
