--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -27,26 +27,48 @@
 		SilenceErrors: true,
 		RunE:          func(c *cobra.Command, _ []string) error { return run(c.OutOrStdout()) },
 	}
-	root.AddCommand(&cobra.Command{
+	plotFile := ""
+	bound := &cobra.Command{
 		Use:   "bound FILE...",
 		Short: "Calculate what any balancer could serve during an outage, from files as in docs/bounds",
 		Args:  cobra.MinimumNArgs(1),
-		RunE:  func(c *cobra.Command, files []string) error { return boundTable(c.OutOrStdout(), files) },
-	})
+		RunE: func(c *cobra.Command, files []string) error {
+			scenarios, err := loadScenarios(files)
+			if err != nil {
+				return err
+			}
+			if plotFile != "" {
+				if err := experiment.PlotBounds(plotFile, scenarios); err != nil {
+					return err
+				}
+			}
+			return boundTable(c.OutOrStdout(), scenarios)
+		},
+	}
+	bound.Flags().StringVar(&plotFile, "plot", "", "PNG file for a plot of the shares")
+	root.AddCommand(bound)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "experiment:", err)
 		os.Exit(1)
 	}
 }
 
-// boundTable prints, for each file, what any balancer could have served and what was served.
-func boundTable(out io.Writer, files []string) error {
-	table := newTable(out, []string{"scenario", "requests", "in objective", "late", "failed"})
+func loadScenarios(files []string) ([]*experiment.BoundScenario, error) {
+	var scenarios []*experiment.BoundScenario
 	for _, file := range files {
 		s, err := experiment.LoadBoundScenario(file)
 		if err != nil {
-			return err
+			return nil, err
 		}
+		scenarios = append(scenarios, s)
+	}
+	return scenarios, nil
+}
+
+// boundTable prints, for each scenario, what any balancer could have served and what was served.
+func boundTable(out io.Writer, scenarios []*experiment.BoundScenario) error {
+	table := newTable(out, []string{"scenario", "requests", "in objective", "late", "failed"})
+	for _, s := range scenarios {
 		row := func(name string, o experiment.Outcome) error {
 			return table.Append([]string{s.Name, name, fmt.Sprintf("%.0f", o.InObjective), fmt.Sprintf("%.0f", o.Late), fmt.Sprintf("%.0f", o.Failed)})
 		}
@@ -57,7 +79,7 @@
 			}
 			all = r.Outcome
 		}
-		served := experiment.Outcome{InObjective: s.Served.InObjective, Late: s.Served.Late, Failed: s.Served.Failed}
+		served := s.ServedOutcome()
 		difference := experiment.Outcome{
 			InObjective: served.InObjective - all.InObjective, Late: served.Late - all.Late, Failed: served.Failed - all.Failed,
 		}
--- a/internal/experiment/boundfile.go
+++ b/internal/experiment/boundfile.go
@@ -98,6 +98,11 @@
 	return append(rows, all)
 }
 
+// ServedOutcome returns what was served.
+func (s *BoundScenario) ServedOutcome() Outcome {
+	return Outcome{InObjective: s.Served.InObjective, Late: s.Served.Late, Failed: s.Served.Failed}
+}
+
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func times(list []int) []time.Duration {
