--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -81,3 +81,16 @@
 	g.Expect(result.Violations).To(BeEmpty())
 	g.Expect(result.Counts.Answered).To(BeNumerically(">", 0))
 }
+
+// Guards against saved plans of runs that failed once and cannot be played again.
+func TestSavedPlansCanBePlayed(t *testing.T) {
+	g := NewWithT(t)
+	files, err := filepath.Glob("testdata/*.json")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(files).NotTo(BeEmpty())
+	for _, file := range files {
+		p, err := Load(file)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p.Events).NotTo(BeEmpty(), file)
+	}
+}
