--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -203,7 +203,7 @@
 			r.check.recordRun(binary.BigEndian.Uint64(request), id)
 			return request
 		},
-		Invalid: func(err error) { r.check.violate("target %s got a packet that nobody sent: %v", id, err) },
+		Invalid: func(err error) { r.check.violate("target %s got an invalid packet: %v", id, err) },
 	})
 	if err != nil {
 		return err
