--- a/internal/checkpoint/message.go
+++ b/internal/checkpoint/message.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
@@ -31,13 +32,6 @@
 	maxParts = 512
 )
 
-// Kinds of datagrams. Packages hop and roster use lower values.
-const (
-	kindPart    byte = 66
-	kindRequest byte = 67
-	kindResync  byte = 68
-)
-
 // Flow is an open flow of a target.
 type Flow struct {
 	Key packet.Key
@@ -117,16 +111,18 @@
 }
 
 // IsMessage reports whether a datagram is a message of this package.
-func IsMessage(b []byte) bool { return len(b) > 0 && b[0] >= kindPart && b[0] <= kindResync }
+func IsMessage(b []byte) bool {
+	return len(b) > 0 && b[0] >= hop.KindCheckpointPart && b[0] <= hop.KindCheckpointResync
+}
 
 // Encode returns the part as a datagram.
-func (p *Part) Encode() ([]byte, error) { return encode(kindPart, p) }
+func (p *Part) Encode() ([]byte, error) { return encode(hop.KindCheckpointPart, p) }
 
 // Encode returns the request as a datagram.
-func (r *Request) Encode() ([]byte, error) { return encode(kindRequest, r) }
+func (r *Request) Encode() ([]byte, error) { return encode(hop.KindCheckpointRequest, r) }
 
 // Encode returns the message as a datagram.
-func (r *Resync) Encode() ([]byte, error) { return encode(kindResync, r) }
+func (r *Resync) Encode() ([]byte, error) { return encode(hop.KindCheckpointResync, r) }
 
 func encode(kind byte, message any) ([]byte, error) {
 	body, err := cbor.Marshal(message)
@@ -143,9 +139,9 @@
 	}
 	var message any
 	switch b[0] {
-	case kindRequest:
+	case hop.KindCheckpointRequest:
 		message = &Request{}
-	case kindResync:
+	case hop.KindCheckpointResync:
 		message = &Resync{}
 	default:
 		message = &Part{}
--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -46,6 +46,15 @@
 	if checkpoint.IsMessage(b) {
 		return c.handleCheckpointDatagram(to, from, b)
 	}
+	if roster.IsEvacuationsHeld(b) {
+		held, err := roster.DecodeEvacuationsHeld(b)
+		if err == nil {
+			c.mu.Lock()
+			c.registry.ConfirmEvacuations(from, held)
+			c.mu.Unlock()
+		}
+		return err
+	}
 	a, err := roster.DecodeAnnouncement(b)
 	if err != nil {
 		return err
@@ -106,6 +115,7 @@
 	for i := range answers {
 		c.sendAnswer(to, &answers[i])
 	}
+	c.sendEvacuationsIfLacking(from)
 	if changed {
 		line := c.tel.Logger.Info().Str("relay", a.Name)
 		if t := a.Target; t != nil { // nil once an entry VM has taken the address of a relay
@@ -205,9 +215,14 @@
 
 // sendToAll sends an answer to several processes.
 func (c *Controller) sendToAll(processes []hop.IP, a *roster.Answer) {
-	datagram, err := a.Encode()
+	c.sendEncodedToAll(processes, a.Encode)
+}
+
+// sendEncodedToAll sends the datagram that encode returns to several processes.
+func (c *Controller) sendEncodedToAll(processes []hop.IP, encode func() ([]byte, error)) {
+	datagram, err := encode()
 	if err != nil {
-		c.tel.Logger.Error().Err(err).Msg("cannot encode an answer")
+		c.tel.Logger.Error().Err(err).Msg("cannot encode a message to processes")
 		return
 	}
 	for _, ip := range processes {
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -16,9 +15,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/greengagelock/greengagelock/internal/checkpoint"
+	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/lifecycle"
@@ -69,6 +68,8 @@
 	// Bootstrap is set when the whole system starts for the first time: the controllers at the seeds
 	// form a new log.
 	Bootstrap bool
+	// Zones are the availability zones that operators may evacuate.
+	Zones []string
 	// Check validates a configuration body and returns its version.
 	Check func(body []byte) (uint64, error)
 }
@@ -90,6 +91,7 @@
 	mu           sync.Mutex
 	seeds        []netip.Addr
 	joinRequests map[string]time.Time // time of the last request, by member name
+	levels       map[string]uint8     // protocol level that a controller announced with its last call, by member name
 	registry     *roster.Registry
 
 	incarnations *incarnations
@@ -102,8 +104,8 @@
 // New opens the files and sockets of a controller. Run starts it.
 func New(cfg Config, t telemetry.Handle) (*Controller, error) {
 	c := &Controller{
-		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]time.Time{},
-		registry: roster.NewRegistry(newRun()), start: time.Now(), peerAddresses: map[string]string{},
+		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]time.Time{}, levels: map[string]uint8{},
+		registry: roster.NewRegistry(roster.NewInstanceID()), start: time.Now(), peerAddresses: map[string]string{},
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
 		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
 	}
@@ -121,6 +123,7 @@
 	c.addToDirectory(append([]string{c.name}, bootstrapNames...)...)
 	c.state.onMembers = func(names []string) { c.addToDirectory(names...) }
 	c.state.onContent = c.notifyCommit
+	c.state.onEvacuations = c.putEvacuationsInForce
 	c.transport = newTransport(c.name, c.directory, t.Logger)
 	c.log, err = replica.New(replica.Config{
 		Name: c.name, Folder: cfg.DataDir, Members: bootstrapNames, Directory: c.directory, Send: c.transport.Send,
@@ -146,9 +149,6 @@
 	return c, nil
 }
 
-// newRun returns a random number other than zero that identifies a controller process.
-func newRun() uint64 { return max(mathrand.Uint64(), 1) }
-
 // Name returns the name of the member.
 func (c *Controller) Name() string { return c.name }
 
@@ -288,19 +288,28 @@
 
 // replaceOnce commits the content if this controller is the leader, and otherwise forwards it to the leader.
 func (c *Controller) replaceOnce(ctx context.Context, content *Content) error {
-	status := c.log.Status()
-	if status.IsLeader {
+	if c.log.Status().IsLeader {
 		return c.commitContent(ctx, content)
 	}
-	if status.Leader == "" {
-		return result.New(result.NoQuorum, "no leader is known")
+	client, err := c.leaderClient()
+	if err != nil {
+		return err
+	}
+	_, err = rpc.Call[ReplaceReply](ctx, client, peerService+".Replace", &ReplaceRequest{Content: *content})
+	return err
+}
+
+// leaderClient returns the client for calls to the leader. It fails with NoQuorum if none is known.
+func (c *Controller) leaderClient() (*rpc.Client, error) {
+	leader := c.log.Status().Leader
+	if leader == "" {
+		return nil, result.New(result.NoQuorum, "no leader is known")
 	}
-	client := c.transport.client(status.Leader)
+	client := c.transport.client(leader)
 	if client == nil {
-		return result.New(result.NoQuorum, "the address of the leader %s is not known", status.Leader)
+		return nil, result.New(result.NoQuorum, "the address of the leader %s is not known", leader)
 	}
-	_, err := rpc.Call[ReplaceReply](ctx, client, peerService+".Replace", &ReplaceRequest{Content: *content})
-	return err
+	return client, nil
 }
 
 // commitContent commits the content to the log of this leader, unless its version is not above the one in
@@ -309,27 +318,28 @@
 	if content.Version <= c.state.version() {
 		return nil
 	}
-	data, err := cbor.Marshal(command{Replace: content})
+	data, err := encodeLeveled(0, command{Replace: content})
 	if err != nil {
-		return errors.Wrap(err, "encode a command")
+		return err
 	}
-	return c.commit(ctx, data)
+	_, err = c.commit(ctx, data)
+	return err
 }
 
-// commit proposes an entry at this leader and waits until the entry is applied.
-func (c *Controller) commit(ctx context.Context, data []byte) error {
+// commit proposes an entry at this leader, waits until the entry is applied, and returns its position.
+func (c *Controller) commit(ctx context.Context, data []byte) (consensus.Position, error) {
 	position, err := c.log.Propose(ctx, data)
 	if err != nil {
-		return err
+		return position, err
 	}
 	select {
 	case applied := <-c.state.waitApplied(position):
 		if !applied {
-			return result.New(result.NotLeader, "another leader has taken over")
+			return position, result.New(result.NotLeader, "another leader has taken over")
 		}
-		return nil
+		return position, nil
 	case <-ctx.Done():
-		return result.New(result.OutcomeUnknown, "entry %d was not committed in time", position.Index)
+		return position, result.New(result.OutcomeUnknown, "entry %d was not committed in time", position.Index)
 	}
 }
 
@@ -383,6 +393,5 @@
 
 // encodeMembers encodes the command that replaces the names of the members.
 func encodeMembers(names []string) ([]byte, error) {
-	data, err := cbor.Marshal(command{Members: names})
-	return data, errors.Wrap(err, "encode a command")
+	return encodeLeveled(0, command{Members: names})
 }
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -11,6 +11,7 @@
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/repair"
 	"github.com/greengagelock/greengagelock/internal/replica"
+	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
 
@@ -27,7 +28,7 @@
 			wg.Go(func() {
 				callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
 				defer cancel()
-				reply, err := rpc.Call[JoinReply](callCtx, c.transport.clientAt(address), peerService+".Join", &JoinRequest{Name: c.name})
+				reply, err := rpc.Call[JoinReply](callCtx, c.transport.clientAt(address), peerService+".Join", &JoinRequest{Name: c.name, Level: roster.Level})
 				if err != nil {
 					// Some addresses may belong to controllers that are down. The next round retries them.
 					c.tel.Logger.Debug().Str("controller", address).Err(err).Msg("join request failed")
@@ -143,5 +144,6 @@
 	if err != nil {
 		return err
 	}
-	return c.commit(ctx, data)
+	_, err = c.commit(ctx, data)
+	return err
 }
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -10,6 +10,7 @@
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/rpc"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
 )
 
 // peerService is the name under which Peer is registered as an RPC service.
@@ -27,6 +28,7 @@
 type StepRequest struct {
 	Name     string // member name of the sender
 	Messages []consensus.Message
+	Level    uint8 // protocol level of the sender
 }
 
 // StepReply is the empty answer to a StepRequest.
@@ -38,8 +40,25 @@
 // ReplaceReply is the empty answer to a ReplaceRequest.
 type ReplaceReply struct{}
 
+// EvacuateRequest forwards an evacuation, or the end of one, to the leader. Base is the index of the log entry that had
+// changed the zone last when the order arrived; the order is void if the zone has changed since.
+type EvacuateRequest struct {
+	Zone     string
+	Evacuate bool
+	Base     uint64
+}
+
+// EvacuateReply says whether the order is in force, and at which log index the zone has changed last.
+type EvacuateReply struct {
+	Accepted  bool
+	ChangedAt uint64
+}
+
 // JoinRequest asks for membership of the controller with the given name.
-type JoinRequest struct{ Name string }
+type JoinRequest struct {
+	Name  string
+	Level uint8 // protocol level of the sender
+}
 
 // JoinReply holds the names of the leader, empty if unknown, and of the members that the answering
 // controller knows.
@@ -67,6 +86,16 @@
 	Targets []roster.Target // targets whose relays announce themselves
 	// Behind are the names of the entry VMs that have an older configuration in force.
 	Behind []string
+	// Build and Level are the build of the controller and its protocol level. LogLevel is the level that the log requires
+	// of its members, and Below are the members that have not announced the level of this controller.
+	Build    string
+	Level    uint8
+	LogLevel uint8
+	Below    []string
+	// Evacuated are the evacuated availability zones.
+	Evacuated []string
+	// Outdated are the names of the entry VMs and relays whose build has a lower level than this controller.
+	Outdated []string
 }
 
 // Peer serves the RPC calls of one connection.
@@ -84,6 +113,7 @@
 		}
 	}
 	p.c.addPeer(request.Name)
+	p.c.recordLevel(request.Name, request.Level)
 	p.c.transport.Reached(from)
 	return p.c.log.Step(p.peer.Context, request.Messages)
 }
@@ -95,13 +125,32 @@
 	return p.c.commitContent(ctx, &request.Content)
 }
 
+// Evacuate commits the evacuation of a zone, or the end of one, at the leader.
+func (p *Peer) Evacuate(request *EvacuateRequest, reply *EvacuateReply) error {
+	ctx, cancel := p.peer.CallContext(replaceTimeout)
+	defer cancel()
+	if !p.c.log.Status().IsLeader {
+		return result.New(result.NotLeader, "controller %s is not the leader", p.c.name)
+	}
+	r, err := p.c.commitEvacuation(ctx, &evacuationOrder{Zone: request.Zone, Evacuate: request.Evacuate, Base: request.Base})
+	if err != nil {
+		return err
+	}
+	*reply = *r
+	return nil
+}
+
 // Join records a request for membership, which the leader decides on later.
 func (p *Peer) Join(request *JoinRequest, reply *JoinReply) error {
 	if _, err := memberIP(request.Name); err != nil {
 		return result.New(result.PeerUnknown, "controller name %q does not start with an IP address", request.Name)
 	}
 	c := p.c
+	if required := c.state.protocolLevel(); request.Level < required {
+		return result.New(result.BuildTooOld, "the log requires protocol level %d, controller %s has %d", required, request.Name, request.Level)
+	}
 	c.addPeer(request.Name)
+	c.recordLevel(request.Name, request.Level)
 	c.mu.Lock()
 	c.joinRequests[request.Name] = time.Now()
 	c.mu.Unlock()
@@ -125,11 +174,16 @@
 func (p *Peer) Status(_ *StatusRequest, reply *Status) error {
 	c := p.c
 	logStatus := c.log.Status()
-	*reply = Status{Name: c.name, Leader: logStatus.Leader, Version: c.state.version(), Current: c.IsCurrent(), Members: logStatus.Members}
+	*reply = Status{
+		Name: c.name, Leader: logStatus.Leader, Version: c.state.version(), Current: c.IsCurrent(), Members: logStatus.Members,
+		Build: telemetry.Build(), Level: roster.Level, LogLevel: c.state.protocolLevel(), Below: c.membersBelow(roster.Level),
+		Evacuated: c.state.evacuations().Zones,
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply.Targets = c.registry.Targets()
 	reply.Behind = c.registry.OutdatedEntries(reply.Version)
+	reply.Outdated = c.registry.ProcessesBelow(roster.Level)
 	return nil
 }
 
--- a/internal/confstore/state.go
+++ b/internal/confstore/state.go
@@ -3,29 +3,31 @@
 // one Controller. Controllers find each other through seed addresses and replace lost members
 // without an operator.
 //
-// Messages between controllers, over RPC: Step carries messages of the replicated log, Replace
-// forwards an edit to the leader, Join asks for membership. Any process may call Fetch for the
+// Messages between controllers, over RPC: Step carries messages of the replicated log, Replace and Evacuate
+// forward an edit and an evacuation to the leader, Join asks for membership. Any process may call Fetch for the
 // configuration in force and Status for the state of a controller. Over UDP, every process sends a
 // roster.Announcement at an interval and receives a roster.Answer; controllers also push an Answer to
 // all entry VMs when the configuration or the list of targets changes.
 //
 // A controller is joining, a learner, or a voter of the log, and a voter is the leader or a follower.
-// The replicated state is the configuration in force and the names of the members.
+// The replicated state is the configuration in force, the evacuated availability zones, the names of the members and
+// the protocol level.
 package confstore
 
 import (
 	"bytes"
 	"compress/flate"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/roster"
 )
 
 // maxBodyBytes is the largest uncompressed configuration.
@@ -69,12 +71,16 @@
 	Replace *Content
 	// Members are the names of all members. A controller that starts resolves member IDs with them.
 	Members []string
+	// Evacuate needs roster.LevelEvacuation.
+	Evacuate *evacuationOrder `cbor:",omitempty"`
 }
 
 // snapshot is the whole replicated state.
 type snapshot struct {
 	Content *Content
 	Members []string
+	// Zones needs roster.LevelEvacuation.
+	Zones map[string]zoneRecord `cbor:",omitempty"`
 }
 
 // stateMachine holds the replicated state. It implements replica.StateMachine.
@@ -82,12 +88,16 @@
 	mu      sync.Mutex
 	content *Content
 	members []string
+	zones   map[string]zoneRecord // by availability zone; those that were evacuated once
+	// level is the highest protocol level of the applied entries. A build of a lower level cannot apply them.
+	level   uint8
 	applied consensus.Position
 	waiters map[uint64][]waiter // by index
 	changed chan struct{}       // closed and replaced whenever an entry or a snapshot is applied
 	// onContent and onMembers are called after a change, with the lock released.
-	onContent func(version uint64, replayed bool)
-	onMembers func(names []string)
+	onContent     func(version uint64, replayed bool)
+	onMembers     func(names []string)
+	onEvacuations func(e roster.Evacuations, replayed bool)
 }
 
 // waiter waits for the entry of a term at the index that it is listed under.
@@ -97,12 +107,12 @@
 }
 
 func newStateMachine() *stateMachine {
-	return &stateMachine{waiters: map[uint64][]waiter{}, changed: make(chan struct{})}
+	return &stateMachine{zones: map[string]zoneRecord{}, waiters: map[uint64][]waiter{}, changed: make(chan struct{})}
 }
 
 // Apply implements replica.StateMachine.
 func (s *stateMachine) Apply(c replica.Committed) error {
-	content, members, err := decodeCommitted(&c)
+	change, err := decodeCommitted(&c)
 	if err != nil {
 		return err
 	}
@@ -111,14 +121,17 @@
 		s.mu.Unlock()
 		return nil // after its storage was reopened, the log replays entries from its start
 	}
+	content := change.content
 	if content != nil && (s.content == nil || content.Version > s.content.Version) {
 		s.content = content
 	} else {
 		content = nil
 	}
-	if members != nil {
-		s.members = members
+	if change.members != nil {
+		s.members = change.members
 	}
+	s.level = max(s.level, change.level)
+	evacuations := s.applyZones(c.Index, &change)
 	s.applied = c.Position
 	s.notifyWaiters(c.Position)
 	close(s.changed)
@@ -127,29 +140,43 @@
 	if content != nil && s.onContent != nil {
 		s.onContent(content.Version, c.Replayed)
 	}
-	if members != nil && s.onMembers != nil {
-		s.onMembers(members)
+	if change.members != nil && s.onMembers != nil {
+		s.onMembers(change.members)
+	}
+	if evacuations != nil && s.onEvacuations != nil {
+		s.onEvacuations(*evacuations, c.Replayed)
 	}
 	return nil
 }
 
-// decodeCommitted decodes a snapshot or an entry. What it does not change is nil.
-func decodeCommitted(c *replica.Committed) (*Content, []string, error) {
+// committedChange is what a snapshot or an entry changes; nil fields are not changed.
+type committedChange struct {
+	level    uint8
+	content  *Content
+	members  []string
+	zones    map[string]zoneRecord // of a snapshot
+	evacuate *evacuationOrder      // of an entry
+}
+
+// decodeCommitted decodes a snapshot or an entry.
+func decodeCommitted(c *replica.Committed) (committedChange, error) {
 	if c.Snapshot != nil {
 		var snap snapshot
-		if err := cbor.Unmarshal(c.Snapshot, &snap); err != nil {
-			return nil, nil, result.New(result.StorageCorrupt, "decode the snapshot at entry %d: %v", c.Index, err)
+		level, err := decodeLeveled(c.Snapshot, &snap)
+		if err != nil {
+			return committedChange{}, errors.Wrapf(err, "decode the snapshot at entry %d", c.Index)
 		}
-		return snap.Content, snap.Members, nil
+		return committedChange{level: level, content: snap.Content, members: snap.Members, zones: snap.Zones}, nil
 	}
 	if c.Data == nil {
-		return nil, nil, nil
+		return committedChange{}, nil
 	}
 	var cmd command
-	if err := cbor.Unmarshal(c.Data, &cmd); err != nil {
-		return nil, nil, result.New(result.StorageCorrupt, "decode entry %d: %v", c.Index, err)
+	level, err := decodeLeveled(c.Data, &cmd)
+	if err != nil {
+		return committedChange{}, errors.Wrapf(err, "decode entry %d", c.Index)
 	}
-	return cmd.Replace, cmd.Members, nil
+	return committedChange{level: level, content: cmd.Replace, members: cmd.Members, evacuate: cmd.Evacuate}, nil
 }
 
 // notifyWaiters notifies the waiters for all entries up to p. A waiter gets false if its entry was
@@ -169,10 +196,9 @@
 // Snapshot implements replica.StateMachine.
 func (s *stateMachine) Snapshot() ([]byte, error) {
 	s.mu.Lock()
-	snap := snapshot{Content: s.content, Members: s.members}
+	level, snap := s.level, snapshot{Content: s.content, Members: s.members, Zones: maps.Clone(s.zones)}
 	s.mu.Unlock()
-	data, err := cbor.Marshal(snap)
-	return data, errors.Wrap(err, "encode a snapshot")
+	return encodeLeveled(level, snap)
 }
 
 // waitApplied returns a channel that receives true once the entry at p is applied, or false once an
--- a/internal/confstore/transport.go
+++ b/internal/confstore/transport.go
@@ -9,6 +9,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/replica"
+	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
 
@@ -26,7 +27,7 @@
 		Directory: d,
 		Dial:      func(_, address string) *rpc.Client { return newClient(address, stepTimeout) },
 		Step: func(ctx context.Context, client *rpc.Client, messages []consensus.Message) error {
-			_, err := rpc.Call[StepReply](ctx, client, peerService+".Step", &StepRequest{Name: name, Messages: messages})
+			_, err := rpc.Call[StepReply](ctx, client, peerService+".Step", &StepRequest{Name: name, Messages: messages, Level: roster.Level})
 			return err
 		},
 		Contact: func(member string, err error) {
--- a/internal/controllerclient/client.go
+++ b/internal/controllerclient/client.go
@@ -57,7 +57,10 @@
 	// Incomplete reports whether a controller that answers has information that this process still needs, so that it is
 	// announced to at short intervals during discoveryWindow; may be nil.
 	Incomplete func(hop.IP) bool
-	Logger     *log.Logger
+	// Instance is the instance ID of the process, and Evacuate puts newer evacuations in force.
+	Instance uint64
+	Evacuate func(*roster.Evacuations)
+	Logger   *log.Logger
 }
 
 // Client tracks the controllers and the configuration of a process.
@@ -80,6 +83,7 @@
 	caughtUp         bool      // newestVersion has been in force once
 	newestVersion    uint64    // newest version heard of
 	outdatedSince    time.Time // since when newestVersion has been above versionInForce
+	evacuations      uint64    // revision of the evacuations in force
 }
 
 // controller is what is known of a controller.
@@ -277,6 +281,25 @@
 	}
 }
 
+// HandleEvacuations puts the evacuations that a controller has sent in force if they are newer, and confirms them.
+func (cl *Client) HandleEvacuations(from hop.IP, e *roster.Evacuations) {
+	cl.mu.Lock()
+	newer := e.Revision > cl.evacuations
+	cl.evacuations = max(cl.evacuations, e.Revision)
+	held := roster.EvacuationsHeld{Revision: cl.evacuations, Process: cl.cfg.Instance}
+	cl.mu.Unlock()
+	if newer {
+		cl.cfg.Evacuate(e)
+		cl.cfg.Logger.Info().Uint64("revision", e.Revision).Strs("zones", e.Zones).Msg(decision.EvacuationsInForce)
+	}
+	datagram, err := held.Encode()
+	if err != nil {
+		cl.cfg.Logger.Error().Err(err).Msg("encoding a confirmation failed")
+		return
+	}
+	cl.cfg.Send(netip.AddrPortFrom(netip.AddrFrom4(from), cl.cfg.Port), datagram)
+}
+
 // inContact reports whether any controller has answered within controllerTimeout.
 func (cl *Client) inContact(now time.Time) bool {
 	for _, c := range cl.controllers {
--- a/internal/controllerclient/client_test.go
+++ b/internal/controllerclient/client_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/greengagelock/greengagelock/internal/checkpoint"
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
@@ -126,3 +127,49 @@
 	cl.HandleAnswer(third, &roster.Answer{Call: true, Controllers: []hop.IP{third}})
 	g.Expect(sent).To(Equal([]hop.IP{third}), "a controller that is joining needs the announcement as well")
 }
+
+// Guards against two kinds of datagrams with the same number: flows that controllers returned after a loss of power were
+// taken for another message, and no flow was reset.
+func TestDatagramsReachTheirHandlers(t *testing.T) {
+	g := NewWithT(t)
+	got := ""
+	h := Handlers{
+		Data:        func(hop.IP, []byte) { got = "data" },
+		Answer:      func(hop.IP, *roster.Answer) { got = "answer" },
+		Evacuations: func(hop.IP, *roster.Evacuations) { got = "evacuations" },
+	}
+	for want, encode := range map[string][]func() ([]byte, error){
+		"data":        {(&checkpoint.Part{Parts: 1}).Encode, (&checkpoint.Resync{}).Encode},
+		"answer":      {(&roster.Answer{}).Encode},
+		"evacuations": {(&roster.Evacuations{Revision: 1}).Encode},
+	} {
+		for _, f := range encode {
+			b, err := f()
+			g.Expect(err).NotTo(HaveOccurred())
+			got = ""
+			g.Expect(h.handle(hop.IP{}, b)).To(Succeed())
+			g.Expect(got).To(Equal(want))
+		}
+	}
+}
+
+// Guards against an evacuation that a controller which was cut off puts in force again after its end.
+func TestNewestEvacuationsStayInForce(t *testing.T) {
+	g := NewWithT(t)
+	var inForce []uint64
+	var confirmed *roster.EvacuationsHeld
+	cl := New(Config{
+		Logger: telemetry.Discard().Logger, Instance: 7,
+		Evacuate: func(e *roster.Evacuations) { inForce = append(inForce, e.Revision) },
+		Send: func(_ netip.AddrPort, b []byte) {
+			held, err := roster.DecodeEvacuationsHeld(b)
+			g.Expect(err).NotTo(HaveOccurred())
+			confirmed = held
+		},
+	})
+	for _, revision := range []uint64{5, 9, 5} {
+		cl.HandleEvacuations(hop.IP{10, 0, 0, 1}, &roster.Evacuations{Revision: revision})
+	}
+	g.Expect(inForce).To(Equal([]uint64{5, 9}))
+	g.Expect(confirmed).To(Equal(&roster.EvacuationsHeld{Revision: 9, Process: 7}))
+}
--- a/internal/controllerclient/port.go
+++ b/internal/controllerclient/port.go
@@ -34,23 +34,45 @@
 // Send sends a datagram. It does not repeat lost ones; their senders do.
 func (p *Port) Send(to netip.AddrPort, datagram []byte) { packet.Send(p.conn, to, datagram, p.logger) }
 
-// Receive passes datagrams of entry VMs and relays to data and answers of controllers to answer, until ctx is
-// done. The bytes are valid until data returns.
-func (p *Port) Receive(ctx context.Context, data func(from hop.IP, b []byte), answer func(from hop.IP, a *roster.Answer)) error {
+// Handlers receive what arrives at a Port.
+type Handlers struct {
+	// Data handles datagrams of entry VMs and relays. The bytes are valid until it returns.
+	Data func(from hop.IP, b []byte)
+	// Answer and Evacuations handle messages of controllers.
+	Answer      func(from hop.IP, a *roster.Answer)
+	Evacuations func(from hop.IP, e *roster.Evacuations)
+}
+
+// Receive passes datagrams to the handlers until ctx is done.
+func (p *Port) Receive(ctx context.Context, h Handlers) error {
 	return packet.Receive(ctx, p.conn, p.logger, func(from netip.AddrPort, b []byte) {
 		addr, ok := packet.AddrOf(from)
 		if !ok {
 			return
 		}
-		if !roster.IsControlMessage(b) {
-			data(addr.IP, b)
-			return
+		if err := h.handle(addr.IP, b); err != nil {
+			p.logger.Debug().Str("from", from.String()).Err(err).Msg("malformed message of a controller dropped")
+		}
+	})
+}
+
+// handle passes a datagram to its handler.
+func (h *Handlers) handle(from hop.IP, b []byte) error {
+	switch {
+	case roster.IsEvacuations(b):
+		e, err := roster.DecodeEvacuations(b)
+		if err != nil {
+			return err
 		}
+		h.Evacuations(from, e)
+	case roster.IsControlMessage(b):
 		a, err := roster.DecodeAnswer(b)
 		if err != nil {
-			p.logger.Debug().Str("from", from.String()).Err(err).Msg("malformed answer of a controller dropped")
-			return
+			return err
 		}
-		answer(addr.IP, a)
-	})
+		h.Answer(from, a)
+	default:
+		h.Data(from, b)
+	}
+	return nil
 }
--- a/internal/decision/line.go
+++ b/internal/decision/line.go
@@ -40,14 +40,18 @@
 
 // Messages of the lines about state changes. Other packages write them, except LinesLeftOut.
 const (
-	ConfigInForce   = "configuration in force"
-	ConfigCommitted = "configuration committed"
-	TargetState     = "state of the target"
-	FlowsKnown      = "whether all flows of the target are known"
-	ControllerLost  = "a controller does not answer"
-	ControllerBack  = "a controller answers again"
-	Started         = "started"
-	Stopping        = "stopping"
+	ConfigInForce = "configuration in force"
+	// EvacuationsInForce and EvacuationsCommitted mark new evacuations of availability zones at a process and at a
+	// controller.
+	EvacuationsInForce   = "evacuations in force"
+	EvacuationsCommitted = "evacuations committed"
+	ConfigCommitted      = "configuration committed"
+	TargetState          = "state of the target"
+	FlowsKnown           = "whether all flows of the target are known"
+	ControllerLost       = "a controller does not answer"
+	ControllerBack       = "a controller answers again"
+	Started              = "started"
+	Stopping             = "stopping"
 	// LinesLeftOut reports decisions above a limit, see Log.Record.
 	LinesLeftOut = "decisions left out of the log"
 )
--- a/internal/entry/offer.go
+++ b/internal/entry/offer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
+	"github.com/greengagelock/greengagelock/internal/routing"
 )
 
 const (
@@ -123,10 +125,16 @@
 	e.logDecision(now, decision.Decision{Kind: decision.Offered, Flow: key, Seq: f.isn, Target: f.owner, Tries: f.attempts, Took: now - f.startedAt})
 	e.sendMessage(e.candidates[0], &hop.Message{
 		Kind: hop.Forward, Service: uint64(f.service), Entry: e.cfg.Self, Candidates: e.candidates, Packet: f.syn,
-		MaxWait: f.maxWaitMillis(now),
+		MaxWait: f.maxWaitMillis(now), ColdLimit: e.coldLimit(f.service),
 	})
 }
 
+// coldLimit returns the number of flows a second that a cold target of a service may get; zero for no limit.
+func (e *Entry) coldLimit(service routing.ServiceID) uint16 {
+	s, _ := e.table.Service(service)
+	return uint16(min(math.Ceil(s.ColdPerSecond), math.MaxUint16))
+}
+
 // mayBecomeKnown reports whether a target for the flow may become known while its SYN is held: not all running
 // relays are known, or a relay of the service still waits for the first heartbeat of its target. Otherwise the
 // service is known to have no target that accepts flows.
@@ -135,7 +143,7 @@
 		return false
 	}
 	return !e.View.KnowsAllRelays(now) || slices.ContainsFunc(e.View.Targets(f.service), func(k *roster.KnownTarget) bool {
-		return k.State == roster.Unknown && !k.Lost
+		return k.State == roster.Unknown && !k.Lost && !e.View.Evacuated(k)
 	})
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -57,6 +57,8 @@
 	nodes       *controllerclient.Port
 	controllers *controllerclient.Client
 
+	instance uint64 // see roster.NewInstanceID
+
 	decisions *decision.Log
 
 	mu       sync.Mutex
@@ -70,7 +72,7 @@
 
 // NewProcess opens the sockets.
 func NewProcess(cfg ProcessConfig, picker *targetpicker.Picker, t telemetry.Handle) (*Process, error) {
-	p := &Process{cfg: cfg, tel: t, start: time.Now(), timerDue: -1, decisions: decision.New(t.Logger)}
+	p := &Process{cfg: cfg, tel: t, start: time.Now(), timerDue: -1, instance: roster.NewInstanceID(), decisions: decision.New(t.Logger)}
 	metrics, err := newMetrics(t.Metrics, p)
 	if err != nil {
 		return nil, err
@@ -90,6 +92,7 @@
 	p.controllers = controllerclient.New(controllerclient.Config{
 		Port: cfg.Port, Seeds: cfg.Seeds, Logger: t.Logger, Parse: cfg.Parse,
 		Send: p.nodes.Send, Announce: p.announcement, Apply: p.setTable, Incomplete: p.listIncomplete,
+		Instance: p.instance, Evacuate: p.setEvacuations,
 	})
 	return p, nil
 }
@@ -101,7 +104,11 @@
 	defer p.timer.Stop()
 	return lifecycle.Run(ctx, p.linger,
 		p.receiveFromCallers,
-		func(ctx context.Context) error { return p.nodes.Receive(ctx, p.fromNode, p.fromController) },
+		func(ctx context.Context) error {
+			return p.nodes.Receive(ctx, controllerclient.Handlers{
+				Data: p.fromNode, Answer: p.fromController, Evacuations: p.controllers.HandleEvacuations,
+			})
+		},
 		p.controllers.Run,
 		p.decisions.Run,
 		lifecycle.WithoutError(p.evictIdle),
@@ -208,7 +215,7 @@
 	position, digest, answers := view.Position(now, to)
 	return roster.Announcement{
 		Loads: loads, Role: roster.RoleEntry, Name: p.cfg.Name, Version: p.entry.Version(),
-		Position: position, Digest: digest, Answers: answers, Push: view.WantsPush(now, to),
+		Position: position, Digest: digest, Answers: answers, Push: view.WantsPush(now, to), Process: p.instance,
 	}
 }
 
@@ -218,6 +225,12 @@
 	p.entry.SetTable(t)
 }
 
+func (p *Process) setEvacuations(e *roster.Evacuations) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entry.View.SetEvacuations(*e)
+}
+
 // SetSeeds replaces the seeds after a change of the settings.
 func (p *Process) SetSeeds(seeds []netip.Addr) { p.controllers.SetSeeds(seeds) }
 
--- a/internal/entry/target_test.go
+++ b/internal/entry/target_test.go
@@ -27,6 +27,9 @@
 	flows          map[packet.Key]*targetFlow
 	acceptedSYNs   int // SYNs of new flows
 	lastAcceptedAt time.Duration
+	acceptedAt     []time.Duration // times of all SYNs of new flows
+	warmUp         time.Duration   // time for which the target is cold after a start
+	warmAt         time.Duration
 	busy           int
 	// queueLimit is the number of requests that may wait for a slot, zero for no limit. slotFreeAt holds
 	// the time at which each slot becomes free.
@@ -77,6 +80,7 @@
 	t.incarnation++
 	t.sequence = 0
 	t.flows = map[packet.Key]*targetFlow{}
+	t.warmAt = t.w.now + t.warmUp
 	t.busy = 0
 	t.slotFreeAt = make([]time.Duration, t.slots)
 	t.sendHeartbeats(t.incarnation)
@@ -90,6 +94,7 @@
 	if t.relay != nil {
 		h := relay.Heartbeat{
 			ID: string(rune('a' + t.incarnation)), Sequence: t.sequence, Service: t.service, Draining: t.draining, Slots: t.slots,
+			WarmupLeft: max(t.warmAt-t.w.now, 0),
 		}
 		if err := t.relay.Heartbeat(t.w.now, &h); err != nil {
 			panic(err)
@@ -135,6 +140,7 @@
 		t.flows[key] = f
 		t.acceptedSYNs++
 		t.lastAcceptedAt = t.w.now
+		t.acceptedAt = append(t.acceptedAt, t.w.now)
 		t.sendReply(key, packet.View{Flags: packet.SYN | packet.ACK, Seq: f.isn, Ack: v.Seq + 1})
 	case v.IsSYN():
 		t.sendReply(key, packet.View{Flags: packet.SYN | packet.ACK, Seq: f.isn, Ack: v.Seq + 1})
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -86,6 +86,7 @@
 	controllersFresh bool     // the controllers have just started and may not list all relays
 	logs             *logs    // nil for no logs
 	stores           []*flowStore
+	coldPerSecond    float64 // flows a second that a cold target bears
 }
 
 type event struct {
@@ -156,7 +157,7 @@
 	w.table = routing.NewTable(&routing.Document{
 		Version:  version,
 		Routes:   []routing.Route{{Name: "r", Address: serviceAddr.AddrPort(), Timeout: 2 * time.Second, Objective: 6 * serviceTime, Shares: []routing.Share{{Service: name, Weight: 1}}}},
-		Services: []routing.Service{{Name: "service"}, {Name: "other"}},
+		Services: []routing.Service{{Name: "service", ColdPerSecond: w.coldPerSecond}, {Name: "other"}},
 	})
 	for _, e := range w.entries {
 		e.entry.SetTable(w.table)
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -40,6 +40,18 @@
 	FanoutReply
 )
 
+// Kinds of the datagrams of other packages, which share the port with the messages of this one. Their values are part of
+// the format.
+const (
+	KindAnnouncement      byte = iota + 64 // package roster
+	KindAnswer                             // package roster
+	KindCheckpointPart                     // package checkpoint
+	KindCheckpointRequest                  // package checkpoint
+	KindCheckpointResync                   // package checkpoint
+	KindEvacuations                        // package roster
+	KindEvacuationsHeld                    // package roster
+)
+
 // MaxFanoutRelays and MaxFanoutQuestions bound the relays and flows of one fan-out query to the MTU.
 const (
 	MaxFanoutRelays    = 128
@@ -123,6 +135,9 @@
 	// milliseconds for which a request that begins with this packet has waited already.
 	Timeout uint16
 	Waited  uint16
+	// ColdLimit, of an offered SYN, is the number of flows a second that a target of the service may get while it is
+	// cold; zero for no limit. It takes the place of Timeout in the datagram, which no build reads of an offered SYN.
+	ColdLimit uint16
 
 	// Packet is the packet of the flow. It shares memory with the datagram.
 	Packet []byte
@@ -173,7 +188,11 @@
 	case Forward, Refused, Returned:
 		b = binary.BigEndian.AppendUint64(b, m.Service)
 		b = append(b, m.Entry[:]...)
-		b = binary.BigEndian.AppendUint16(b, m.Timeout)
+		timeout := m.Timeout
+		if m.isOffer() {
+			timeout = m.ColdLimit
+		}
+		b = binary.BigEndian.AppendUint16(b, timeout)
 		b = binary.BigEndian.AppendUint16(b, m.Waited)
 		for _, c := range m.Candidates {
 			b = append(b, c[:]...)
@@ -216,6 +235,9 @@
 	}
 }
 
+// isOffer reports whether the message offers a SYN to candidates.
+func (m *Message) isOffer() bool { return m.Kind == Forward && len(m.Candidates) > 0 && !m.Probe }
+
 func appendIPs(b []byte, ips []IP) []byte {
 	b = append(b, byte(len(ips)))
 	for _, ip := range ips {
@@ -278,6 +300,9 @@
 			return result.New(result.PacketInvalid, "position %d of %d candidates", max(m.At, m.Best), count)
 		}
 		m.Candidates, m.Packet = candidates, rest
+		if m.isOffer() {
+			m.Timeout, m.ColdLimit = 0, m.Timeout
+		}
 		return nil
 	case Admitted:
 		if len(b) < admittedBytes {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -49,6 +49,9 @@
 		m.Probe = rapid.Bool().Draw(t, "probe")
 		m.MaxWait, m.Busy = rapid.Uint16().Draw(t, "wait"), rapid.Bool().Draw(t, "busy")
 		m.Timeout, m.Waited = rapid.Uint16().Draw(t, "timeout"), rapid.Uint16().Draw(t, "waited")
+		if m.isOffer() {
+			m.Timeout, m.ColdLimit = 0, m.Timeout // they share their place in the datagram
+		}
 		m.Packet = rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "packet")
 	}
 	return m
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -23,6 +23,7 @@
 	"github.com/greengagelock/greengagelock/internal/packet"
 	"github.com/greengagelock/greengagelock/internal/relay"
 	"github.com/greengagelock/greengagelock/internal/result"
+	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
 	"github.com/greengagelock/greengagelock/internal/targetpicker"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
@@ -192,7 +193,7 @@
 	s := p.settings
 	c, err := confstore.New(confstore.Config{
 		IP: s.IP, Port: s.Port, DataDir: s.DataDir, Seeds: s.ControllerIPs(), Bootstrap: s.FirstStart,
-		Check: protocol.CheckConfig,
+		Check: protocol.CheckConfig, Zones: append([]string{s.Zone}, s.Zones...),
 	}, p.tel)
 	if err != nil {
 		return err
@@ -258,7 +259,7 @@
 	s := p.settings
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			p.tel.Logger.Info().Str("role", string(s.Role)).Str("ip", s.IP.String()).Str("zone", s.Zone).
+			p.tel.Logger.Info().Str("build", telemetry.Build()).Uint8("level", roster.Level).Str("role", string(s.Role)).Str("ip", s.IP.String()).Str("zone", s.Zone).
 				Bool("first_start", s.FirstStart).Int("controllers", len(s.Controllers)).
 				Dur("startup_ms", time.Since(processStart)).Msg(decision.Started)
 			return nil
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -67,7 +66,7 @@
 	target      *net.UDPConn
 	nodes       *controllerclient.Port
 	controllers *controllerclient.Client
-	incarnation uint64 // random; differs from that of earlier processes of this relay
+	incarnation uint64 // see roster.NewInstanceID; differs from that of earlier processes of this relay
 
 	decisions *decision.Log
 
@@ -85,7 +84,7 @@
 
 // NewProcess opens the sockets and registers the metrics.
 func NewProcess(cfg ProcessConfig, t telemetry.Handle) (*Process, error) {
-	p := &Process{cfg: cfg, tel: t, start: time.Now(), incarnation: rand.Uint64(), decisions: decision.New(t.Logger), confirmedTargets: map[hop.IP]uint64{}}
+	p := &Process{cfg: cfg, tel: t, start: time.Now(), incarnation: roster.NewInstanceID(), decisions: decision.New(t.Logger), confirmedTargets: map[hop.IP]uint64{}}
 	p.relay = New(Config{
 		Codec: cfg.Codec, Service: routing.ServiceIDOf(cfg.Service), Self: cfg.IP.As4(), Decisions: p.decisions,
 	}, p)
@@ -104,6 +103,7 @@
 	}
 	p.controllers = controllerclient.New(controllerclient.Config{
 		Port: cfg.Port, Seeds: cfg.Seeds, Logger: t.Logger, Send: p.nodes.Send, Announce: p.announcement,
+		Instance: p.incarnation, Evacuate: p.setEvacuations,
 	})
 	return p, nil
 }
@@ -115,7 +115,11 @@
 	defer p.timer.Stop()
 	return lifecycle.Run(ctx, p.shutDown,
 		p.receiveFromTarget,
-		func(ctx context.Context) error { return p.nodes.Receive(ctx, p.handleDatagram, p.handleAnswer) },
+		func(ctx context.Context) error {
+			return p.nodes.Receive(ctx, controllerclient.Handlers{
+				Data: p.handleDatagram, Answer: p.handleAnswer, Evacuations: p.controllers.HandleEvacuations,
+			})
+		},
 		p.controllers.Run,
 		p.decisions.Run,
 		lifecycle.WithoutError(p.expireLoop),
@@ -315,6 +319,10 @@
 	}
 }
 
+func (p *Process) setEvacuations(e *roster.Evacuations) {
+	p.withLock(func(time.Duration) { p.relay.SetEvacuated(e.Includes(p.cfg.Zone)) })
+}
+
 // SetSeeds replaces the seed controllers after a change of the settings.
 func (p *Process) SetSeeds(seeds []netip.Addr) { p.controllers.SetSeeds(seeds) }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,6 +81,8 @@
 	awaitingSince  time.Duration
 	awaitingTarget bool
 	stopping       bool
+	evacuated      bool // the availability zone gets no new flows
+	cold           coldLimiter
 	// knowsAllFlows says that the flow table holds every flow of the target.
 	knowsAllFlows bool
 	// previousTargets holds, by controller, the ID of the target that an earlier process of this relay
@@ -224,7 +226,7 @@
 		return
 	}
 	if !r.admits(now, m) {
-		r.logDecision(now, decision.Passed, key, v.Seq, int(m.At), r.passReason())
+		r.logDecision(now, decision.Passed, key, v.Seq, int(m.At), r.passReason(now))
 		r.passOn(m)
 		return
 	}
@@ -235,6 +237,7 @@
 		r.passOn(m)
 		return
 	}
+	r.cold.recordFlow(now, &r.target)
 	r.logDecision(now, decision.Taken, key, v.Seq, int(m.At), result.OK)
 	delete(r.returnedFlows, key)
 	r.flows[key] = &flow{
@@ -254,8 +257,12 @@
 }
 
 // passReason returns why a SYN is not offered to the target.
-func (r *Relay) passReason() result.Code {
+func (r *Relay) passReason(now time.Duration) result.Code {
 	switch {
+	case r.evacuated:
+		return result.ZoneEvacuated
+	case r.target.State == roster.Ready && !r.cold.admits(now, &r.target):
+		return result.TargetCold
 	case r.target.State == roster.Draining || r.stopping:
 		return result.TargetDraining
 	case r.target.State == roster.Ready:
@@ -271,7 +278,14 @@
 		r.Stats.WrongService++
 		return false
 	}
-	if !r.target.admits() || r.stopping {
+	if !r.target.admits() || r.stopping || r.evacuated {
+		return false
+	}
+	r.cold.learnLimit(m.ColdLimit)
+	if !r.cold.admits(now, &r.target) {
+		// If no other target may take the flow either, the entry VM offers it again a little later.
+		last := m.Final || int(m.At)+1 >= len(m.Candidates)
+		m.Busy = m.MaxWait > 0 && last && (m.Final || m.BestLoad == 0)
 		return false
 	}
 	busy := r.busyRequests(now)
@@ -333,6 +347,10 @@
 // Flows returns the number of flows in the table, closed ones included.
 func (r *Relay) Flows() int { return len(r.flows) }
 
+// SetEvacuated ends or resumes admission because the availability zone is evacuated or has been restored. The relay
+// decides besides the entry VMs, since one that was paused may offer a flow by a list from before.
+func (r *Relay) SetEvacuated(evacuated bool) { r.evacuated = evacuated }
+
 // Stop ends admission because the process is stopping.
 func (r *Relay) Stop() { r.stopping = true }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -183,3 +183,18 @@
 	}
 	g.Expect(len(r.returnedFlows)).To(BeNumerically("<=", maxReturnedFlows))
 }
+
+// Guards against a flow that reaches an evacuated zone through an entry VM that was paused, and offers the flow by its
+// list from before. Flows that are open stay.
+func TestRelayInEvacuatedZoneTakesNoNewFlows(t *testing.T) {
+	g := NewWithT(t)
+	r := newRelay()
+	g.Expect(sendHeartbeat(r, 0, "i", 0, 1)).To(Succeed())
+	offer := &hop.Message{Kind: hop.Forward, Service: uint64(service)}
+	g.Expect(r.admits(0, offer)).To(BeTrue())
+	r.SetEvacuated(true)
+	g.Expect(r.admits(0, offer)).To(BeFalse())
+	g.Expect(r.passReason(0)).To(Equal(result.ZoneEvacuated))
+	r.SetEvacuated(false)
+	g.Expect(r.admits(0, offer)).To(BeTrue())
+}
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -50,7 +50,8 @@
 	lastSequence  uint64
 	lastHeartbeat time.Duration
 	warmUntil     time.Duration
-	ended         bool // it has announced its end
+	firstSeen     time.Duration // first heartbeat of the incarnation
+	ended         bool          // it has announced its end
 	lastCheck     time.Duration
 	checkPending  bool // a check is running
 }
@@ -117,7 +118,7 @@
 		r.knowsAllFlows = r.knowsAllFlows || h.Sequence <= firstSequence
 	}
 	r.awaitingTarget = false
-	r.target = localTarget{Target: roster.Target{Service: h.Service, ID: h.ID, Born: h.Born, State: roster.Ready}}
+	r.target = localTarget{firstSeen: now, Target: roster.Target{Service: h.Service, ID: h.ID, Born: h.Born, State: roster.Ready}}
 	r.comparePreviousTargets()
 }
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -27,6 +27,7 @@
 	ServiceNotFound      Code = 1008
 	TooManyTargets       Code = 1009
 	NotInForceEverywhere Code = 1010
+	ZoneNotFound         Code = 1011
 
 	// 2xxx: admission of flows. The payload of a refusal contains one of these codes.
 	NoFreeSlot         Code = 2001
@@ -40,6 +41,8 @@
 	FlowUnknown        Code = 2010
 	TargetJoining      Code = 2009
 	TargetReplaced     Code = 2011
+	ZoneEvacuated      Code = 2012
+	TargetCold         Code = 2013
 
 	// 3xxx: controllers and sessions.
 	NotLeader        Code = 3001
@@ -50,11 +53,13 @@
 	StaleGeneration  Code = 3006
 	MemberChangeBusy Code = 3007
 	OutcomeUnknown   Code = 3008
+	UpgradePending   Code = 3009
 
 	// 4xxx: storage.
 	StorageCorrupt Code = 4001
 	StorageFull    Code = 4002
 	StorageFailed  Code = 4003
+	BuildTooOld    Code = 4004
 
 	// 5xxx: packets.
 	PacketInvalid Code = 5001
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -181,15 +181,9 @@
 	return append(append(b, t.Relay[:]...), state)
 }
 
-// Kinds of datagrams; package hop uses the values below.
-const (
-	kindAnnouncement byte = 64
-	kindAnswer       byte = 65
-)
-
 // IsControlMessage reports whether a datagram is a message of this package rather than of package hop.
 func IsControlMessage(b []byte) bool {
-	return len(b) > 0 && (b[0] == kindAnnouncement || b[0] == kindAnswer)
+	return len(b) > 0 && (b[0] == hop.KindAnnouncement || b[0] == hop.KindAnswer)
 }
 
 func encode(kind byte, message any) ([]byte, error) {
@@ -211,13 +205,13 @@
 }
 
 // Encode returns the announcement as a datagram.
-func (a *Announcement) Encode() ([]byte, error) { return encode(kindAnnouncement, a) }
+func (a *Announcement) Encode() ([]byte, error) { return encode(hop.KindAnnouncement, a) }
 
 // DecodeAnnouncement decodes the datagram of an announcement. It fails unless the sender is an entry VM, or a
 // relay with its target.
 func DecodeAnnouncement(b []byte) (*Announcement, error) {
 	a := &Announcement{}
-	if err := decode(kindAnnouncement, b, a); err != nil {
+	if err := decode(hop.KindAnnouncement, b, a); err != nil {
 		return nil, err
 	}
 	switch {
@@ -230,12 +224,12 @@
 }
 
 // Encode returns the answer as a datagram.
-func (a *Answer) Encode() ([]byte, error) { return encode(kindAnswer, a) }
+func (a *Answer) Encode() ([]byte, error) { return encode(hop.KindAnswer, a) }
 
 // DecodeAnswer decodes the datagram of an answer. It fails if the numbers of its changes are not in order.
 func DecodeAnswer(b []byte) (*Answer, error) {
 	a := &Answer{}
-	if err := decode(kindAnswer, b, a); err != nil {
+	if err := decode(hop.KindAnswer, b, a); err != nil {
 		return nil, err
 	}
 	if a.From > a.To || a.To > a.Head || len(a.States)%stateBytes != 0 {
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -36,6 +36,8 @@
 	forgotten uint64
 	pushed    uint64 // changes up to this number were returned by PushAnswers
 
+	evacuations Evacuations
+
 	packedLoads []byte
 	loadsAt     time.Duration
 	loadsValid  bool
@@ -64,6 +66,8 @@
 type process struct {
 	Announcement
 	lastHeard time.Duration
+	// evacuations is the revision of the evacuations that the process has confirmed.
+	evacuations uint64
 }
 
 // confirms reports whether the process is known with the target of an announcement that leaves it out.
@@ -92,7 +96,7 @@
 		}
 		return false
 	}
-	if p == nil {
+	if p == nil || p.Process != a.Process {
 		p = &process{}
 		r.processes[from] = p
 	}
@@ -103,20 +107,67 @@
 	t := *a.Target
 	t.Relay = from
 	p.TargetDigest = t.AnnouncedDigest(a.Process)
-	old, known := r.targets.byRelay[from]
+	return r.listTarget(t)
+}
+
+// listTarget puts an announced target on the list. It reports whether the list has changed.
+func (r *Registry) listTarget(announced Target) bool {
+	t := r.evacuations.listed(announced)
+	old, known := r.targets.byRelay[t.Relay]
 	if known && old == t {
 		return false
 	}
 	r.targets.put(t)
-	delete(r.removals, from)
-	r.addChange(from)
+	delete(r.removals, t.Relay)
+	r.addChange(t.Relay)
 	old.State, old.Cold = t.State, t.Cold
 	if !known || old != t {
-		r.renewedAt[from] = r.seq
+		r.renewedAt[t.Relay] = r.seq
 	}
 	return true
 }
 
+// SetEvacuations puts evacuations in force, unless they are not newer than those that are. It reports whether the list
+// of targets has changed.
+func (r *Registry) SetEvacuations(e Evacuations) bool {
+	if e.Revision <= r.evacuations.Revision {
+		return false
+	}
+	r.evacuations = e
+	changed := false
+	for _, relay := range slices.Clone(r.targets.relays()) {
+		if p := r.processes[relay]; p != nil && p.Target != nil {
+			t := *p.Target
+			t.Relay = relay
+			changed = r.listTarget(t) || changed
+		}
+	}
+	return changed
+}
+
+// Evacuations returns the evacuations in force.
+func (r *Registry) Evacuations() *Evacuations { return &r.evacuations }
+
+// ConfirmEvacuations records that a process has evacuations in force.
+func (r *Registry) ConfirmEvacuations(from hop.IP, held *EvacuationsHeld) {
+	if p := r.processes[from]; p != nil && p.Process == held.Process {
+		p.evacuations = max(p.evacuations, held.Revision)
+	}
+}
+
+// LacksEvacuations reports whether a process understands evacuations and has not confirmed the newest ones.
+func (r *Registry) LacksEvacuations(ip hop.IP) bool {
+	p := r.processes[ip]
+	return p != nil && LevelOf(p.Process) >= LevelEvacuation && p.evacuations < r.evacuations.Revision
+}
+
+// ProcessesWithoutEvacuations returns the addresses of the processes for which LacksEvacuations is true, sorted.
+func (r *Registry) ProcessesWithoutEvacuations() []hop.IP {
+	return r.nodes(func(p *process) bool {
+		return LevelOf(p.Process) >= LevelEvacuation && p.evacuations < r.evacuations.Revision
+	})
+}
+
 func (r *Registry) removeTarget(now time.Duration, relay hop.IP) bool {
 	if !r.targets.remove(relay) {
 		return false
@@ -201,6 +252,18 @@
 	return names
 }
 
+// ProcessesBelow returns the names of the processes whose protocol level is below the given one, sorted.
+func (r *Registry) ProcessesBelow(level uint8) []string {
+	var names []string
+	for _, p := range r.processes {
+		if LevelOf(p.Process) < level {
+			names = append(names, p.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Len returns the number of targets.
 func (r *Registry) Len() int { return len(r.targets.byRelay) }
 
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -52,6 +52,7 @@
 	lostCheckedAt time.Duration
 	lostCheckDue  bool
 	source        transferSource
+	evacuations   Evacuations
 
 	Stats ViewStats
 }
@@ -179,6 +180,16 @@
 	}
 }
 
+// SetEvacuations puts evacuations in force, unless they are not newer than those that are.
+func (v *View) SetEvacuations(e Evacuations) {
+	if e.Revision > v.evacuations.Revision {
+		v.evacuations = e
+	}
+}
+
+// Evacuated reports whether the zone of a target is evacuated.
+func (v *View) Evacuated(k *KnownTarget) bool { return v.evacuations.Includes(k.Zone) }
+
 // Get returns the target beside a relay, or nil.
 func (v *View) Get(relay hop.IP) *KnownTarget { return v.targets[relay] }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -58,6 +58,8 @@
 	HealthPath string
 	// MaxFlows is the highest number of flows of one target.
 	MaxFlows int
+	// ColdPerSecond is the number of requests a second that a target bears while it is cold; zero if not given.
+	ColdPerSecond float64
 }
 
 // Document is a whole configuration.
@@ -82,6 +84,9 @@
 		if services[s.Name] {
 			return invalid("service %q appears twice", s.Name)
 		}
+		if s.ColdPerSecond < 0 {
+			return invalid("service %q gives cold targets %g requests a second, want 0 or more", s.Name, s.ColdPerSecond)
+		}
 		services[s.Name] = true
 	}
 	addresses := map[netip.AddrPort]string{}
--- a/internal/targetpicker/targetpicker.go
+++ b/internal/targetpicker/targetpicker.go
@@ -117,7 +117,7 @@
 func (p *Picker) Candidates(now time.Duration, view *roster.View, service routing.ServiceID, flow uint64, tried []hop.IP, out []hop.IP) []hop.IP {
 	p.scored = p.scored[:0]
 	for _, k := range p.Ranking(view, service, flow) {
-		if !offerable(k) || slices.Contains(tried, k.Relay) {
+		if !offerable(k) || view.Evacuated(k) || slices.Contains(tried, k.Relay) {
 			continue
 		}
 		p.scored = append(p.scored, scoredTarget{relay: k.Relay, score: p.score(now, k)})
