--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -31,6 +32,8 @@
 // options are the flags of all commands.
 type options struct {
 	binary, dir string
+	repository  string
+	production  string // daemon of the production build, built if a plan needs it
 	keep        bool
 	out         io.Writer
 }
@@ -40,9 +43,11 @@
 	root := &cobra.Command{Use: "soak", Short: "Play faults against the real processes", SilenceUsage: true, SilenceErrors: true}
 	root.PersistentFlags().StringVar(&o.binary, "binary", "bin/greengagelockd", "the daemon")
 	root.PersistentFlags().StringVar(&o.dir, "dir", "soak-out", "folder for plans, logs and results of runs that broke a promise")
+	root.PersistentFlags().StringVar(&o.repository, "repository", ".", "checkout whose history holds the production build")
 	root.PersistentFlags().BoolVar(&o.keep, "keep", false, "keep the folders of all runs")
 	var first uint64
 	var seeds, parallel, length int
+	var upgrade bool
 	runCommand := &cobra.Command{
 		Use:   "run",
 		Short: "Play the plans that are drawn from consecutive seeds",
@@ -50,8 +55,12 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			o.out = c.OutOrStdout()
 			var plans []*soak.Plan
+			draw := soak.NewPlan
+			if upgrade {
+				draw = soak.NewUpgradePlan
+			}
 			for i := range seeds {
-				plans = append(plans, soak.NewPlan(first+uint64(i), length*1000))
+				plans = append(plans, draw(first+uint64(i), length*1000))
 			}
 			return o.play(c.Context(), plans, parallel)
 		},
@@ -59,6 +68,7 @@
 	runCommand.Flags().Uint64Var(&first, "seed", 1, "first seed")
 	runCommand.Flags().IntVar(&seeds, "seeds", 1, "number of seeds")
 	runCommand.Flags().IntVar(&parallel, "parallel", 2, "runs at the same time")
+	runCommand.Flags().BoolVar(&upgrade, "upgrade", false, "begin with the production build and replace it, see deploy/system.toml")
 	runCommand.Flags().IntVar(&length, "length", 20, "seconds with events")
 	replay := &cobra.Command{
 		Use:   "replay FILE",
@@ -83,6 +93,16 @@
 	if err != nil {
 		return errors.Wrap(err, "find the daemon")
 	}
+	if slices.ContainsFunc(plans, func(p *soak.Plan) bool { return p.Production }) {
+		folder, err := os.MkdirTemp("", "soak-production")
+		if err != nil {
+			return errors.Wrap(err, "create a folder for the production build")
+		}
+		defer func() { _ = os.RemoveAll(folder) }()
+		if o.production, err = soak.BuildProduction(ctx, o.repository, folder); err != nil {
+			return err
+		}
+	}
 	limit := make(chan struct{}, max(parallel, 1))
 	var wait sync.WaitGroup
 	var mu sync.Mutex
@@ -118,7 +138,7 @@
 	if err != nil {
 		return false, errors.Wrap(err, "create the folder of the run")
 	}
-	result, err := soak.Run(ctx, soak.Config{Binary: binary, Dir: dir}, plan)
+	result, err := soak.Run(ctx, soak.Config{Binary: binary, Production: o.production, Dir: dir}, plan)
 	if err != nil {
 		return false, err
 	}
@@ -131,8 +151,8 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	fmt.Fprintf(o.out, "seed %d: %d events, %+v, after recovery %d of %d answered, %d violations\n",
-		plan.Seed, len(plan.Events), result.Counts, result.Served, result.Asked, len(result.Violations))
+	fmt.Fprintf(o.out, "seed %d: %d events, %+v, %d evacuations, after recovery %d of %d answered, %d violations\n",
+		plan.Seed, len(plan.Events), result.Counts, result.Evacuations, result.Served, result.Asked, len(result.Violations))
 	for _, v := range result.Violations {
 		fmt.Fprintln(o.out, "  ", v)
 	}
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -68,7 +68,7 @@
 	// Bootstrap is set when the whole system starts for the first time: the controllers at the seeds
 	// form a new log.
 	Bootstrap bool
-	// Zones are the availability zones that operators may evacuate.
+	// Zones are the availability zones that operators may evacuate; any if empty.
 	Zones []string
 	// Check validates a configuration body and returns its version.
 	Check func(body []byte) (uint64, error)
--- a/internal/confstore/evacuation.go
+++ b/internal/confstore/evacuation.go
@@ -84,7 +84,7 @@
 // changes nothing is no error. It fails with ZoneNotFound if the settings name no such zone, and with UpgradePending
 // while a member of the log would not understand the entry.
 func (c *Controller) SetEvacuated(ctx context.Context, zone string, evacuate bool) error {
-	if !slices.Contains(c.cfg.Zones, zone) {
+	if len(c.cfg.Zones) > 0 && !slices.Contains(c.cfg.Zones, zone) {
 		return result.New(result.ZoneNotFound, "availability zone %q is not one of %q", zone, c.cfg.Zones)
 	}
 	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -39,7 +39,7 @@
 	Role Role       `json:"role"`
 	IP   netip.Addr `json:"ip"`
 	Zone string     `json:"zone"` // availability zone
-	// Zones are the availability zones of the deployment, which operators may evacuate; only Zone if empty.
+	// Zones are the availability zones of the deployment, which operators may evacuate. If empty, an order for any zone is accepted.
 	Zones []string `json:"zones"`
 	// Port is the port on which the processes of the system reach each other, the same on all VMs.
 	Port uint16 `json:"port"`
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -53,9 +53,11 @@
 // deployment is a set of processes on a block of loopback addresses.
 type deployment struct {
 	binary, dir string
-	untimed     bool
-	block       *loopback.Block
-	check       *checker
+	// production is the daemon of the production build; empty if the plan needs none.
+	production string
+	untimed    bool
+	block      *loopback.Block
+	check      *checker
 
 	mu        sync.Mutex
 	processes map[string]*program
@@ -75,6 +77,7 @@
 	ending  bool // the end of the process is wanted
 	starts  int
 	since   time.Time // of the last start
+	old     bool      // the next process is of the production build
 
 	restarting sync.Mutex // held during a restart, so that two events do not overlap
 }
@@ -83,11 +86,14 @@
 	return netip.AddrPortFrom(d.block.IP(group, index+1), uint16(port))
 }
 
+// zoneOf returns the availability zone of process number index of a role.
+func zoneOf(index int) string { return fmt.Sprintf("zone-%d", index%zoneCount) }
+
 // add adds a process without starting it.
 func (d *deployment) add(role string, group, index int, settings map[string]any) *program {
 	ip := d.block.IP(group, index+1)
 	p := &program{d: d, name: fmt.Sprintf("%s-%d", role, index), role: role, ip: ip, settings: map[string]any{
-		"name": fmt.Sprintf("%s-%d", role, index), "role": role, "ip": ip.String(), "zone": "z", "port": nodePort, "transport": "plain",
+		"name": fmt.Sprintf("%s-%d", role, index), "role": role, "ip": ip.String(), "zone": zoneOf(index), "port": nodePort, "transport": "plain",
 		"log_level": "info", "metrics_port": metricsPort,
 	}}
 	var seeds []string
@@ -125,7 +131,11 @@
 	if err != nil {
 		return errors.Wrap(err, "open the log")
 	}
-	command := exec.Command(p.d.binary, "node", "--settings", file)
+	binary := p.d.binary
+	if p.old {
+		binary = p.d.production
+	}
+	command := exec.Command(binary, "node", "--settings", file)
 	command.Stdout, command.Stderr = logFile, logFile
 	if err := command.Start(); err != nil {
 		return errors.CombineErrors(errors.Wrapf(err, "start %s", p.name), logFile.Close())
@@ -146,6 +156,20 @@
 	return nil
 }
 
+// setOld chooses the build of the next process.
+func (p *program) setOld(old bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.old = old
+}
+
+// isOld reports whether the process is of the production build.
+func (p *program) isOld() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.old
+}
+
 // runsLongerThan reports whether the process of a start has run for a time and still does.
 func (p *program) runsLongerThan(d time.Duration, start int) bool {
 	p.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,13 @@
 	KillAll       Kind = "kill_all"        // all processes at once
 	CrashTarget   Kind = "crash_target"    // the target ends without notice; another starts after ForMS
 	LosePackets   Kind = "lose_packets"    // a share of Count percent of the callers' packets for ForMS
+	EvacuateZone  Kind = "evacuate_zone"   // planned: zone Index is evacuated for ForMS
+	UpgradeEntry  Kind = "upgrade_entry"   // planned: as TermEntry, and the new process is of the build under test
+	UpgradeRelay  Kind = "upgrade_relay"   // planned, for a relay
+	UpgradeStore  Kind = "upgrade_store"   // planned, for a controller
+	RevertEntry   Kind = "revert_entry"    // planned: as UpgradeEntry, back to the production build
+	RevertRelay   Kind = "revert_relay"    // planned, for a relay
+	RevertStore   Kind = "revert_store"    // planned, for a controller
 )
 
 // Event is an entry of a plan.
@@ -48,7 +55,15 @@
 
 // planned reports whether the event is planned work.
 func (e *Event) planned() bool {
-	return slices.Contains([]Kind{TermEntry, TermRelay, TermStore, DrainTarget, ReplaceConfig}, e.Kind)
+	return slices.Contains([]Kind{
+		TermEntry, TermRelay, TermStore, DrainTarget, ReplaceConfig, EvacuateZone, UpgradeEntry, UpgradeRelay, UpgradeStore,
+		RevertEntry, RevertRelay, RevertStore,
+	}, e.Kind)
+}
+
+// ofStore reports whether the event stops a controller for a time.
+func (e *Event) ofStore() bool {
+	return slices.Contains([]Kind{TermStore, KillStore, WipeStore, PauseStore, UpgradeStore, RevertStore}, e.Kind)
 }
 
 // end returns the time at which the event is over.
@@ -56,9 +71,11 @@
 
 // Plan is the plan of a run.
 type Plan struct {
-	Seed     uint64  `json:"seed"`
-	LengthMS int     `json:"length_ms"` // of the part with events
-	Events   []Event `json:"events"`
+	Seed     uint64 `json:"seed"`
+	LengthMS int    `json:"length_ms"` // of the part with events
+	// Production says that all processes start as the production build.
+	Production bool    `json:"production,omitempty"`
+	Events     []Event `json:"events"`
 }
 
 // Sizes of the deployment.
@@ -68,6 +85,8 @@
 	relayCount = 5
 	// relaysOfX is the number of relays of service x, to which the route leads; the others are of service y.
 	relaysOfX = 3
+	// zoneCount is the number of availability zones, over which the processes are spread in turn.
+	zoneCount = 2
 )
 
 const (
@@ -77,6 +96,8 @@
 	// storeFaultGapMS is the least time between the end of a fault of one controller and the next one. A majority of
 	// three bears one at a time.
 	storeFaultGapMS = 3000
+	// evacuationMS is the length of an evacuation: the bound within which it must be obeyed, and some time to see that it is.
+	evacuationMS = 8000
 )
 
 // NewPlan draws a plan.
@@ -85,7 +106,7 @@
 	p := &Plan{Seed: seed, LengthMS: lengthMS}
 	kinds := []Kind{
 		TermEntry, TermRelay, TermStore, DrainTarget, ReplaceConfig, ReplaceConfig, KillEntry, KillRelay, KillStore, WipeStore,
-		PauseEntry, PauseRelay, PauseStore, KillStores, KillAll, CrashTarget, LosePackets,
+		PauseEntry, PauseRelay, PauseStore, KillStores, KillAll, CrashTarget, LosePackets, EvacuateZone,
 	}
 	for range max(int(float64(lengthMS)/1000*eventsPerSecond), 1) {
 		e := Event{AtMS: r.IntN(lengthMS), Kind: kinds[r.IntN(len(kinds))], ForMS: 200 + r.IntN(maxFaultMS)}
@@ -100,12 +121,64 @@
 			e.Count = 1 + r.IntN(5)
 		case LosePackets:
 			e.Count = 2 + r.IntN(20)
+		case EvacuateZone:
+			e.Index, e.ForMS = r.IntN(zoneCount), evacuationMS
 		}
 		p.Events = append(p.Events, e)
 	}
+	p.order()
+	return p
+}
+
+// upgradeShape is how far an upgrade goes.
+type upgradeShape int
+
+const (
+	upgradeAll    upgradeShape = iota // every process, one after the other
+	upgradeHalf                       // it stops halfway
+	upgradeRevert                     // it stops halfway, and all return to the production build
+	upgradeShapes
+)
+
+// NewUpgradePlan draws a plan in which the processes of the production build are replaced one after the other, in any
+// order, beside the events of NewPlan.
+func NewUpgradePlan(seed uint64, lengthMS int) *Plan {
+	p := NewPlan(seed, lengthMS)
+	p.Production = true
+	r := rand.New(rand.NewPCG(seed, 2))
+	var upgrades []Event
+	for kind, count := range map[Kind]int{UpgradeEntry: entryCount, UpgradeRelay: relayCount, UpgradeStore: storeCount} {
+		for i := range count {
+			upgrades = append(upgrades, Event{Kind: kind, Index: i})
+		}
+	}
+	slices.SortFunc(upgrades, func(a, b Event) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Index, b.Index)) })
+	r.Shuffle(len(upgrades), func(i, j int) { upgrades[i], upgrades[j] = upgrades[j], upgrades[i] })
+	shape := upgradeShape(r.IntN(int(upgradeShapes)))
+	if shape != upgradeAll {
+		upgrades = upgrades[:len(upgrades)/2]
+		// One controller stays, since the log is not taken to a later level before all have been replaced.
+		kept := r.IntN(storeCount)
+		upgrades = slices.DeleteFunc(upgrades, func(e Event) bool { return e.Kind == UpgradeStore && e.Index == kept })
+	}
+	if shape == upgradeRevert {
+		reverted := map[Kind]Kind{UpgradeEntry: RevertEntry, UpgradeRelay: RevertRelay, UpgradeStore: RevertStore}
+		for _, e := range slices.Clone(upgrades) {
+			upgrades = append(upgrades, Event{Kind: reverted[e.Kind], Index: e.Index})
+		}
+	}
+	for i := range upgrades {
+		upgrades[i].AtMS = lengthMS * i / len(upgrades)
+	}
+	p.Events = append(p.Events, upgrades...)
+	p.order()
+	return p
+}
+
+// order sorts the events by time, with enough time between faults of controllers.
+func (p *Plan) order() {
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	p.separateStoreFaults()
-	return p
 }
 
 // separateStoreFaults delays faults of controllers that would take away a majority.
@@ -113,7 +186,7 @@
 	free := 0
 	for i := range p.Events {
 		e := &p.Events[i]
-		if !slices.Contains([]Kind{TermStore, KillStore, WipeStore, PauseStore}, e.Kind) {
+		if !e.ofStore() {
 			continue
 		}
 		e.AtMS = max(e.AtMS, free)
@@ -137,6 +210,8 @@
 			TermEntry: entryCount, KillEntry: entryCount, PauseEntry: entryCount, TermRelay: relayCount, KillRelay: relayCount,
 			PauseRelay: relayCount, DrainTarget: relayCount, CrashTarget: relayCount, TermStore: storeCount, KillStore: storeCount,
 			WipeStore: storeCount, PauseStore: storeCount, ReplaceConfig: 1, KillStores: 1, KillAll: 1, LosePackets: 1,
+			EvacuateZone: zoneCount, UpgradeEntry: entryCount, RevertEntry: entryCount, UpgradeRelay: relayCount,
+			RevertRelay: relayCount, UpgradeStore: storeCount, RevertStore: storeCount,
 		}[e.Kind]
 		if e.Index < 0 || e.Index >= limit || e.AtMS < 0 || e.ForMS < 0 {
 			return nil, errors.Newf("event %d of %s is invalid: %+v", i, file, e)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -43,6 +43,8 @@
 type Config struct {
 	// Binary is the daemon, Dir an existing folder for the plan, settings, logs and the result.
 	Binary, Dir string
+	// Production is the daemon of the production build, which plans of upgrades need.
+	Production string
 	// Untimed leaves out the checks that a slow machine could fail: the bounds of time for configurations, for the end of
 	// a process and for recovery.
 	Untimed bool
@@ -55,6 +57,8 @@
 	// Notes are resets of flows whose target lived, in the time of faults.
 	Notes  []string `json:"notes"`
 	Counts Counts   `json:"counts"`
+	// Evacuations are the evacuations that were acknowledged.
+	Evacuations int `json:"evacuations"`
 	// Asked and Served are the requests after the system had time to recover.
 	Asked  int `json:"asked"`
 	Served int `json:"served"`
@@ -72,6 +76,8 @@
 	router       *router
 	version      atomic.Uint64  // of the newest configuration sent
 	operator     sync.Mutex     // held while a configuration is sent
+	evacuations  atomic.Int64   // that were acknowledged
+	evacuating   sync.Mutex     // held during an evacuation; one zone at a time keeps targets for the callers
 	lastID       atomic.Uint64  // of requests
 	incarnations atomic.Uint64  // numbers the incarnations of targets
 	background   sync.WaitGroup // callers, the observer, and checks of configurations
@@ -102,6 +108,9 @@
 
 // Run plays a plan. Violations are part of the result; an error says that the run could not be made.
 func Run(ctx context.Context, cfg Config, plan *Plan) (*Result, error) {
+	if plan.Production && cfg.Production == "" {
+		return nil, errors.New("the plan needs the daemon of the production build")
+	}
 	if err := plan.Save(filepath.Join(cfg.Dir, "plan.json")); err != nil {
 		return nil, err
 	}
@@ -112,7 +121,7 @@
 	defer func() { _ = block.Close() }()
 	check := newChecker()
 	r := &run{plan: plan, check: check, d: &deployment{
-		binary: cfg.Binary, dir: cfg.Dir, untimed: cfg.Untimed, block: block, check: check, processes: map[string]*program{},
+		binary: cfg.Binary, production: cfg.Production, dir: cfg.Dir, untimed: cfg.Untimed, block: block, check: check, processes: map[string]*program{},
 	}}
 	r.router = &router{run: r}
 	defer r.stopAll()
@@ -125,7 +134,7 @@
 		check.violate("%d of %d requests were answered after the last fault and %v", served, asked, settleTime)
 	}
 	violations, notes, counts := check.result()
-	return &Result{Plan: plan, Violations: violations, Notes: notes, Counts: counts, Asked: asked, Served: served}, ctx.Err()
+	return &Result{Plan: plan, Violations: violations, Notes: notes, Counts: counts, Asked: asked, Served: served, Evacuations: int(r.evacuations.Load())}, ctx.Err()
 }
 
 func (r *run) startAll(ctx context.Context) error {
@@ -151,6 +160,7 @@
 		}))
 	}
 	for _, p := range r.d.processes {
+		p.setOld(r.plan.Production)
 		if err := p.start(); err != nil {
 			return err
 		}
@@ -270,6 +280,14 @@
 		r.restart(r.relays[e.Index], (*program).terminate, func() {})
 	case TermStore:
 		r.restart(r.stores[e.Index], (*program).terminate, func() {})
+	case UpgradeEntry, RevertEntry:
+		r.changeBuild(r.entries[e.Index], e.Kind == RevertEntry)
+	case UpgradeRelay, RevertRelay:
+		r.changeBuild(r.relays[e.Index], e.Kind == RevertRelay)
+	case UpgradeStore, RevertStore:
+		r.changeBuild(r.stores[e.Index], e.Kind == RevertStore)
+	case EvacuateZone:
+		r.evacuate(ctx, e.Index, pause)
 	case KillEntry:
 		r.restart(r.entries[e.Index], (*program).kill, pause)
 	case KillRelay:
@@ -322,6 +340,11 @@
 	}
 }
 
+// changeBuild stops a process as planned and starts one of another build in its place.
+func (r *run) changeBuild(p *program, old bool) {
+	r.restart(p, (*program).terminate, func() { p.setOld(old) })
+}
+
 // restartMany kills processes at the same time and starts others in their place.
 func (r *run) restartMany(programs []*program, between func()) {
 	var all, ended sync.WaitGroup
