Take entry VMs of a cut-off zone out of rotation, and order evacuations from the command line

Change: an entry VM that has heard no relay of another zone for 200 ms probes one in each zone every 100 ms, with a query that answers too. After three rounds without an answer it is not ready, if at least two other zones are silent and its own zone answers; it is ready again with the first answer. Ruled out: answers of controllers as the signal, which a cut of the controllers alone would take away too.

--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -54,6 +54,15 @@
 	ChangedAt uint64
 }
 
+// OrderRequest asks any controller to evacuate an availability zone or to restore it.
+type OrderRequest struct {
+	Zone     string
+	Evacuate bool
+}
+
+// OrderReply is the empty answer to an OrderRequest.
+type OrderReply struct{}
+
 // JoinRequest asks for membership of the controller with the given name.
 type JoinRequest struct {
 	Name  string
@@ -140,6 +149,13 @@
 	return nil
 }
 
+// Order evacuates an availability zone, or restores it.
+func (p *Peer) Order(request *OrderRequest, _ *OrderReply) error {
+	ctx, cancel := p.peer.CallContext(replaceTimeout)
+	defer cancel()
+	return p.c.SetEvacuated(ctx, request.Zone, request.Evacuate)
+}
+
 // Join records a request for membership, which the leader decides on later.
 func (p *Peer) Join(request *JoinRequest, reply *JoinReply) error {
 	if _, err := memberIP(request.Name); err != nil {
@@ -218,3 +234,11 @@
 	defer client.Close()
 	return rpc.Call[Status](ctx, client, peerService+".Status", &StatusRequest{})
 }
+
+// OrderEvacuation asks the controller at an address to evacuate an availability zone, or to restore it.
+func OrderEvacuation(ctx context.Context, address netip.AddrPort, zone string, evacuate bool) error {
+	client := newClient(address.String(), fetchTimeout)
+	defer client.Close()
+	_, err := rpc.Call[OrderReply](ctx, client, peerService+".Order", &OrderRequest{Zone: zone, Evacuate: evacuate})
+	return err
+}
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -14,35 +15,57 @@
 // controller instead of client settings: the controllers of the store know each other.
 func (a *app) storeCommand() *cobra.Command {
 	address := ""
-	command := func(use, short string, show func(*confstore.Status) error) *cobra.Command {
-		c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+	command := func(use, short string, args cobra.PositionalArgs, run func(ctx context.Context, at netip.AddrPort, args []string) error) *cobra.Command {
+		c := &cobra.Command{Use: use, Short: short, Args: args, RunE: func(c *cobra.Command, args []string) error {
 			at, err := netip.ParseAddrPort(address)
 			if err != nil {
 				return usageError{errors.Newf("--controller is %q, want IP:PORT of a controller for its peers", address)}
 			}
-			status, err := confstore.FetchStatus(c.Context(), at)
-			if err != nil {
-				return err
-			}
-			return show(status)
+			return run(c.Context(), at, args)
 		}}
 		c.Flags().StringVar(&address, "controller", "", "address at which a controller listens for its peers, IP:PORT")
 		return c
 	}
-	return commandGroup("store", "Show the configuration store of the datagram path",
-		command("status", "Show the leader, the version and which entry VMs lag behind", func(s *confstore.Status) error {
+	show := func(use, short string, print func(*confstore.Status) error) *cobra.Command {
+		return command(use, short, cobra.NoArgs, func(ctx context.Context, at netip.AddrPort, _ []string) error {
+			status, err := confstore.FetchStatus(ctx, at)
+			if err != nil {
+				return err
+			}
+			return print(status)
+		})
+	}
+	order := func(use, short string, evacuate bool) *cobra.Command {
+		return command(use, short, cobra.ExactArgs(1), func(ctx context.Context, at netip.AddrPort, args []string) error {
+			return confstore.OrderEvacuation(ctx, at, args[0], evacuate)
+		})
+	}
+	return commandGroup("store", "Show the configuration store of the datagram path, and evacuate availability zones",
+		show("status", "Show the leader, the version, builds, evacuated zones and which entry VMs lag behind", func(s *confstore.Status) error {
 			return a.print(s, func(t *table) {
 				t.row("controller", s.Name)
 				t.row("leader", orDash(s.Leader))
 				t.row("version", s.Version)
 				t.row("current", s.Current)
 				t.row("targets", len(s.Targets))
+				t.row("build", orDash(s.Build))
+				t.row("protocol level", s.Level)
+				t.row("level of the log", s.LogLevel)
+				for _, zone := range s.Evacuated {
+					t.row("evacuated", zone)
+				}
+				for _, name := range s.Below {
+					t.row("controller of an earlier build", name)
+				}
+				for _, name := range s.Outdated {
+					t.row("process of an earlier build", name)
+				}
 				for _, name := range s.Behind {
 					t.row("not in force on", name)
 				}
 			})
 		}),
-		command("members", "Show the members", func(s *confstore.Status) error {
+		show("members", "Show the members", func(s *confstore.Status) error {
 			return a.print(s, func(t *table) {
 				t.row("MEMBER", "ADDRESS", "ROLE", "LOG INDEX", "LAST HEARD")
 				for _, m := range s.Members {
@@ -57,7 +80,7 @@
 				}
 			})
 		}),
-		command("targets", "Show the targets that announce themselves", func(s *confstore.Status) error {
+		show("targets", "Show the targets that announce themselves", func(s *confstore.Status) error {
 			return a.print(s, func(t *table) {
 				t.row("TARGET", "RELAY", "ZONE", "STATE", "SLOTS", "COLD")
 				for i := range s.Targets {
@@ -66,5 +89,7 @@
 				}
 			})
 		}),
+		order("evacuate ZONE", "Send no new flows to the targets of an availability zone", true),
+		order("restore ZONE", "Withdraw the evacuation of an availability zone", false),
 	)
 }
--- a/internal/decision/line.go
+++ b/internal/decision/line.go
@@ -40,6 +40,8 @@
 
 // Messages of the lines about state changes. Other packages write them, except LinesLeftOut.
 const (
+	// ZoneReach marks that relays outside the availability zone of an entry VM do not answer any more, or answer again.
+	ZoneReach     = "reach of other availability zones changed"
 	ConfigInForce = "configuration in force"
 	// EvacuationsInForce and EvacuationsCommitted mark new evacuations of availability zones at a process and at a
 	// controller.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,6 +59,7 @@
 type Config struct {
 	Codec packet.Codec
 	Self  hop.IP
+	Zone  string // availability zone
 	// LinkBytesPerSecond is the bandwidth of the VM; zero for no limit.
 	LinkBytesPerSecond float64
 	// Decisions logs the decisions on flows; nil to log none.
@@ -87,6 +88,7 @@
 
 	offerRetries retryPolicy
 	queries      queryBatcher
+	reach        reach
 
 	message    hop.Message // scratch space, as the next two
 	out        []byte
@@ -105,6 +107,7 @@
 //     service may not be known yet.
 //   - HeldDropped: packets dropped from a full or outdated queue. FlowsDropped: flows beyond maxFlows.
 //   - EarlyReplayed: packets of the startup queue that were handled.
+//   - ReachProbes: queries that show whether relays in other availability zones answer.
 //   - LostOwners: flows reset because their relay is lost. Returned: packets that a relay gave back.
 type Stats struct {
 	Packets, Malformed, NoRoute               uint64
@@ -115,6 +118,7 @@
 	Swept, FindsFailed, Resets, Probed        uint64
 	HeldDropped, FlowsDropped, Returned       uint64
 	LostOwners, Questions, EarlyReplayed      uint64
+	ReachProbes                               uint64
 }
 
 // queuedPacket is a packet that arrived before the first configuration and list of targets.
@@ -385,6 +389,7 @@
 		e.Stats.Malformed++
 		return
 	}
+	e.recordReach(now, from)
 	switch m.Kind {
 	case hop.Admitted:
 		e.handleAdmitted(now, from, m)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	p.entry = New(Config{
-		Codec: cfg.Codec, Self: cfg.IP.As4(), LinkBytesPerSecond: cfg.LinkBytesPerSecond, Decisions: p.decisions,
+		Codec: cfg.Codec, Self: cfg.IP.As4(), Zone: cfg.Zone, LinkBytesPerSecond: cfg.LinkBytesPerSecond, Decisions: p.decisions,
 		OnAdmission: func(took time.Duration) { metrics.admission.Observe(took.Seconds()) },
 	}, picker, p)
 	p.timer = time.AfterFunc(time.Hour, p.tick)
@@ -113,6 +113,7 @@
 		p.decisions.Run,
 		lifecycle.WithoutError(p.evictIdle),
 		lifecycle.WithoutError(p.replayStartupQueue),
+		lifecycle.WithoutError(p.checkReach),
 	)
 }
 
@@ -184,6 +185,22 @@
 	}
 }
 
+// checkReach checks whether the availability zone is cut off, and logs when that changes.
+func (p *Process) checkReach(ctx context.Context) {
+	logged := false
+	for ctxtime.Sleep(ctx, ReachInterval) {
+		cutOff := false
+		p.withEntry(func(now time.Duration) {
+			p.entry.CheckReach(now)
+			cutOff = p.entry.CutOff()
+		})
+		if cutOff != logged {
+			p.tel.Logger.Warn().Str("zone", p.cfg.Zone).Bool("cut_off", cutOff).Msg(decision.ZoneReach)
+			logged = cutOff
+		}
+	}
+}
+
 func (p *Process) evictIdle(ctx context.Context) {
 	for ctxtime.Sleep(ctx, evictInterval) {
 		p.mu.Lock()
@@ -237,7 +254,7 @@
 // Ready returns why the fabric should not send packets to this process, or nil if it should.
 func (p *Process) Ready() error {
 	p.mu.Lock()
-	stopping, ready := p.stopping, p.entry.ready
+	stopping, ready, cutOff := p.stopping, p.entry.ready, p.entry.CutOff()
 	p.mu.Unlock()
 	switch {
 	case stopping:
@@ -246,6 +263,8 @@
 		return result.New(result.StaleGeneration, "the newest configuration is not in force")
 	case !ready:
 		return result.New(result.NoTarget, "no list of targets has arrived yet")
+	case cutOff:
+		return result.New(result.NoTarget, "no relay outside of availability zone %s answers", p.cfg.Zone)
 	}
 	return nil
 }
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -206,6 +207,11 @@
 	}
 }
 
+// All returns all targets in the order of their relays, lost ones included.
+func (v *View) All() []*KnownTarget {
+	return slices.SortedFunc(maps.Values(v.targets), func(a, b *KnownTarget) int { return compareIPs(a.Relay, b.Relay) })
+}
+
 // Targets returns the targets of a service, lost ones included. The result must not be changed.
 func (v *View) Targets(service routing.ServiceID) []*KnownTarget {
 	if v.services == nil {
