--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,6 +78,10 @@
 	Stats  Stats
 
 	table          *routing.Table
+	lastCheck      time.Duration // last call of CheckReach
+	resumedAt      time.Duration // end of the last pause of the process
+	refreshing     bool          // no controller has answered since resumedAt
+	newestVersion  uint64        // version of the newest configuration that a controller has named
 	firstTargetsAt time.Duration // negative before the first list of targets
 	ready          bool
 	startupQueue   []queuedPacket
@@ -206,13 +210,33 @@
 		e.Stats.Malformed++
 		return
 	}
-	if !e.checkReady(now) {
+	if !e.checkReady(now) || (v.IsSYN() && e.refreshesAfterPause(now)) {
 		e.queueUntilReady(now, raw)
 		return
 	}
 	e.dispatch(now, &v, raw)
 }
 
+// refreshesAfterPause reports whether the process has slept for longer than its list and configuration are good for, and
+// waits for a controller to confirm them. Targets may have drained, zones may be evacuated, and routes may lead elsewhere
+// by now. It waits for startupQueueTimeout at most, since all controllers may be off.
+func (e *Entry) refreshesAfterPause(now time.Duration) bool {
+	if e.lastCheck > 0 && now-e.lastCheck > roster.Lease {
+		e.refreshing, e.resumedAt, e.lastCheck = true, now, now
+	}
+	if e.refreshing && (now-e.resumedAt >= startupQueueTimeout || (e.View.AnsweredSince(e.resumedAt) && e.Version() >= e.newestVersion)) {
+		e.refreshing = false
+	}
+	return e.refreshing
+}
+
+// HandleAnswer handles an answer of a controller. It returns the controllers to announce to at once.
+func (e *Entry) HandleAnswer(now time.Duration, from hop.IP, a *roster.Answer) (announceTo []hop.IP) {
+	e.refreshesAfterPause(now)
+	e.newestVersion = max(e.newestVersion, a.Version)
+	return e.View.HandleAnswer(now, from, a)
+}
+
 // checkReady reports whether packets can be handled: a configuration is in force, and a list of targets has arrived
 // that lacks no running relay, or any list at least startupDelay ago.
 func (e *Entry) checkReady(now time.Duration) bool {
@@ -238,7 +262,7 @@
 // ReplayStartupQueue handles the queued packets once the entry VM is ready. It returns true if it has to be
 // called again.
 func (e *Entry) ReplayStartupQueue(now time.Duration) bool {
-	if !e.checkReady(now) {
+	if !e.checkReady(now) || e.refreshesAfterPause(now) {
 		return true
 	}
 	queue := e.startupQueue
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -150,7 +150,7 @@
 func (p *Process) fromController(from hop.IP, a *roster.Answer) {
 	p.controllers.HandleAnswer(from, a)
 	var announceTo []hop.IP
-	p.withEntry(func(now time.Duration) { announceTo = p.entry.View.HandleAnswer(now, from, a) })
+	p.withEntry(func(now time.Duration) { announceTo = p.entry.HandleAnswer(now, from, a) })
 	p.controllers.AnnounceTo(announceTo)
 }
 
@@ -177,11 +177,16 @@
 	p.armTimer(p.entry.Tick(p.now()))
 }
 
-// replayStartupQueue polls until the Entry has handled its startup queue.
+// replayStartupQueue polls until the Entry has handled its startup queue, at the start and after each pause of the process.
 func (p *Process) replayStartupQueue(ctx context.Context) {
-	waiting := true
-	for waiting && ctxtime.Sleep(ctx, startupPollInterval) {
-		p.withEntry(func(now time.Duration) { waiting = p.entry.ReplayStartupQueue(now) })
+	pause := startupPollInterval
+	for ctxtime.Sleep(ctx, pause) {
+		p.withEntry(func(now time.Duration) {
+			pause = ReachInterval
+			if p.entry.ReplayStartupQueue(now) {
+				pause = startupPollInterval
+			}
+		})
 	}
 }
 
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -56,6 +56,8 @@
 
 // CheckReach probes relays in other zones if none has been heard for quietTime. It is called every ReachInterval.
 func (e *Entry) CheckReach(now time.Duration) {
+	e.refreshesAfterPause(now)
+	e.lastCheck = now
 	r := &e.reach
 	if !r.everOutside || now-r.heardOutside < quietTime {
 		return
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -39,6 +39,9 @@
 	settingsCheckInterval = 5 * time.Second
 	// httpTimeout bounds reading an HTTP request, writing the response, and an idle connection.
 	httpTimeout = 5 * time.Second
+	// httpStopTimeout bounds the time in which a stopping process answers the HTTP requests that it has accepted. An edit
+	// takes at most 0.9 s.
+	httpStopTimeout = time.Second
 	// gcPercent is below Go's default of 100, which saves memory at the cost of processor time. All roles
 	// use little processor time.
 	gcPercent = 50
@@ -214,12 +217,19 @@
 	return nil
 }
 
-// run serves requests until ctx is done.
+// run serves requests until ctx is done, and then answers those that it has accepted.
 func (s *server) run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
-	defer stop()
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(s.listener) }()
+	select {
+	case err := <-served:
 		return err
+	case <-ctx.Done():
+	}
+	finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpStopTimeout)
+	defer cancel()
+	if err := s.http.Shutdown(finish); err != nil {
+		_ = s.http.Close() // callers that do not read their answer
 	}
 	return nil
 }
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -210,6 +210,10 @@
 		}
 		f.state = closed
 		r.endRequest(now, f)
+	case f.state == accepted, f.state == halfOpen && f.reusedPort:
+		// A target sends nothing else before the caller has completed the handshake, so this is a late packet of an
+		// earlier flow from the same port.
+		return false
 	}
 	if v.DataBytes > 0 {
 		if f.hasRequest && !f.foundNoSlot {
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -139,6 +139,7 @@
 	p.withLock(func(time.Duration) { p.relay.Stop() })
 	p.controllers.Announce()
 	ctxtime.Sleep(ctx, p.cfg.Linger)
+	p.withLock(p.relay.DispatchAll)
 	p.markTargetGone()
 	p.controllers.Announce()
 }
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -151,6 +151,13 @@
 	}
 }
 
+// DispatchAll hands all queued requests to the target, because the process ends and nobody else has them.
+func (r *Relay) DispatchAll(now time.Duration) {
+	for len(r.queue) > 0 {
+		r.dispatch(now, r.queue[0])
+	}
+}
+
 // dequeue removes a request from the queue.
 func (r *Relay) dequeue(w *queuedRequest) {
 	w.flow.queued = nil
--- a/internal/relay/queue_test.go
+++ b/internal/relay/queue_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/roster"
 )
 
 // recordingPorts records the packets sent to the target.
@@ -121,3 +122,38 @@
 	g.Expect(q.queue).To(BeEmpty())
 	g.Expect(q.busyRequests(time.Second)).To(BeZero())
 }
+
+// Guards against requests that wait at a relay when it stops as planned: nobody else has them, and their callers would
+// wait until they send them again.
+func TestQueuedRequestsAreHandedOverAtTheStop(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueueFixture(4)
+	for n, name := range []string{"a", "b", "c", "d"} {
+		q.sendRequest(0, n, name)
+	}
+	g.Expect(q.port.toTarget).To(Equal([]string{"a", "b"}))
+	q.Stop()
+	q.DispatchAll(time.Second)
+	g.Expect(q.port.toTarget).To(Equal([]string{"a", "b", "c", "d"}))
+}
+
+// Guards against a second copy of an answer that a target sends late, on an earlier flow, and that would reach the caller
+// on a new flow from the same port.
+func TestLateAnswerOfAnEarlierFlowIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueueFixture(1)
+	earlier := q.flows[keyOf(0)]
+	answer := &packet.View{Flags: packet.ACK, DataBytes: 10}
+	g.Expect(q.observeTargetPacket(0, earlier, answer)).To(BeTrue())
+
+	q.target.State = roster.Ready
+	syn := &packet.View{Flags: packet.SYN, Seq: 5000, Source: keyOf(0).Caller}
+	q.handleSYN(time.Second, &hop.Message{Kind: hop.Forward, Service: uint64(service)}, syn)
+	later := q.flows[keyOf(0)]
+	g.Expect(later).NotTo(BeIdenticalTo(earlier))
+	g.Expect(q.observeTargetPacket(time.Second, later, answer)).To(BeFalse(), "before the SYN-ACK")
+	g.Expect(q.observeTargetPacket(time.Second, later, &packet.View{Flags: packet.SYN | packet.ACK, Seq: 9})).To(BeTrue())
+	g.Expect(q.observeTargetPacket(time.Second, later, answer)).To(BeFalse(), "before the caller's next packet")
+	q.send(time.Second, 0, "request", packet.View{Seq: 5001, Ack: 10, DataBytes: 10})
+	g.Expect(q.observeTargetPacket(time.Second, later, answer)).To(BeTrue())
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -145,6 +145,7 @@
 	state        flowState
 	hasRequest   bool // a request is in progress or queued
 	callerDone   bool // the caller has sent FIN or RST
+	reusedPort   bool // an earlier flow from the same port was known when this one began
 	callerISN    uint32
 	targetISN    uint32
 	nextSeq      uint32 // sequence number after the caller's last data byte seen
@@ -242,6 +243,7 @@
 	delete(r.returnedFlows, key)
 	r.flows[key] = &flow{
 		state: halfOpen, callerISN: v.Seq, nextSeq: v.Seq + 1, entry: m.Entry, createdAt: now, lastSeen: now,
+		reusedPort: f != nil,
 	}
 	r.sendToTarget(now, m, true)
 }
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -26,6 +26,7 @@
 type Registry struct {
 	run       uint64
 	processes map[hop.IP]*process
+	ended     map[hop.IP]uint64 // instance ID of the relay process that has signed off last
 	targets   targetSet
 	seq       uint64                   // number of the newest change
 	changedAt map[hop.IP]uint64        // number of the last change of each relay's target
@@ -78,7 +79,7 @@
 // NewRegistry returns an empty registry. run is a random number other than zero that identifies the controller process.
 func NewRegistry(run uint64) *Registry {
 	return &Registry{
-		run: run, processes: map[hop.IP]*process{}, targets: newTargetSet(),
+		run: run, processes: map[hop.IP]*process{}, ended: map[hop.IP]uint64{}, targets: newTargetSet(),
 		changedAt: map[hop.IP]uint64{}, renewedAt: map[hop.IP]uint64{}, removals: map[hop.IP]time.Duration{},
 	}
 }
@@ -87,8 +88,12 @@
 func (r *Registry) RecordAnnouncement(now time.Duration, from hop.IP, a *Announcement) bool {
 	if a.Gone {
 		delete(r.processes, from)
+		r.ended[from] = a.Process
 		return r.removeTarget(now, from)
 	}
+	if id, ended := r.ended[from]; ended && id == a.Process && a.Process != 0 {
+		return false // sent before the process signed off, and late
+	}
 	p := r.processes[from]
 	if a.Role == RoleRelay && a.Target == nil {
 		if p.confirms(a) {
@@ -100,6 +105,7 @@
 		p = &process{}
 		r.processes[from] = p
 	}
+	delete(r.ended, from)
 	p.Announcement, p.lastHeard = *a, now
 	if a.Target == nil {
 		return r.removeTarget(now, from)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -401,3 +401,18 @@
 		}
 	})
 }
+
+// Guards against a target that has left and is in use again, because an announcement from before arrives late.
+func TestLateAnnouncementDoesNotBringATargetBack(t *testing.T) {
+	g := NewWithT(t)
+	r, target := NewRegistry(1), testTarget("a", Ready)
+	announce := func(process uint64, gone bool) {
+		r.RecordAnnouncement(0, relayIP(0), &Announcement{Role: RoleRelay, Target: &target, Process: process, Gone: gone})
+	}
+	announce(7, false)
+	announce(7, true)
+	announce(7, false)
+	g.Expect(r.Len()).To(BeZero())
+	announce(8, false)
+	g.Expect(r.Len()).To(Equal(1), "the next process of the relay")
+}
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -256,6 +256,16 @@
 	return age
 }
 
+// AnsweredSince reports whether a controller has answered at or after a time.
+func (v *View) AnsweredSince(at time.Duration) bool {
+	for _, l := range v.lists {
+		if l.lastHeard >= at {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of targets, lost ones included.
 func (v *View) Len() int { return len(v.targets) }
 
