--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,7 +181,7 @@
 	return &Entry{
 		cfg: cfg, ports: ports, picker: picker, View: roster.NewView(cfg.Self),
 		flows: map[packet.Key]*flow{}, nextDue: -1, firstTargetsAt: -1,
-		offerRetries: retryPolicy{retryBudget: retryBurst}, queries: newQueryBatcher(cfg.LinkBytesPerSecond),
+		reach: reach{zones: map[string]*zoneReach{}}, offerRetries: retryPolicy{retryBudget: retryBurst}, queries: newQueryBatcher(cfg.LinkBytesPerSecond),
 	}
 }
 
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -3,45 +3,57 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/roster"
 )
 
-// An entry VM whose availability zone is cut off admits flows for the targets of its own zone only, and its packets for
-// flows of all other targets are lost. Callers are better off with the entry VMs of other zones, so it reports itself as
-// not ready. It concludes that from relays: those of its own zone answer, and those of at least two other zones do not.
-// The loss of one other zone never looks like that, and that of several is beyond what deployments are built for.
+// Relays answer queries, so that a zone whose relays run and do not answer is out of reach: it is cut off, or nothing gets
+// out of it. Two conclusions follow.
+//
+// An entry VM that reaches no other zone, while relays of its own answer, is not ready. It could admit flows for its own
+// zone only, and would lose the packets of all others; callers are better off with the entry VMs of other zones. The loss
+// of one other zone does not look like that, and that of several is beyond what deployments are built for.
+//
+// New flows are offered to targets in a silent zone after all others: if packets get in but not out, the target accepts a
+// flow and its caller never hears of it.
 
 const (
 	// ReachInterval is the time between two calls of CheckReach.
 	ReachInterval = 100 * time.Millisecond
-	// quietTime is the time without a datagram from outside the zone after which relays there are probed.
+	// quietTime is the time without a datagram from a zone after which a relay there is probed in every round.
 	quietTime = 200 * time.Millisecond
-	// cutOffRounds is the number of rounds of probes without an answer after which the zone counts as cut off. Each round
-	// probes a relay in every other zone, so that lost datagrams do not look like a cut.
-	cutOffRounds = 3
-	// minOtherZones is the number of other zones that must be silent.
+	// silentRounds is the number of rounds of probes without an answer after which a zone counts as silent, so that a few
+	// lost datagrams do not look like a cut.
+	silentRounds = 3
+	// minOtherZones is the number of other zones that must be silent for this one to count as cut off.
 	minOtherZones = 2
 )
 
-// reach tracks whether relays in other availability zones answer.
+// reach tracks which availability zones answer.
 type reach struct {
-	heardOutside time.Duration // last datagram of a relay in another zone
-	heardInside  time.Duration // last datagram of a relay in the own zone
-	everOutside  bool
-	rounds       int // of probes since heardOutside
-	firstRound   time.Duration
-	next         int // rotates the probed relays
-	cutOff       bool
+	zones  map[string]*zoneReach // those that were heard once
+	rounds uint64                // rotates the probed relays
+	cutOff bool
+}
+
+// zoneReach is what is known of a zone.
+type zoneReach struct {
+	heard  time.Duration // last datagram of a relay there
+	rounds int           // of probes since then
 }
 
+func (z *zoneReach) silent() bool { return z != nil && z.rounds > silentRounds }
+
 // record records a datagram from a relay in a zone.
-func (r *reach) record(now time.Duration, inside bool) {
-	if inside {
-		r.heardInside = now
-		return
+func (r *reach) record(now time.Duration, zone string) {
+	z := r.zones[zone]
+	if z == nil {
+		z = &zoneReach{}
+		r.zones[zone] = z
 	}
-	r.heardOutside, r.everOutside, r.rounds, r.cutOff = now, true, 0, false
+	*z = zoneReach{heard: now}
 }
 
 // CutOff reports whether no relay outside the availability zone answers, while those inside do.
@@ -50,54 +62,67 @@
 // recordReach records where a datagram came from.
 func (e *Entry) recordReach(now time.Duration, from hop.IP) {
 	if k := e.View.Get(from); k != nil {
-		e.reach.record(now, k.Zone == e.cfg.Zone)
+		e.reach.record(now, k.Zone)
+		e.reach.cutOff = e.reach.cutOff && k.Zone == e.cfg.Zone
 	}
 }
 
-// CheckReach probes relays in other zones if none has been heard for quietTime. It is called every ReachInterval.
+// CheckReach probes a relay in each zone that was not heard for quietTime. It is called every ReachInterval.
 func (e *Entry) CheckReach(now time.Duration) {
 	e.refreshesAfterPause(now)
 	e.lastCheck = now
 	r := &e.reach
-	if !r.everOutside || now-r.heardOutside < quietTime {
-		return
-	}
-	inside, outside := e.relaysByZone()
-	if len(outside) < minOtherZones {
-		r.cutOff = false
-		return
-	}
-	if r.rounds == 0 {
-		r.firstRound = now
-	}
-	if r.rounds >= cutOffRounds && len(inside) > 0 && r.heardInside > r.firstRound {
-		r.cutOff = true
-	}
 	r.rounds++
-	r.next++
-	for _, relays := range append(outside, inside) {
-		if len(relays) > 0 {
-			e.Stats.ReachProbes++
-			// A query for no flow; its reply shows that the relay is reached and that it reaches this VM.
-			e.sendMessage(relays[r.next%len(relays)], &hop.Message{Kind: hop.OwnerQuery})
+	relays := map[string]hop.IP{}
+	silent, answering, insideAnswers := 0, 0, false
+	for zone, z := range r.zones {
+		if now-z.heard < quietTime {
+			insideAnswers = insideAnswers || zone == e.cfg.Zone
+			answering++
+			continue
 		}
+		if len(relays) == 0 {
+			relays = e.relayOfEachZone()
+		}
+		relay, runs := relays[zone]
+		if !runs {
+			z.rounds = 0
+			continue
+		}
+		z.rounds++
+		if z.silent() {
+			silent++
+			e.suspectZone(now, zone)
+		} else {
+			answering++
+		}
+		e.Stats.ReachProbes++
+		// A query for no flow; its reply shows that the relay is reached and that it reaches this VM.
+		e.sendMessage(relay, &hop.Message{Kind: hop.OwnerQuery})
 	}
+	r.cutOff = insideAnswers && answering == 1 && silent >= minOtherZones
 }
 
-// relaysByZone returns the relays of the own zone and those of each other zone whose relays run.
-func (e *Entry) relaysByZone() (inside []hop.IP, outside [][]hop.IP) {
-	zones := map[string]int{}
-	for _, k := range e.View.All() {
-		switch at, known := zones[k.Zone]; {
-		case k.Lost || k.State == roster.Down:
-		case k.Zone == e.cfg.Zone:
-			inside = append(inside, k.Relay)
-		case known:
-			outside[at] = append(outside[at], k.Relay)
-		default:
-			zones[k.Zone] = len(outside)
-			outside = append(outside, []hop.IP{k.Relay})
+// relayOfEachZone returns a running relay of each zone, usually another one in each round.
+func (e *Entry) relayOfEachZone() map[string]hop.IP {
+	chosen, ranks := map[string]hop.IP{}, map[string]uint64{}
+	e.View.Each(func(k *roster.KnownTarget) {
+		if k.Lost || k.State == roster.Down {
+			return
 		}
-	}
-	return inside, outside
+		rank := xxhash.Sum64(append(k.Relay[:], byte(e.reach.rounds)))
+		if _, known := chosen[k.Zone]; !known || rank > ranks[k.Zone] {
+			chosen[k.Zone], ranks[k.Zone] = k.Relay, rank
+		}
+	})
+	return chosen
+}
+
+// suspectZone makes the targets of a zone the last choice for new flows.
+func (e *Entry) suspectZone(now time.Duration, zone string) {
+	e.View.Each(func(k *roster.KnownTarget) {
+		if k.Zone == zone {
+			e.picker.Suspect(now, k.Relay)
+		}
+	})
 }
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -53,7 +53,9 @@
 	for i := range answers {
 		z.entry.View.HandleAnswer(0, hop.IP{10, 0, 3, 1}, &answers[i])
 	}
-	z.entry.FromNode(0, hop.IP{10, 1, 1, 0}, (&hop.Message{Kind: hop.OwnerReply}).Append(nil))
+	for zone := range byte(4) {
+		z.entry.FromNode(0, hop.IP{10, zone, 1, 0}, (&hop.Message{Kind: hop.OwnerReply}).Append(nil))
+	}
 	return z
 }
 
@@ -96,3 +98,38 @@
 		g.Expect(z.cutOffAfter(5*time.Second)).To(BeNumerically("<", 0), name)
 	}
 }
+
+// Guards against new flows that go to a zone which nothing gets out of: its targets accept them, and their callers never
+// hear of it.
+func TestSilentZoneGetsNewFlowsLast(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(60, 1, 9)
+	for i, v := range w.targets {
+		v.zone = []string{"zone", "east", "west"}[i%3]
+	}
+	w.run(2 * rosterInterval)
+	for range 30 {
+		w.openFlow()
+	}
+	w.run(2 * time.Second)
+	for _, v := range w.targets {
+		v.mute = v.zone == "east"
+	}
+	w.run(time.Second) // without new flows, so that no offer shows it
+	before := 0
+	for _, v := range w.targets {
+		if v.mute {
+			before += v.acceptedSYNs
+		}
+	}
+	for range 100 {
+		w.openFlow()
+		w.run(10 * time.Millisecond)
+	}
+	for _, v := range w.targets {
+		if v.mute {
+			before -= v.acceptedSYNs
+		}
+	}
+	g.Expect(-before).To(BeZero(), "flows that targets in the silent zone accepted")
+}
--- a/internal/entry/target_test.go
+++ b/internal/entry/target_test.go
@@ -18,6 +18,8 @@
 	relay          *relay.Relay
 	partitioned    bool // the relay reaches no other process
 	unlisted       bool // the controllers do not list the relay
+	zone           string
+	mute           bool // datagrams of the relay to other zones are lost
 	hung           bool // the relay receives no datagrams of other processes
 	alive          bool
 	draining       bool
@@ -108,7 +110,12 @@
 	t.flows = nil
 }
 
-func (t *targetVM) ToNode(to hop.IP, datagram []byte) { t.w.toNode(t.ip, to, datagram) }
+func (t *targetVM) ToNode(to hop.IP, datagram []byte) {
+	if other := t.w.targetAt(to); t.mute && (other == nil || other.zone != t.zone) {
+		return
+	}
+	t.w.toNode(t.ip, to, datagram)
+}
 
 func (t *targetVM) ToCaller(to packet.Addr, raw []byte) {
 	if !t.partitioned {
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -165,7 +165,7 @@
 }
 
 func (w *world) addTarget(of routing.ServiceID) *targetVM {
-	t := &targetVM{w: w, ip: hop.IP{10, 0, 2, byte(len(w.targets) + 1)}, service: of, alive: true, slots: 2}
+	t := &targetVM{w: w, ip: hop.IP{10, 0, 2, byte(len(w.targets) + 1)}, service: of, alive: true, slots: 2, zone: "zone"}
 	w.targets = append(w.targets, t)
 	t.startRelay()
 	t.startTarget()
@@ -177,7 +177,7 @@
 	var list []roster.Target
 	for _, t := range w.targets {
 		if t.relay != nil && !t.partitioned && !t.unlisted {
-			list = append(list, t.relay.AnnouncedTarget(w.now, "zone"))
+			list = append(list, t.relay.AnnouncedTarget(w.now, t.zone))
 		}
 	}
 	return list
@@ -225,14 +225,26 @@
 }
 
 func (e *entryVM) start() {
+	defer e.checkReach()
 	picker := targetpicker.NewPicker("zone", rand.New(rand.NewPCG(e.w.rand.Uint64(), 2)))
 	e.entry = entry.New(entry.Config{
-		Codec: testCodec{}, Self: e.ip, LinkBytesPerSecond: 650_000, Decisions: e.w.logs.newDecisionLog("entry", e.ip),
+		Codec: testCodec{}, Self: e.ip, Zone: "zone", LinkBytesPerSecond: 650_000, Decisions: e.w.logs.newDecisionLog("entry", e.ip),
 	}, picker, e)
 	e.entry.SetTable(e.w.table)
 	e.replayStartupQueue(e.entry)
 }
 
+// checkReach checks which zones are reached, as long as the process runs.
+func (e *entryVM) checkReach() {
+	of := e.entry
+	e.w.after(entry.ReachInterval, func() {
+		if e.entry == of {
+			e.withEntry(func(n *entry.Entry) { n.CheckReach(e.w.now) })
+			e.checkReach()
+		}
+	})
+}
+
 func (e *entryVM) replayStartupQueue(of *entry.Entry) {
 	if e.entry == of && of.ReplayStartupQueue(e.w.now) {
 		e.w.after(10*time.Millisecond, func() { e.replayStartupQueue(of) })
