--- a/internal/confstore/metrics.go
+++ b/internal/confstore/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/stats"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
 )
 
 // registerMetrics registers gauges that read the state of the controller at each scrape.
@@ -36,9 +37,19 @@
 			defer c.mu.Unlock()
 			return float64(len(c.registry.OutdatedEntries(version)))
 		}},
+		{"log_level", "Protocol level that the replicated log requires of its members.", func() float64 { return float64(c.state.protocolLevel()) }},
+		{"members_below", "Members that have not announced the protocol level of this controller.", func() float64 {
+			return float64(len(c.membersBelow(roster.Level)))
+		}},
+		{"processes_below", "Entry VMs and relays with a lower protocol level than this controller.", func() float64 {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return float64(len(c.registry.ProcessesBelow(roster.Level)))
+		}},
+		{"evacuated_zones", "Evacuated availability zones.", func() float64 { return float64(len(c.state.evacuations().Zones)) }},
 		{"checkpoint_flows", "Flows that relays have reported.", func() float64 { return float64(c.flows.Stats().Flows) }},
 	}
-	var err error
+	err := telemetry.RegisterBuild(r, roster.Level)
 	for _, g := range gauges {
 		opts := prometheus.GaugeOpts{Name: "greengagelock_store_" + g.name, Help: g.help}
 		err = errors.CombineErrors(err, r.Register(prometheus.NewGaugeFunc(opts, g.read)))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/stats"
+	"github.com/greengagelock/greengagelock/internal/telemetry"
 )
 
 // metrics are those besides the counters of Stats.
@@ -28,8 +29,14 @@
 		{"list_age_seconds", "Time since a controller confirmed its list of targets.", func() float64 {
 			return p.entry.View.Age(p.now()).Seconds()
 		}},
+		{"cut_off", "1 while no relay outside the availability zone answers.", func() float64 {
+			if p.entry.CutOff() {
+				return 1
+			}
+			return 0
+		}},
 	}
-	err := r.Register(m.admission)
+	err := errors.CombineErrors(r.Register(m.admission), telemetry.RegisterBuild(r, roster.Level))
 	for _, g := range gauges {
 		err = errors.CombineErrors(err, r.Register(prometheus.NewGaugeFunc(
 			prometheus.GaugeOpts{Name: "greengagelock_entry_" + g.name, Help: g.help},
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -89,7 +89,7 @@
 		Codec: cfg.Codec, Service: routing.ServiceIDOf(cfg.Service), Self: cfg.IP.As4(), Decisions: p.decisions,
 	}, p)
 	p.reporter = checkpoint.NewReporter(p.incarnation)
-	if err := stats.Register(t.Metrics, "greengagelock_relay", p.StatsNow); err != nil {
+	if err := errors.CombineErrors(stats.Register(t.Metrics, "greengagelock_relay", p.StatsNow), telemetry.RegisterBuild(t.Metrics, roster.Level)); err != nil {
 		return nil, err
 	}
 	p.timer = time.AfterFunc(time.Hour, p.onTimer)
--- a/internal/telemetry/build.go
+++ b/internal/telemetry/build.go
@@ -2,7 +2,10 @@
 
 import (
 	"runtime/debug"
+	"strconv"
 	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Build returns the revision that the program was built from, "modified" appended if its files had been changed, or
@@ -29,3 +32,13 @@
 	}
 	return revision + modified
 }
+
+// RegisterBuild registers a gauge whose labels name the build and its protocol level.
+func RegisterBuild(r prometheus.Registerer, level uint8) error {
+	info := prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "greengagelock_build_info", Help: "Always 1; the labels name the build and its protocol level.",
+		ConstLabels: prometheus.Labels{"revision": Build(), "level": strconv.Itoa(int(level))},
+	})
+	info.Set(1)
+	return r.Register(info)
+}
