--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -67,7 +67,8 @@
 	}
 }
 
-// CheckReach probes a relay in each zone that was not heard for quietTime. It is called every ReachInterval.
+// CheckReach probes a relay in each zone that was not heard for quietTime. It is called every ReachInterval, so that a
+// longer time between two calls shows that the process was paused.
 func (e *Entry) CheckReach(now time.Duration) {
 	e.refreshesAfterPause(now)
 	e.lastCheck = now
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -164,14 +164,16 @@
 // LacksEvacuations reports whether a process understands evacuations and has not confirmed the newest ones.
 func (r *Registry) LacksEvacuations(ip hop.IP) bool {
 	p := r.processes[ip]
-	return p != nil && LevelOf(p.Process) >= LevelEvacuation && p.evacuations < r.evacuations.Revision
+	return p != nil && r.lacksEvacuations(p)
+}
+
+func (r *Registry) lacksEvacuations(p *process) bool {
+	return LevelOf(p.Process) >= LevelEvacuation && p.evacuations < r.evacuations.Revision
 }
 
 // ProcessesWithoutEvacuations returns the addresses of the processes for which LacksEvacuations is true, sorted.
 func (r *Registry) ProcessesWithoutEvacuations() []hop.IP {
-	return r.nodes(func(p *process) bool {
-		return LevelOf(p.Process) >= LevelEvacuation && p.evacuations < r.evacuations.Revision
-	})
+	return r.nodes(r.lacksEvacuations)
 }
 
 func (r *Registry) removeTarget(now time.Duration, relay hop.IP) bool {
