Keep entry VMs of a cut-off zone out of rotation without other traffic

Cause, found in the read-through: in each round in which the own zone was probed as well, it did not count as answering, so that an entry VM without other traffic was ready in every third round or so, and the platform took it back. The own zone now counts as long as one reply at most is under way. The test failed at 3.6 s before.

--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -63,7 +63,7 @@
 func (e *Entry) recordReach(now time.Duration, from hop.IP) {
 	if k := e.View.Get(from); k != nil {
 		e.reach.record(now, k.Zone)
-		e.reach.cutOff = e.reach.cutOff && k.Zone == e.cfg.Zone
+		e.reach.cutOff = e.reach.cutOff && k.Zone == e.cfg.Zone // back with the first reply
 	}
 }
 
@@ -74,34 +74,41 @@
 	e.lastCheck = now
 	r := &e.reach
 	r.rounds++
-	relays := map[string]hop.IP{}
+	var relays map[string]hop.IP
 	silent, answering, insideAnswers := 0, 0, false
 	for zone, z := range r.zones {
-		if now-z.heard < quietTime {
-			insideAnswers = insideAnswers || zone == e.cfg.Zone
-			answering++
-			continue
-		}
-		if len(relays) == 0 {
-			relays = e.relayOfEachZone()
-		}
-		relay, runs := relays[zone]
-		if !runs {
-			z.rounds = 0
-			continue
+		runs := true
+		if now-z.heard >= quietTime {
+			if relays == nil {
+				relays = e.relayOfEachZone()
+			}
+			runs = e.probeZone(z, relays[zone])
 		}
-		z.rounds++
-		if z.silent() {
+		switch {
+		case zone == e.cfg.Zone:
+			insideAnswers = runs && z.rounds <= 1 // one reply may be under way
+		case !runs:
+		case z.silent():
 			silent++
 			e.suspectZone(now, zone)
-		} else {
+		default:
 			answering++
 		}
-		e.Stats.ReachProbes++
-		// A query for no flow; its reply shows that the relay is reached and that it reaches this VM.
-		e.sendMessage(relay, &hop.Message{Kind: hop.OwnerQuery})
 	}
-	r.cutOff = insideAnswers && answering == 1 && silent >= minOtherZones
+	r.cutOff = insideAnswers && answering == 0 && silent >= minOtherZones
+}
+
+// probeZone sends a query for no flow to a relay in a quiet zone. Its reply shows that the relay is reached and that it
+// reaches this VM. It returns false if no relay runs there, whose address is then zero.
+func (e *Entry) probeZone(z *zoneReach, relay hop.IP) (runs bool) {
+	if relay == (hop.IP{}) {
+		z.rounds = 0
+		return false
+	}
+	z.rounds++
+	e.Stats.ReachProbes++
+	e.sendMessage(relay, &hop.Message{Kind: hop.OwnerQuery})
+	return true
 }
 
 // relayOfEachZone returns a running relay of each zone, usually another one in each round.
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -80,6 +80,11 @@
 	g.Expect(z.cutOffAfter(3 * time.Second)).To(BeNumerically("<", 0))
 	z.silent = map[byte]bool{1: true, 2: true, 3: true}
 	g.Expect(z.cutOffAfter(3 * time.Second)).To(BeNumerically("<=", 800*time.Millisecond))
+	for range 30 { // without other datagrams than the replies of its own zone
+		z.now += entry.ReachInterval
+		z.entry.CheckReach(z.now)
+		g.Expect(z.entry.CutOff()).To(BeTrue(), "at %v", z.now)
+	}
 	z.silent = map[byte]bool{1: true}
 	g.Expect(z.cutOffAfter(3*time.Second)).To(BeNumerically("<", 0), "it is back with the first reply")
 }
