--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -172,6 +172,10 @@
 	}
 	p.Events = append(p.Events, upgrades...)
 	p.order()
+	if shape == upgradeAll {
+		last := p.Events[len(p.Events)-1].AtMS + storeFaultGapMS
+		p.Events = append(p.Events, Event{AtMS: last, Kind: EvacuateZone, Index: r.IntN(zoneCount), ForMS: evacuationMS})
+	}
 	return p
 }
 
