--- a/internal/soak/evacuation.go
+++ b/internal/soak/evacuation.go
@@ -34,11 +34,11 @@
 	ctxtime.Sleep(ctx, evacuationBound)
 	before := r.openedIn(zone)
 	stable := r.check.isStable()
-	pauseEnd := time.Now()
+	bound := time.Now()
 	pause()
 	if after := r.openedIn(zone); stable && r.check.isStable() && !r.d.untimed && after.differs(before) {
 		r.check.violate("targets in %s got new flows between %v and %v after its evacuation was acknowledged: %v, %v before", zone,
-			pauseEnd.Sub(acknowledged), time.Since(acknowledged), after, before)
+			bound.Sub(acknowledged), time.Since(acknowledged), after, before)
 	}
 	if !r.orderEvacuation(ctx, zone, false, startTimeout) && ctx.Err() == nil {
 		r.check.violate("the end of the evacuation of %s was not acknowledged within %v", zone, startTimeout)
