Acknowledge the end of a target whose relay has restarted

The relay now takes the notice as the first that it hears. Ruled out: an earlier incarnation that sends it (the ID was the current one).

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -198,3 +198,16 @@
 	r.SetEvacuated(false)
 	g.Expect(r.admits(0, offer)).To(BeTrue())
 }
+
+// Guards against a target whose relay has restarted and that leaves before its next heartbeat: its notice was refused, so
+// that it repeated it until it gave up. A target that follows is taken at once, whatever its sequence number.
+func TestNoticeOfTheEndAfterARestartOfTheRelay(t *testing.T) {
+	g := NewWithT(t)
+	r := newRelay()
+	g.Expect(r.Leave(time.Second, "a", 0)).To(Succeed())
+	g.Expect(r.TargetEnded()).To(BeTrue())
+	g.Expect(r.State()).To(Equal(roster.Draining))
+	g.Expect(result.CodeOf(r.Leave(time.Second, "other", 0))).To(Equal(result.StaleGeneration))
+	g.Expect(sendHeartbeat(r, 2*time.Second, "b", 0, 7)).To(Succeed())
+	g.Expect(r.State()).To(Equal(roster.Ready))
+}
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -93,7 +93,7 @@
 
 // isSuperseded reports whether a heartbeat comes from an earlier incarnation than the current one. The start
 // times decide if both are known. Otherwise an incarnation is an earlier one if it is known as such, or if
-// its sequence has not just begun while the current one still sends heartbeats.
+// its sequence has not just begun while the current one, which has not announced its end, still sends heartbeats.
 func (r *Relay) isSuperseded(now time.Duration, h *Heartbeat) bool {
 	t := &r.target
 	if t.ID == "" || (h.ID == t.ID && h.Born == t.Born) {
@@ -102,7 +102,7 @@
 	if h.Born != 0 && t.Born != 0 {
 		return h.Born < t.Born
 	}
-	return r.superseded[h.ID] || (h.Sequence > maxStartSequence && now-t.lastHeartbeat < heartbeatValidity)
+	return r.superseded[h.ID] || (!t.ended && h.Sequence > maxStartSequence && now-t.lastHeartbeat < heartbeatValidity)
 }
 
 // startIncarnation replaces the target by a new incarnation. The flows of the previous one are lost.
@@ -149,8 +149,13 @@
 	r.knowsAllFlows = true
 }
 
-// Leave handles the target's notice that it ends. It returns an error for any but the current incarnation.
+// Leave handles the target's notice that it ends. It returns an error for any but the current incarnation. A relay that
+// has started after the last heartbeat of its target takes the notice as the first that it hears of it.
 func (r *Relay) Leave(now time.Duration, id string, born int64) error {
+	if r.target.ID == "" {
+		r.target = localTarget{firstSeen: now, Target: roster.Target{Service: r.cfg.Service, ID: id, Born: born}}
+		r.comparePreviousTargets()
+	}
 	if id != r.target.ID || born < r.target.Born {
 		return result.New(result.StaleGeneration, "target %q is not the current target of this relay, %q is", id, r.target.ID)
 	}
