--- a/internal/confstore/state.go
+++ b/internal/confstore/state.go
@@ -71,7 +71,7 @@
 	Replace *Content
 	// Members are the names of all members. A controller that starts resolves member IDs with them.
 	Members []string
-	// Evacuate needs roster.LevelEvacuation.
+	// Evacuate is an entry of roster.LevelEvacuation or later.
 	Evacuate *evacuationOrder `cbor:",omitempty"`
 }
 
@@ -79,7 +79,7 @@
 type snapshot struct {
 	Content *Content
 	Members []string
-	// Zones needs roster.LevelEvacuation.
+	// Zones is part of snapshots of roster.LevelEvacuation or later.
 	Zones map[string]zoneRecord `cbor:",omitempty"`
 }
 
