Make the test of accepted calls wait for the stop

It passed with a server that closes its connections at the stop, because the answer could be written first.

--- a/internal/process/server_test.go
+++ b/internal/process/server_test.go
@@ -44,6 +44,13 @@
 	}()
 	<-accepted
 	stop()
+	for { // until the stop is under way
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			break
+		}
+		_ = conn.Close()
+	}
 	close(finish)
 	g.Expect(<-answer).To(Equal("done"))
 	g.Expect(<-ended).To(Succeed())
