--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -186,8 +186,8 @@
 	return kept[:2], nil
 }
 
-// playThree starts three controllers. One loses its disk while the processes of all three are killed; later another one
-// loses its disk. Then the newest acknowledged configuration must be read back.
+// playThree starts three controllers. One loses its disk; while it is off, the processes of the others are killed and start
+// again. Later another one loses its disk. Then the newest acknowledged configuration must be read back.
 func (g *group) playThree(trouble string) error {
 	var seeds []string
 	for range 3 {
@@ -205,7 +205,7 @@
 	}
 	time.Sleep(10 * time.Second)
 	if trouble != noTrouble && trouble != onlyFault {
-		if err := g.killAllAndLoseDisk(g.all[0]); err != nil {
+		if err := g.loseDiskDuringKill(g.all[0]); err != nil {
 			return err
 		}
 		time.Sleep(4 * syncTime)
@@ -224,21 +224,27 @@
 	return nil
 }
 
-// killAllAndLoseDisk kills all processes, takes the disk of one controller, and starts all again within a second.
-func (g *group) killAllAndLoseDisk(lost *controller) error {
-	for _, c := range g.all {
-		g.kill(c)
-		c.first = false
-	}
+// loseDiskDuringKill takes the disk of one controller, which is off for three seconds. Meanwhile the processes of all others
+// are killed, and are back after half a second with their disks.
+func (g *group) loseDiskDuringKill(lost *controller) error {
+	others := g.all[1:]
+	g.kill(lost)
 	if err := os.RemoveAll(g.dataDir(lost)); err != nil {
 		return err
 	}
 	g.rec.log("platform: the disk of %s is lost", lost.name)
+	time.Sleep(time.Second)
+	for _, c := range others {
+		g.kill(c)
+	}
 	time.Sleep(500 * time.Millisecond)
-	for _, c := range g.all {
+	for _, c := range others {
+		c.first = false
 		if err := g.start(c); err != nil {
 			return err
 		}
 	}
-	return nil
+	time.Sleep(1500 * time.Millisecond)
+	lost.first = false
+	return g.start(lost)
 }
