Remove a member by its ID, and remember the first names

Cause: a member was removed by its name, hashed to its ID. The names of the first members are in the log only after the first change of the members, and those in member.json were not used for names.

Change: a membership change carries the ID. The names of the first members are read from member.json at every start. Two members without a known name no longer count as on the same VM.

Ruled out: the election and the log. The leader was stable and tried the removal every 100 ms.

--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -120,7 +120,6 @@
 	if !slices.Contains(bootstrapNames, c.name) {
 		bootstrapNames = nil
 	}
-	c.addToDirectory(append([]string{c.name}, bootstrapNames...)...)
 	c.state.onMembers = func(names []string) { c.addToDirectory(names...) }
 	c.state.onContent = c.notifyCommit
 	c.state.onEvacuations = c.putEvacuationsInForce
@@ -132,6 +131,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// The names of the first members are in the data folder only, until the members change for the first time.
+	c.addToDirectory(append([]string{c.name}, c.log.InitialMembers()...)...)
 	if err := c.registerMetrics(t.Metrics); err != nil {
 		return nil, err
 	}
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -90,12 +90,12 @@
 func (c *Controller) repairGroup(status replica.Status) repair.Group {
 	g := repair.Group{Commit: status.Commit}
 	for _, m := range status.Members {
-		ip, err := memberIP(m.Name)
-		if err != nil {
-			ip = netip.Addr{}
+		address := ""
+		if ip, err := memberIP(m.Name); err == nil {
+			address = ip.String()
 		}
 		g.Members = append(g.Members, repair.Member{
-			Name: m.Name, Address: ip.String(), Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge, Self: m.Name == c.name,
+			ID: m.ID, Name: m.Name, Address: address, Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge, Self: m.Name == c.name,
 		})
 	}
 	c.mu.Lock()
@@ -105,7 +105,7 @@
 			delete(c.joinRequests, name)
 			continue
 		}
-		g.Joining = append(g.Joining, repair.Member{Name: name})
+		g.Joining = append(g.Joining, repair.Member{ID: replica.MemberID(name), Name: name})
 	}
 	return g
 }
@@ -114,17 +114,16 @@
 func (c *Controller) applyChange(ctx context.Context, change repair.Change, status replica.Status) error {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
-	id := replica.MemberID(change.Name)
 	switch change.Kind {
 	case repair.AddLearner:
 		if err := c.commitMemberNames(ctx, change.Name, status); err != nil {
 			return err
 		}
-		return c.log.ChangeMember(ctx, consensus.MemberChange{AddLearner: id})
+		return c.log.ChangeMember(ctx, consensus.MemberChange{AddLearner: change.ID})
 	case repair.Promote:
-		return c.log.ChangeMember(ctx, consensus.MemberChange{Promote: id})
+		return c.log.ChangeMember(ctx, consensus.MemberChange{Promote: change.ID})
 	default:
-		return c.log.ChangeMember(ctx, consensus.MemberChange{Remove: id})
+		return c.log.ChangeMember(ctx, consensus.MemberChange{Remove: change.ID})
 	}
 }
 
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -23,8 +23,9 @@
 
 // Member is the leader's view of a member.
 type Member struct {
+	ID         consensus.MemberID // of a joining controller: the ID that it gets
 	Name       string
-	Address    string // of its VM
+	Address    string // of its VM; empty if unknown
 	Voter      bool
 	Match      uint64 // index of the last entry that it is known to have
 	ContactAge time.Duration
@@ -55,6 +56,7 @@
 // Change is a membership change of one member.
 type Change struct {
 	Kind Kind
+	ID   consensus.MemberID
 	Name string
 	// Reason is a short explanation for the log.
 	Reason string
@@ -64,7 +66,7 @@
 func Decide(g Group) Change {
 	for i := range g.Members {
 		if m := &g.Members[i]; !m.Voter && m.isLost() {
-			return Change{Remove, m.Name, "the learner is unreachable"}
+			return m.change(Remove, "the learner is unreachable")
 		}
 	}
 	if c := g.addLearner(); c.Kind != None {
@@ -76,15 +78,19 @@
 	return g.shrinkToOdd()
 }
 
+func (m *Member) change(kind Kind, reason string) Change {
+	return Change{Kind: kind, ID: m.ID, Name: m.Name, Reason: reason}
+}
+
 // addLearner adds a joining controller as a learner, if the limits allow it.
 func (g *Group) addLearner() Change {
 	voters, learners := g.countMembers()
 	if learners >= consensus.MaxLearners || voters+learners >= consensus.MaxVoters+consensus.MaxLearners {
 		return Change{}
 	}
-	for _, j := range g.Joining {
-		if !g.contains(j.Name) {
-			return Change{AddLearner, j.Name, "it requested to join"}
+	for i := range g.Joining {
+		if j := &g.Joining[i]; !g.contains(j.Name) {
+			return j.change(AddLearner, "it requested to join")
 		}
 	}
 	return Change{}
@@ -102,13 +108,13 @@
 		if !g.hasQuorumWithout(replaced.Name) {
 			return Change{}
 		}
-		return Change{Remove, replaced.Name, learner.Name + " replaces it"}
+		return replaced.change(Remove, learner.Name+" replaces it")
 	}
 	voters, _ := g.countMembers()
 	if voters >= consensus.MaxVoters {
 		return Change{}
 	}
-	return Change{Promote, learner.Name, "it has caught up with the log"}
+	return learner.change(Promote, "it has caught up with the log")
 }
 
 // caughtUpLearner returns a learner that has all committed entries and is not lost, or nil.
@@ -130,7 +136,7 @@
 		if !m.Voter {
 			continue
 		}
-		if m.Address == learner.Address {
+		if m.Address != "" && m.Address == learner.Address {
 			return m
 		}
 		if m.isLost() {
@@ -150,7 +156,7 @@
 	for i := range g.Members {
 		m := &g.Members[i]
 		if m.Voter && m.isLost() && g.hasQuorumWithout(m.Name) {
-			return Change{Remove, m.Name, "it is unreachable and the number of voters is even"}
+			return m.change(Remove, "it is unreachable and the number of voters is even")
 		}
 	}
 	return Change{}
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -58,6 +58,7 @@
 
 // Member is a member of the replicated log.
 type Member struct {
+	ID      consensus.MemberID `json:"-"`
 	Name    string
 	Address string
 	Learner bool // receives the log and does not vote
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -123,6 +123,10 @@
 // FolderID returns the random identifier of the data folder.
 func (r *Replica) FolderID() string { return r.bootstrap.Folder }
 
+// InitialMembers returns the names of the initial members of the log, as stored at the first start; none for a member
+// that joined later.
+func (r *Replica) InitialMembers() []string { return r.bootstrap.Members }
+
 func (r *Replica) now() time.Duration { return time.Since(r.startedAt) }
 
 // Run implements Log. After a write failure the member does not take part until its storage can be
--- a/internal/replica/replicaapi.go
+++ b/internal/replica/replicaapi.go
@@ -159,7 +159,7 @@
 	}
 	for _, id := range slices.Concat(p.Members.Voters, p.Members.Learners) {
 		name, address := r.directory.Find(id)
-		m := Member{Name: name, Address: address, Learner: p.Members.IsLearner(id), Leader: id == p.Leader}
+		m := Member{ID: id, Name: name, Address: address, Learner: p.Members.IsLearner(id), Leader: id == p.Leader}
 		if id == p.ID {
 			m.Match = p.Last
 		}
