Let a controller join whose seeds do not lead

Cause: a join request was recorded where it arrived, and only the leader acts on it. The reply named the leader and the members, but only the directory of the log's transport took them; the next requests went to the seeds again.

Change: the controllers named in a reply are asked next. A controller that does not lead forwards the request to the leader, once, so that a joining process of an older build is not left out. A learner that knows its leader asks only that. Older builds pass over the new field and do not forward.

Ruled out: the new controller does reach its seeds, and its requests are accepted there (JoinReply names the leader).

--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -15,39 +15,54 @@
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
 
-// requestMembership asks all known controllers for membership, as long as this one is not a voter with a
-// known leader: it may be new, or have been removed while it was cut off.
+// requestMembership asks other controllers for membership, as long as this one is not a voter with a known leader: it
+// may be new, or have been removed while it was cut off.
 func (c *Controller) requestMembership(ctx context.Context) {
 	for ctxtime.Sleep(ctx, repair.JoinInterval) {
 		status := c.log.Status()
 		if status.IsLeader || (status.Leader != "" && c.isVoter(status)) {
 			continue
 		}
+		request := JoinRequest{Name: c.name, Level: roster.Level}
 		var wg sync.WaitGroup
 		for _, address := range c.joinAddresses(status) {
-			wg.Go(func() {
-				callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
-				defer cancel()
-				reply, err := rpc.Call[JoinReply](callCtx, c.transport.clientAt(address), peerService+".Join", &JoinRequest{Name: c.name, Level: roster.Level})
-				if err != nil {
-					// Some addresses may belong to controllers that are down. The next round retries them.
-					c.tel.Logger.Debug().Str("controller", address).Err(err).Msg("join request failed")
-					return
-				}
-				c.addToDirectory(reply.Members...)
-			})
+			wg.Go(func() { c.join(ctx, address, request) })
 		}
 		wg.Wait()
 	}
 }
 
+// join sends a join request to the controller at an address, and records the controllers that the reply names.
+func (c *Controller) join(ctx context.Context, address string, request JoinRequest) {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	reply, err := rpc.Call[JoinReply](ctx, c.transport.clientAt(address), peerService+".Join", &request)
+	if err != nil {
+		// Some addresses may belong to controllers that are down. The next round retries them.
+		c.tel.Logger.Debug().Str("controller", address).Err(err).Msg("join request failed")
+		return
+	}
+	// The leader is often none of the controllers that this one was told of.
+	for _, name := range append(reply.Members, reply.Leader) {
+		if name != "" && name != c.name {
+			c.addPeer(name)
+		}
+	}
+}
+
 func (c *Controller) isVoter(status replica.Status) bool {
 	return slices.ContainsFunc(status.Members, func(m replica.Member) bool { return m.Name == c.name && !m.Learner })
 }
 
-// joinAddresses returns the addresses of all other known controllers: seeds, members, and controllers that
-// have called.
+// joinAddresses returns the addresses to which join requests are sent. A learner that knows its leader asks only
+// that; otherwise they are those of all other known controllers: seeds, members, and controllers that have called or
+// were named in a reply.
 func (c *Controller) joinAddresses(status replica.Status) []string {
+	if status.Leader != "" {
+		if _, address := c.directory.Find(replica.MemberID(status.Leader)); address != "" {
+			return []string{address}
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var addresses []string
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -20,6 +20,8 @@
 	// stepTimeout bounds a Step or Join call. It is below the election timeout, so that a connection that
 	// no longer answers is replaced before it causes an election.
 	stepTimeout = 300 * time.Millisecond
+	// forwardTimeout bounds the forwarding of a Join call within its stepTimeout.
+	forwardTimeout = 200 * time.Millisecond
 	// fetchTimeout bounds a Fetch or Status call. It allows for a configuration over a link of 4 Mbit/s.
 	fetchTimeout = 2 * time.Second
 )
@@ -67,6 +69,8 @@
 type JoinRequest struct {
 	Name  string
 	Level uint8 // protocol level of the sender
+	// Forwarded is set if another controller sends the request for the one that is named.
+	Forwarded bool
 }
 
 // JoinReply holds the names of the leader, empty if unknown, and of the members that the answering
@@ -156,7 +160,8 @@
 	return p.c.SetEvacuated(ctx, request.Zone, request.Evacuate)
 }
 
-// Join records a request for membership, which the leader decides on later.
+// Join records a request for membership, which the leader decides on later. Another controller forwards it to the leader:
+// controllers of older builds ask only those that they were told of.
 func (p *Peer) Join(request *JoinRequest, reply *JoinReply) error {
 	if _, err := memberIP(request.Name); err != nil {
 		return result.New(result.PeerUnknown, "controller name %q does not start with an IP address", request.Name)
@@ -171,6 +176,9 @@
 	c.joinRequests[request.Name] = time.Now()
 	c.mu.Unlock()
 	status := c.log.Status()
+	if !status.IsLeader && !request.Forwarded {
+		c.forwardJoin(p.peer, *request)
+	}
 	reply.Leader = status.Leader
 	for _, m := range status.Members {
 		reply.Members = append(reply.Members, m.Name)
@@ -178,6 +186,21 @@
 	return nil
 }
 
+// forwardJoin passes a join request on to the leader, if one is known. The requesting controller repeats a request that
+// does not arrive.
+func (c *Controller) forwardJoin(p *rpc.Peer, request JoinRequest) {
+	client, err := c.leaderClient()
+	if err != nil {
+		return
+	}
+	ctx, cancel := p.CallContext(forwardTimeout)
+	defer cancel()
+	request.Forwarded = true
+	if _, err := rpc.Call[JoinReply](ctx, client, peerService+".Join", &request); err != nil {
+		c.tel.Logger.Debug().Str("member", request.Name).Err(err).Msg("forwarding a join request failed")
+	}
+}
+
 // Fetch returns the configuration in force if its version is above that of the request.
 func (p *Peer) Fetch(request *FetchRequest, reply *FetchReply) error {
 	if content, _ := p.c.state.latest(); content != nil && content.Version > request.Above {
