Keep the size of the group when controllers are replaced as planned

Cause: a successor became a voter while the controller that it replaces was running, so five voters became seven. A lost voter was removed only from an even number or for a learner that waits; the two stopped ones stayed, and of seven voters two were gone for good.

Change: a controller that joins a complete group stays a learner until a voter is lost. The size of the group follows from fault_tolerance, a new setting that the deploy file gives in the environment, since older builds refuse unknown keys. Without it, the controllers of the first start make up the group. Lost voters above a known size are removed, and a group does not go below it. Two lost voters are replaced one after the other: both were removed before a learner was promoted.

Ruled out: shrinking any odd number of voters (a group of five of which two are cut off would commit on two disks), and promoting before removing (with two of five lost, the majority of six includes the new voter, whose own loss would leave none).

--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -56,6 +56,9 @@
 	bootstrapSuffix = "first"
 )
 
+// MaxFaultTolerance is the largest number of controllers that can be lost at once without the loss of a majority.
+const MaxFaultTolerance = (consensus.MaxVoters - 1) / 2
+
 // Config configures a Controller.
 type Config struct {
 	// IP is the address of the VM; ports are the same on all VMs.
@@ -68,6 +71,9 @@
 	// Bootstrap is set when the whole system starts for the first time: the controllers at the seeds
 	// form a new log.
 	Bootstrap bool
+	// FaultTolerance is the number of controllers that may be lost at once; zero if it is not known. It is at most
+	// MaxFaultTolerance.
+	FaultTolerance int
 	// Zones are the availability zones that operators may evacuate; any if empty.
 	Zones []string
 	// Check validates a configuration body and returns its version.
@@ -90,8 +96,8 @@
 
 	mu           sync.Mutex
 	seeds        []netip.Addr
-	joinRequests map[string]time.Time // time of the last request, by member name
-	levels       map[string]uint8     // protocol level that a controller announced with its last call, by member name
+	joinRequests map[string]joinRequest // by member name
+	levels       map[string]uint8       // protocol level that a controller announced with its last call, by member name
 	registry     *roster.Registry
 
 	incarnations *incarnations
@@ -104,7 +110,7 @@
 // New opens the files and sockets of a controller. Run starts it.
 func New(cfg Config, t telemetry.Handle) (*Controller, error) {
 	c := &Controller{
-		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]time.Time{}, levels: map[string]uint8{},
+		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]joinRequest{}, levels: map[string]uint8{},
 		registry: roster.NewRegistry(roster.NewInstanceID()), start: time.Now(), peerAddresses: map[string]string{},
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
 		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -18,12 +18,17 @@
 // requestMembership asks other controllers for membership, as long as this one is not a voter with a known leader: it
 // may be new, or have been removed while it was cut off.
 func (c *Controller) requestMembership(ctx context.Context) {
+	hasBeenVoter := false
 	for ctxtime.Sleep(ctx, repair.JoinInterval) {
 		status := c.log.Status()
-		if status.IsLeader || (status.Leader != "" && c.isVoter(status)) {
+		isVoter := c.isVoter(status)
+		hasBeenVoter = hasBeenVoter || isVoter
+		if status.IsLeader || (status.Leader != "" && isVoter) {
 			continue
 		}
-		request := JoinRequest{Name: c.name, Level: roster.Level}
+		request := JoinRequest{
+			Name: c.name, Level: roster.Level, Founding: c.cfg.Bootstrap && !hasBeenVoter, Losses: uint8(c.cfg.FaultTolerance),
+		}
 		var wg sync.WaitGroup
 		for _, address := range c.joinAddresses(status) {
 			wg.Go(func() { c.join(ctx, address, request) })
@@ -103,25 +108,27 @@
 
 // repairGroup returns the input of repair.Decide. It drops join requests older than repair.JoinLease.
 func (c *Controller) repairGroup(status replica.Status) repair.Group {
-	g := repair.Group{Commit: status.Commit}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := repair.Group{Commit: status.Commit, Losses: c.cfg.FaultTolerance}
+	for name, r := range c.joinRequests {
+		if time.Since(r.at) > repair.JoinLease {
+			delete(c.joinRequests, name)
+			continue
+		}
+		g.Losses = max(g.Losses, r.losses)
+		g.Joining = append(g.Joining, repair.Member{ID: replica.MemberID(name), Name: name})
+	}
 	for _, m := range status.Members {
 		address := ""
 		if ip, err := memberIP(m.Name); err == nil {
 			address = ip.String()
 		}
 		g.Members = append(g.Members, repair.Member{
-			ID: m.ID, Name: m.Name, Address: address, Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge, Self: m.Name == c.name,
+			ID: m.ID, Name: m.Name, Address: address, Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge,
+			Self: m.Name == c.name, Founding: c.joinRequests[m.Name].founding,
 		})
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for name, requestedAt := range c.joinRequests {
-		if time.Since(requestedAt) > repair.JoinLease {
-			delete(c.joinRequests, name)
-			continue
-		}
-		g.Joining = append(g.Joining, repair.Member{ID: replica.MemberID(name), Name: name})
-	}
 	return g
 }
 
--- a/internal/confstore/membership_test.go
+++ b/internal/confstore/membership_test.go
@@ -5,6 +5,34 @@
 	"testing"
 )
 
+// Guards against controllers that were replaced as planned and stay voters for good: the successors of two of five
+// became voters while these were running, so that seven voters were left of which two were gone, and the next two
+// losses took the majority.
+func TestPlannedReplacementsKeepTheSizeOfTheGroup(t *testing.T) {
+	g := newTestGroup(t)
+	first := g.found(5, 3)
+	seeds := first[0].cfg.Seeds
+	successors := []*testController{g.add(Config{Seeds: seeds}), g.add(Config{Seeds: seeds})}
+	for _, c := range successors {
+		g.start(c)
+	}
+	g.waitForMembers(7)
+	g.stop(first[3])
+	g.stop(first[4])
+	g.waitForVoters(first[0], first[1], first[2], successors[0], successors[1])
+
+	g.replace(first[0], 8)
+	for _, c := range successors {
+		g.stop(c)
+		g.loseDisk(c)
+	}
+	for _, c := range successors {
+		g.restart(c)
+	}
+	g.expectVersion(first[0], 8)
+	g.waitForVoters(first[0], first[1], first[2], successors[0], successors[1])
+}
+
 // Guards against a new controller that never becomes a member because the leader is none of its seeds.
 func TestControllerJoinsIfItsSeedsDoNotLead(t *testing.T) {
 	g := newTestGroup(t)
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -69,10 +69,21 @@
 type JoinRequest struct {
 	Name  string
 	Level uint8 // protocol level of the sender
+	// Founding is set if the controller was started together with the whole system and has not been a voter yet.
+	Founding bool
+	// Losses is the number of controllers that may be lost at once by the settings of the sender; zero if not set.
+	Losses uint8
 	// Forwarded is set if another controller sends the request for the one that is named.
 	Forwarded bool
 }
 
+// joinRequest is the last join request of a controller.
+type joinRequest struct {
+	at       time.Time
+	founding bool
+	losses   int
+}
+
 // JoinReply holds the names of the leader, empty if unknown, and of the members that the answering
 // controller knows.
 type JoinReply struct {
@@ -173,7 +184,7 @@
 	c.addPeer(request.Name)
 	c.recordLevel(request.Name, request.Level)
 	c.mu.Lock()
-	c.joinRequests[request.Name] = time.Now()
+	c.joinRequests[request.Name] = joinRequest{at: time.Now(), founding: request.Founding, losses: int(request.Losses)}
 	c.mu.Unlock()
 	status := c.log.Status()
 	if !status.IsLeader && !request.Forwarded {
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -3,11 +3,14 @@
 package process
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/confstore"
 	"github.com/greengagelock/greengagelock/internal/jsonc"
 	"github.com/greengagelock/greengagelock/internal/result"
 )
@@ -33,6 +36,10 @@
 	DefaultLinger = 2500 * time.Millisecond
 )
 
+// FaultToleranceVariable is the environment variable that gives fault_tolerance where the file does not. A settings file
+// that is shared with older builds cannot name it, since they refuse keys that they do not know.
+const FaultToleranceVariable = "GREENGAGELOCK_FAULT_TOLERANCE"
+
 // Settings holds the settings of one process.
 type Settings struct {
 	Name string     `json:"name"`
@@ -50,9 +57,12 @@
 	Controllers []netip.AddrPort `json:"controllers"`
 	// FirstStart is set when the whole system starts for the first time: the controllers then form a new
 	// store.
-	FirstStart bool   `json:"first_start"`
-	DataDir    string `json:"data_dir"`
-	MemoryMB   int    `json:"memory_mb"` // memory of the VM in MiB; zero sets no limit
+	FirstStart bool `json:"first_start"`
+	// FaultTolerance is the number of controllers that may be lost at once. The store keeps twice as many voters, and one
+	// more. Zero means that it is not known; the store then keeps the number of voters that it was started with.
+	FaultTolerance int    `json:"fault_tolerance"`
+	DataDir        string `json:"data_dir"`
+	MemoryMB       int    `json:"memory_mb"` // memory of the VM in MiB; zero sets no limit
 	// LinkMbps is the bandwidth of the VM in Mbit/s; zero means no limit.
 	LinkMbps float64 `json:"link_mbps"`
 
@@ -85,7 +95,26 @@
 	if err != nil {
 		return nil, result.New(result.SettingsInvalid, "%v", err)
 	}
-	return Parse(path, data)
+	s, err := Parse(path, data)
+	if err != nil {
+		return nil, err
+	}
+	return s, s.applyEnvironment(os.Getenv)
+}
+
+// applyEnvironment fills in what the file leaves out and the environment gives.
+func (s *Settings) applyEnvironment(getenv func(name string) string) error {
+	value := getenv(FaultToleranceVariable)
+	if value == "" || s.FaultTolerance != 0 {
+		return nil
+	}
+	losses, err := strconv.Atoi(value)
+	if err != nil || losses < 0 || losses > confstore.MaxFaultTolerance {
+		return result.New(result.SettingsInvalid, "%s is %q, want a number of controllers from 0 to %d",
+			FaultToleranceVariable, value, confstore.MaxFaultTolerance)
+	}
+	s.FaultTolerance = losses
+	return nil
 }
 
 // Parse decodes and validates the content of a settings file. path is used in errors only.
@@ -127,6 +156,8 @@
 	case RoleStore:
 		require("operators", s.Operators.IsValid(), "an address for operators")
 		require("data_dir", s.DataDir != "", "a data folder")
+		require("fault_tolerance", s.FaultTolerance >= 0 && s.FaultTolerance <= confstore.MaxFaultTolerance,
+			fmt.Sprintf("a number of controllers from 0 to %d", confstore.MaxFaultTolerance))
 	default:
 		doc.Report("role", "entry, relay or store")
 	}
--- a/internal/process/settings_test.go
+++ b/internal/process/settings_test.go
@@ -52,3 +52,29 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.ReportFlows).To(BeFalse())
 }
+
+// Guards against a number of losses that the store cannot bear, and against one from the environment that replaces that of
+// the file.
+func TestFaultTolerance(t *testing.T) {
+	g := NewWithT(t)
+	store := strings.Replace(validSettings, `"role": "entry"`, `"role": "store", "data_dir": "d", "operators": "10.0.0.1:1", "fault_tolerance": 4`, 1)
+	_, err := Parse("settings.jsonc", []byte(store))
+	g.Expect(result.CodeOf(err)).To(Equal(result.SettingsInvalid))
+	g.Expect(err.Error()).To(ContainSubstring("a number of controllers from 0 to 3"))
+
+	for value, want := range map[string]int{"": 0, "0": 0, "2": 2} {
+		s := &Settings{}
+		g.Expect(s.applyEnvironment(func(string) string { return value })).To(Succeed())
+		g.Expect(s.FaultTolerance).To(Equal(want))
+	}
+	s := &Settings{FaultTolerance: 1}
+	g.Expect(s.applyEnvironment(func(string) string { return "2" })).To(Succeed())
+	g.Expect(s.FaultTolerance).To(Equal(1))
+	for _, value := range []string{"4", "-1", "two"} {
+		err := s.applyEnvironment(func(string) string { return value })
+		g.Expect(err).NotTo(HaveOccurred(), "the file has the setting")
+		err = (&Settings{}).applyEnvironment(func(string) string { return value })
+		g.Expect(result.CodeOf(err)).To(Equal(result.SettingsInvalid))
+		g.Expect(err.Error()).To(ContainSubstring(value))
+	}
+}
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -1,6 +1,10 @@
 // Package repair decides on membership changes of the replicated log without an operator: new controllers
-// are added as learners and promoted, and members whose VM or disk is lost are replaced. It has no clock
-// and no I/O.
+// are added as learners, and members whose VM or disk is lost are replaced by them. It has no clock and no
+// I/O.
+//
+// The number of voters stays at the intended size of the group. A controller that is added to a complete group
+// remains a learner until a voter is lost or leaves. If it became a voter at once, the successor of a controller
+// that is still running would leave the group larger for good, with a majority that counts the stopped one.
 package repair
 
 import (
@@ -30,6 +34,8 @@
 	Match      uint64 // index of the last entry that it is known to have
 	ContactAge time.Duration
 	Self       bool
+	// Founding is set for a controller that was started together with the whole system and has not been a voter yet.
+	Founding bool
 }
 
 func (m *Member) isLost() bool { return !m.Self && m.ContactAge > LostAfter }
@@ -40,6 +46,16 @@
 	Commit  uint64
 	// Joining are the controllers with a valid join request. Those that are members already are ignored.
 	Joining []Member
+	// Losses is the number of voters that the group has to be able to lose at once; zero if it is not known.
+	Losses int
+}
+
+// minVoters returns the number of voters that the group needs to bear its losses, or zero if that is not known.
+func (g *Group) minVoters() int {
+	if g.Losses == 0 {
+		return 0
+	}
+	return min(2*g.Losses+1, consensus.MaxVoters)
 }
 
 // Kind is the kind of a membership change.
@@ -75,7 +91,7 @@
 	if c := g.promoteLearner(); c.Kind != None {
 		return c
 	}
-	return g.shrinkToOdd()
+	return g.removeSurplus()
 }
 
 func (m *Member) change(kind Kind, reason string) Change {
@@ -96,67 +112,88 @@
 	return Change{}
 }
 
-// promoteLearner promotes a learner that has caught up. It first removes the voter that the learner
-// replaces. As the learner already has the log by then, there is one voter less only between the two
-// changes.
+// promoteLearner promotes a learner that has caught up if the group has too few voters, or removes the voter that the
+// learner replaces, so that the next decision promotes it. As the learner already has the log by then, there is one
+// voter less only between the two changes.
 func (g *Group) promoteLearner() Change {
-	learner := g.caughtUpLearner()
-	if learner == nil {
-		return Change{}
+	learners := g.caughtUpLearners()
+	if voters, _ := g.countMembers(); voters < consensus.MaxVoters {
+		for _, learner := range learners {
+			if reason := g.reasonToGrow(learner); reason != "" {
+				return learner.change(Promote, reason)
+			}
+		}
 	}
-	if replaced := g.voterToReplace(learner); replaced != nil {
-		if !g.hasQuorumWithout(replaced.Name) {
-			return Change{}
+	if len(learners) > 0 {
+		if learner, replaced := g.replacement(learners); replaced != nil && g.hasQuorumWithout(replaced.Name) {
+			return replaced.change(Remove, learner.Name+" replaces it")
 		}
-		return replaced.change(Remove, learner.Name+" replaces it")
 	}
+	return Change{}
+}
+
+// reasonToGrow returns why the group needs the learner as one more voter, or "".
+func (g *Group) reasonToGrow(learner *Member) string {
 	voters, _ := g.countMembers()
-	if voters >= consensus.MaxVoters {
-		return Change{}
+	needed := g.minVoters()
+	switch {
+	case learner.Founding:
+		return "it belongs to the first members"
+	case voters < needed:
+		return "the group has too few voters for the losses that it has to bear"
+	case needed == 0 && voters%2 == 0:
+		return "one voter more than an even number bears one loss more"
 	}
-	return learner.change(Promote, "it has caught up with the log")
+	return ""
 }
 
-// caughtUpLearner returns a learner that has all committed entries and is not lost, or nil.
-func (g *Group) caughtUpLearner() *Member {
+// caughtUpLearners returns the learners that have all committed entries and are not lost.
+func (g *Group) caughtUpLearners() []*Member {
+	var learners []*Member
 	for i := range g.Members {
 		m := &g.Members[i]
 		if !m.Voter && !m.isLost() && m.Match >= g.Commit {
-			return m
+			learners = append(learners, m)
 		}
 	}
-	return nil
+	return learners
 }
 
-// voterToReplace returns the voter on the learner's VM, whose disk was lost, or else a lost voter, or nil.
-func (g *Group) voterToReplace(learner *Member) *Member {
+// replacement returns a learner and the voter that it replaces: the voter on the learner's VM, whose disk was lost, or
+// else any lost voter. It returns nil if there is no such voter.
+func (g *Group) replacement(learners []*Member) (learner, replaced *Member) {
 	var lost *Member
 	for i := range g.Members {
 		m := &g.Members[i]
 		if !m.Voter {
 			continue
 		}
-		if m.Address != "" && m.Address == learner.Address {
-			return m
+		for _, l := range learners {
+			if m.Address != "" && m.Address == l.Address {
+				return l, m
+			}
 		}
 		if m.isLost() {
 			lost = m
 		}
 	}
-	return lost
+	return learners[0], lost
 }
 
-// shrinkToOdd removes a lost voter from an even number of voters of at least four: an odd number that is
-// one less has a smaller majority and tolerates as many failures.
-func (g *Group) shrinkToOdd() Change {
+// removeSurplus removes a lost voter that the group does not need. From an even number of voters that is always so: an
+// odd number that is one less has a smaller majority and tolerates as many failures. From an odd number it is so only
+// above the known size of the group. A group that keeps fewer voters than its size would commit entries on so few disks
+// that the losses it has to bear could take them all.
+func (g *Group) removeSurplus() Change {
 	voters, _ := g.countMembers()
-	if voters < 4 || voters%2 != 0 {
+	needed := g.minVoters()
+	if needed == 0 && (voters < 4 || voters%2 != 0) || needed > 0 && voters <= max(needed, 3) {
 		return Change{}
 	}
 	for i := range g.Members {
 		m := &g.Members[i]
 		if m.Voter && m.isLost() && g.hasQuorumWithout(m.Name) {
-			return m.change(Remove, "it is unreachable and the number of voters is even")
+			return m.change(Remove, "it is unreachable and the group has enough other voters")
 		}
 	}
 	return Change{}
@@ -165,10 +202,15 @@
 // hasQuorumWithout reports whether the reachable voters are still a majority, of at least two voters, after
 // the named voter is removed.
 func (g *Group) hasQuorumWithout(name string) bool {
-	voters, alive := 0, 0
+	voters, alive := g.countVoters(name)
+	return voters >= consensus.MinVoters && alive >= voters/2+1
+}
+
+// countVoters counts the voters, and those that are reachable, without the named one.
+func (g *Group) countVoters(without string) (voters, alive int) {
 	for i := range g.Members {
 		m := &g.Members[i]
-		if !m.Voter || m.Name == name {
+		if !m.Voter || m.Name == without {
 			continue
 		}
 		voters++
@@ -176,7 +218,7 @@
 			alive++
 		}
 	}
-	return voters >= 2 && alive >= voters/2+1
+	return voters, alive
 }
 
 func (g *Group) contains(name string) bool {
