Replace a stopping controller while its process runs

Cause: after a planned replacement the successor took over only when the stopped controller had not been heard for 1.5 s. Until then the group bore one loss less, although the successor had the whole log.

Change: on SIGTERM a voter transfers leadership, then tells the leader that it stops. If a learner has caught up, the leader removes the voter and promotes the learner, and the voter waits for that, for 1 s at most. Without a learner nothing changes. A leader of an older build does not know the call.

Measured: TestStoppingControllerIsReplacedWhileItRuns; in TestDecide, a stopping voter with a learner, with one that has not caught up, and a stopping learner.

--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,8 @@
 	memberChangeTimeout = time.Second
 	// transferTimeout bounds the transfer of leadership when the process stops.
 	transferTimeout = time.Second
+	// leaveTimeout bounds the wait for a successor when the process stops. Two changes of the members take less than 0.4 s.
+	leaveTimeout = time.Second
 	// identityFile is the file in the data folder with the name of the member that the folder belongs to.
 	identityFile = "name.json"
 	// bootstrapSuffix ends the names of the members that bootstrap the log. They must know each other's
@@ -97,9 +100,11 @@
 	mu           sync.Mutex
 	seeds        []netip.Addr
 	joinRequests map[string]joinRequest // by member name
+	leaving      map[string]time.Time   // time of the last Leave call, by member name
 	levels       map[string]uint8       // protocol level that a controller announced with its last call, by member name
 	registry     *roster.Registry
 
+	stopping     atomic.Bool // the process is stopping
 	incarnations *incarnations
 	flows        *checkpoint.Store // reported by relays
 	start        time.Time
@@ -110,7 +115,7 @@
 // New opens the files and sockets of a controller. Run starts it.
 func New(cfg Config, t telemetry.Handle) (*Controller, error) {
 	c := &Controller{
-		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]joinRequest{}, levels: map[string]uint8{},
+		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]joinRequest{}, leaving: map[string]time.Time{}, levels: map[string]uint8{},
 		registry: roster.NewRegistry(roster.NewInstanceID()), start: time.Now(), peerAddresses: map[string]string{},
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
 		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
@@ -239,7 +244,7 @@
 
 // Run serves until ctx is done, and transfers leadership before it stops.
 func (c *Controller) Run(ctx context.Context) error {
-	return lifecycle.Run(ctx, c.transferLeadership,
+	return lifecycle.Run(ctx, c.beforeStop,
 		func(ctx context.Context) error { return c.log.Run(ctx, c.state) },
 		lifecycle.WithoutError(c.transport.run),
 		func(ctx context.Context) error { return c.server.Serve(ctx, c.tcp) },
@@ -256,6 +261,13 @@
 	)
 }
 
+// beforeStop hands over the duties of this controller while its process is stopping.
+func (c *Controller) beforeStop(ctx context.Context) {
+	c.stopping.Store(true)
+	c.transferLeadership(ctx)
+	c.leave(ctx)
+}
+
 // transferLeadership transfers leadership to another member if this one is the leader.
 func (c *Controller) transferLeadership(ctx context.Context) {
 	if !c.log.Status().IsLeader {
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -11,6 +11,7 @@
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/repair"
 	"github.com/greengagelock/greengagelock/internal/replica"
+	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
@@ -23,7 +24,7 @@
 		status := c.log.Status()
 		isVoter := c.isVoter(status)
 		hasBeenVoter = hasBeenVoter || isVoter
-		if status.IsLeader || (status.Leader != "" && isVoter) {
+		if status.IsLeader || (status.Leader != "" && isVoter) || c.stopping.Load() {
 			continue
 		}
 		request := JoinRequest{
@@ -88,6 +89,27 @@
 	return addresses
 }
 
+// leave tells the leader that this controller stops, if it is a voter that a learner can replace, and waits until it has
+// been replaced. A leader of an older build does not know the call; the controller then is replaced once it is lost.
+func (c *Controller) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	isLearner := func(m replica.Member) bool { return m.Learner }
+	for status := c.log.Status(); c.isVoter(status) && slices.ContainsFunc(status.Members, isLearner); status = c.log.Status() {
+		client, err := c.leaderClient()
+		if err == nil {
+			_, err = rpc.Call[LeaveReply](ctx, client, peerService+".Leave", &LeaveRequest{Name: c.name})
+		}
+		if err != nil && result.CodeOf(err) != result.NoQuorum && result.CodeOf(err) != result.NotLeader {
+			c.tel.Logger.Warn().Str("member", c.name).Err(err).Msg("the leader was not told that this controller stops")
+			return
+		}
+		if !ctxtime.Sleep(ctx, repairInterval) {
+			return
+		}
+	}
+}
+
 // repairMembers changes the members while this controller is the leader: it adds controllers that asked to
 // join and replaces lost ones.
 func (c *Controller) repairMembers(ctx context.Context) {
@@ -119,14 +141,20 @@
 		g.Losses = max(g.Losses, r.losses)
 		g.Joining = append(g.Joining, repair.Member{ID: replica.MemberID(name), Name: name})
 	}
+	for name, at := range c.leaving {
+		if time.Since(at) > leaveTimeout {
+			delete(c.leaving, name)
+		}
+	}
 	for _, m := range status.Members {
+		_, leaving := c.leaving[m.Name]
 		address := ""
 		if ip, err := memberIP(m.Name); err == nil {
 			address = ip.String()
 		}
 		g.Members = append(g.Members, repair.Member{
 			ID: m.ID, Name: m.Name, Address: address, Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge,
-			Self: m.Name == c.name, Founding: c.joinRequests[m.Name].founding,
+			Self: m.Name == c.name, Founding: c.joinRequests[m.Name].founding, Leaving: leaving,
 		})
 	}
 	return g
--- a/internal/confstore/membership_test.go
+++ b/internal/confstore/membership_test.go
@@ -1,8 +1,13 @@
 package confstore
 
 import (
+	"context"
 	"net/netip"
 	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
 // Guards against controllers that were replaced as planned and stay voters for good: the successors of two of five
@@ -17,6 +22,9 @@
 		g.start(c)
 	}
 	g.waitForMembers(7)
+	// Learners serve operators as well.
+	g.replace(successors[0], 7)
+	g.expectVersion(successors[1], 7)
 	g.stop(first[3])
 	g.stop(first[4])
 	g.waitForVoters(first[0], first[1], first[2], successors[0], successors[1])
@@ -70,3 +78,19 @@
 	g.restart(first[0])
 	g.waitForVoters(first...)
 }
+
+// Guards against a time after a planned replacement in which the group bears one loss less: the successor had caught up,
+// but became a voter only when the stopped controller counted as lost.
+func TestStoppingControllerIsReplacedWhileItRuns(t *testing.T) {
+	g := newTestGroup(t)
+	first := g.found(3, 3)
+	successor := g.add(Config{Seeds: first[0].cfg.Seeds})
+	g.start(successor)
+	g.waitForMembers(4)
+	first[0].stopping.Store(true)
+	NewWithT(t).Eventually(func() []string {
+		first[0].transferLeadership(context.Background())
+		first[0].leave(context.Background())
+		return g.voters()
+	}).WithTimeout(testkit.WaitTimeout).Should(ConsistOf(first[1].name, first[2].name, successor.name))
+}
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -77,6 +77,12 @@
 	Forwarded bool
 }
 
+// LeaveRequest says that the process of a member is stopping.
+type LeaveRequest struct{ Name string }
+
+// LeaveReply is the empty answer to a LeaveRequest.
+type LeaveReply struct{}
+
 // joinRequest is the last join request of a controller.
 type joinRequest struct {
 	at       time.Time
@@ -197,6 +203,18 @@
 	return nil
 }
 
+// Leave tells the leader that a member is stopping. If a learner has caught up, the leader lets it replace the member, so
+// that the group has its number of voters before the process has ended.
+func (p *Peer) Leave(request *LeaveRequest, _ *LeaveReply) error {
+	if !p.c.log.Status().IsLeader {
+		return result.New(result.NotLeader, "controller %s is not the leader", p.c.name)
+	}
+	p.c.mu.Lock()
+	defer p.c.mu.Unlock()
+	p.c.leaving[request.Name] = time.Now()
+	return nil
+}
+
 // forwardJoin passes a join request on to the leader, if one is known. The requesting controller repeats a request that
 // does not arrive.
 func (c *Controller) forwardJoin(p *rpc.Peer, request JoinRequest) {
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -8,6 +8,7 @@
 package repair
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
@@ -36,6 +37,8 @@
 	Self       bool
 	// Founding is set for a controller that was started together with the whole system and has not been a voter yet.
 	Founding bool
+	// Leaving is set for a controller whose process is stopping.
+	Leaving bool
 }
 
 func (m *Member) isLost() bool { return !m.Self && m.ContactAge > LostAfter }
@@ -152,7 +155,7 @@
 	var learners []*Member
 	for i := range g.Members {
 		m := &g.Members[i]
-		if !m.Voter && !m.isLost() && m.Match >= g.Commit {
+		if !m.Voter && !m.isLost() && !m.Leaving && m.Match >= g.Commit {
 			learners = append(learners, m)
 		}
 	}
@@ -160,9 +163,9 @@
 }
 
 // replacement returns a learner and the voter that it replaces: the voter on the learner's VM, whose disk was lost, or
-// else any lost voter. It returns nil if there is no such voter.
+// else any voter that is lost or leaves. It returns nil if there is no such voter.
 func (g *Group) replacement(learners []*Member) (learner, replaced *Member) {
-	var lost *Member
+	var lost, leaving *Member
 	for i := range g.Members {
 		m := &g.Members[i]
 		if !m.Voter {
@@ -173,11 +176,14 @@
 				return l, m
 			}
 		}
-		if m.isLost() {
+		switch {
+		case m.isLost():
 			lost = m
+		case m.Leaving:
+			leaving = m
 		}
 	}
-	return learners[0], lost
+	return learners[0], cmp.Or(lost, leaving)
 }
 
 // removeSurplus removes a lost voter that the group does not need. From an even number of voters that is always so: an
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -25,6 +25,11 @@
 	return m
 }
 
+func leaving(m Member) Member {
+	m.Leaving = true
+	return m
+}
+
 func withoutAddress(m Member) Member {
 	m.Address = ""
 	return m
@@ -51,6 +56,9 @@
 		"a learner of a complete group waits":                  {Group{Members: append(slices.Clone(healthy), learner("d/1", 10)), Commit: 10}, Change{}},
 		"a learner completes an even number":                   {Group{Members: append(slices.Clone(healthy), voter("d/1", 0), learner("e/1", 10)), Commit: 10}, Change{Kind: Promote, Name: "e/1"}},
 		"a learner is promoted before the next removal":        {Group{Members: append(slices.Clone(lost), voter("d/1", 0), learner("e/1", 10)), Commit: 10}, Change{Kind: Promote, Name: "e/1"}},
+		"a stopping voter is replaced by a learner":            {Group{Members: append(slices.Clone(healthy[:2]), leaving(voter("c/1", 0)), learner("d/1", 10)), Commit: 10}, Change{Kind: Remove, Name: "c/1"}},
+		"a stopping voter stays if nobody can replace it":      {Group{Members: append(slices.Clone(healthy[:2]), leaving(voter("c/1", 0)), learner("d/1", 3)), Commit: 10}, Change{}},
+		"a stopping learner replaces nobody":                   {Group{Members: append(slices.Clone(lost), leaving(learner("d/1", 10))), Commit: 10}, Change{}},
 		"a group grows to the size for its losses":             {Group{Members: append(slices.Clone(healthy), learner("d/1", 10)), Commit: 10, Losses: 2}, Change{Kind: Promote, Name: "d/1"}},
 		"a group of that size does not grow":                   {Group{Members: append(slices.Clone(healthy), learner("d/1", 10)), Commit: 10, Losses: 1}, Change{}},
 		"voters above that size that are lost are removed":     {Group{Members: append(slices.Clone(lost), voter("d/1", 0), voter("e/1", 0)), Commit: 10, Losses: 1}, Change{Kind: Remove, Name: "c/1"}},
