Probe the targets of all unsure relays before a lookup ends

Cause: after a restart all relays are unsure of idle flows. A lookup probed the targets of the likely owners and gave up when more than 24 other relays were unsure. The next one began with the same probes, so an owner outside the likely ones was never asked.

Change: the targets of all unsure relays are probed, 24 at a time. The probes of a lookup are taken from the budget of the link at once, since probes that are spread over time hand packets to other targets for long before the owner gets one. A lookup that fails for another reason keeps which targets have returned the packet, and the next one goes on with the others.

Ruled out: a longer list of likely owners (added targets change the ranking of any length).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,6 +169,8 @@
 	notOwners      []hop.IP
 	probed         []hop.IP   // relays whose targets were sent the packet
 	probeChains    [][]hop.IP // chains of relays that pass on the packet of the last probe
+	paidProbes     int        // probes that were taken from the budget and not sent yet
+	ruledOut       []hop.IP   // relays whose targets returned a packet in the lookups that failed last
 	failedLookups  int        // consecutive lookups without a result
 	queriedAll     bool       // all relays were queried
 	repliesMissing bool       // some of them did not reply
@@ -366,7 +368,7 @@
 		e.holdPacket(f, raw)
 	case notFound:
 		if now >= f.due {
-			e.startLookup(now, key, v, raw, f.notOwners)
+			e.startLookup(now, key, v, raw, nil)
 		}
 	case owned:
 		if e.View.Lost(f.owner) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -352,6 +352,40 @@
 	}
 }
 
+// Guards against flows that are never found: all relays of a large deployment had restarted and were unsure, and a lookup
+// that gave up on so many of them began with the same targets again each time.
+func TestOwnerAmongManyUnsureRelaysIsFound(t *testing.T) {
+	g := NewWithT(t)
+	for _, relays := range []int{60, 120} {
+		for seed := range uint64(5) {
+			w := newWorld(seed, 2, 1)
+			for range 20 {
+				w.openFlow()
+			}
+			w.run(time.Second)
+			for range relays - 1 {
+				w.addTarget(service)
+			}
+			w.run(time.Second)
+			open := w.openFlows()
+			g.Expect(open).To(BeNumerically(">", 0))
+			for _, v := range w.targets {
+				v.startRelay()
+			}
+			// A relay that does not reply must not keep the others from being queried.
+			w.targets[5].hung = seed%2 == 1
+			for _, e := range w.entries {
+				e.start()
+			}
+			w.run(3 * time.Second)
+			g.Expect(w.wrongResets).To(BeEmpty(), "%d relays, seed %d", relays, seed)
+			before := w.servedRequests()
+			w.run(2 * time.Second)
+			g.Expect(w.servedRequests()-before).To(BeNumerically(">=", open*3), "%d relays, seed %d", relays, seed)
+		}
+	}
+}
+
 // Checks for random sequences of restarts, drains and hangs that no flow is reset while its target lives,
 // and that open flows continue.
 func TestFlowsUnderFaults(t *testing.T) {
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -19,8 +19,8 @@
 	maxLikelyQueries = 2
 	// probeTimeout is the time in which probed targets have to accept or return the packet.
 	probeTimeout = 60 * time.Millisecond
-	// maxProbedTargets bounds the targets of one probe, and the unsure relays up to which targets are
-	// probed.
+	// maxProbedTargets bounds the targets of one probe. The targets of more unsure relays are probed one group after the
+	// other.
 	maxProbedTargets = 24
 	// maxServicesQueried is the number of services up to which the likely owners of all services are
 	// queried, and not only those of the route.
@@ -67,7 +67,8 @@
 	e.Stats.Finds++
 	f := &flow{state: queryingLikely, lastSeen: now, startedAt: now, ack: v.Ack, notOwners: notOwners}
 	if previous := e.flows[key]; previous != nil {
-		f.failedLookups = previous.failedLookups
+		f.failedLookups, f.ruledOut = previous.failedLookups, previous.ruledOut
+		f.notOwners = slices.Concat(notOwners, previous.ruledOut)
 	}
 	e.flows[key] = f
 	e.holdPacket(f, raw)
@@ -180,14 +181,9 @@
 	}
 }
 
-// afterAllReplied continues after the replies of all relays. Only the targets of a few unsure relays are
-// probed; more probes would saturate the link.
+// afterAllReplied continues after the replies of all relays.
 func (e *Entry) afterAllReplied(now time.Duration, key packet.Key, f *flow) {
 	f.queriedAll = true
-	if len(f.unsure) > maxProbedTargets {
-		e.failLookup(now, key, f)
-		return
-	}
 	e.afterProbe(now, key, f)
 }
 
@@ -222,12 +218,13 @@
 // small link of the entry VM one packet.
 func (e *Entry) probe(now time.Duration, key packet.Key, f *flow) {
 	f.state = probing
-	count := min(len(f.unsure), maxProbedTargets)
-	chainCount := (count + hop.MaxChain - 1) / hop.MaxChain
-	if !e.queries.takeBudget(now, chainCount, hop.ForwardSize(hop.MaxChain, len(f.heldPackets[0]))) {
+	if !e.payForProbes(now, f) {
 		e.setTimer(key, f, now+budgetRetryDelay)
 		return
 	}
+	count := min(len(f.unsure), maxProbedTargets)
+	chainCount := chainsFor(count)
+	f.paidProbes -= count
 	e.Stats.Probed++
 	// Relays at the front of the ranking own the flow most often.
 	slices.SortStableFunc(f.unsure, func(a, b hop.IP) int { return f.likelyRank(a) - f.likelyRank(b) })
@@ -245,6 +242,22 @@
 	}
 }
 
+// chainsFor returns the number of chains that probe a number of targets.
+func chainsFor(targets int) int { return (targets + hop.MaxChain - 1) / hop.MaxChain }
+
+// payForProbes takes the probes of all unsure relays from the budget, unless they are paid for, and reports whether it
+// allowed them. A lookup whose probes were spread over time would hand packets of an open flow to other targets for long
+// before its own gets one.
+func (e *Entry) payForProbes(now time.Duration, f *flow) bool {
+	if missing := len(f.unsure) - f.paidProbes; missing > 0 {
+		if !e.queries.takeBudget(now, chainsFor(missing), hop.ForwardSize(hop.MaxChain, len(f.heldPackets[0]))) {
+			return false
+		}
+		f.paidProbes = len(f.unsure)
+	}
+	return true
+}
+
 // onProbeTimer continues after a chain that has not answered in time. The relays behind the first silent
 // one have not received the packet and are unsure again.
 func (e *Entry) onProbeTimer(now time.Duration, key packet.Key, f *flow) {
@@ -302,11 +315,22 @@
 		Kind: decision.SearchFailed, Flow: key, Tries: f.attempts + f.fanouts, Took: now - f.startedAt, Code: result.DeadlineExceeded,
 	})
 	f.timerSet = false
+	f.ruledOut = e.targetsWithoutFlow(f)
 	f.heldPackets, f.unsure, f.likelyOwners, f.notOwners, f.probed, f.probeChains = nil, nil, nil, nil, nil, nil
+	f.paidProbes = 0
 	f.state, f.due = notFound, now+min(lookupBackoff<<min(f.failedLookups, 8), maxLookupBackoff)
 	f.failedLookups++
 }
 
+// targetsWithoutFlow returns the relays whose targets have returned a packet of the flow, so that the next lookup
+// continues with the others. It returns none once all have been probed: one of them may have been mistaken.
+func (e *Entry) targetsWithoutFlow(f *flow) []hop.IP {
+	if f.queriedAll && len(f.unsure) == 0 && e.pendingProbes(f) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Concat(f.ruledOut, f.probed), func(ip hop.IP) bool { return !slices.Contains(f.notOwners, ip) })
+}
+
 // handleAnswer handles what one relay says about its ownership of a flow.
 func (e *Entry) handleAnswer(now time.Duration, key packet.Key, f *flow, from hop.IP, answer hop.Answer) {
 	switch answer {
@@ -317,6 +341,7 @@
 		held := f.heldPackets
 		f.state, f.owner, f.failedLookups = owned, from, 0
 		f.heldPackets, f.likelyOwners, f.unsure, f.notOwners, f.probed, f.probeChains = nil, nil, nil, nil, nil, nil
+		f.ruledOut, f.paidProbes = nil, 0
 		for _, raw := range held {
 			e.forwardTo(from, f.service, key, raw)
 		}
