Let a follower's status show the levels that its leader knows

Cause: a controller knows the protocol level of those that have called it. Followers call each other only to be elected or to join, and after a restart of all a leader may be there before either.

Change: a controller that does not lead asks its leader within 200 ms and shows that answer; what it knows itself is shown if the leader does not answer. The metric members_below is 0 on followers. The request has a new field that keeps the leader from asking on; older builds pass over it and answer for themselves.

--- a/internal/confstore/membership_test.go
+++ b/internal/confstore/membership_test.go
@@ -94,3 +94,25 @@
 		return g.voters()
 	}).WithTimeout(testkit.WaitTimeout).Should(ConsistOf(first[1].name, first[2].name, successor.name))
 }
+
+// Guards against members that an operator takes for old builds: a controller that does not lead may never have been called
+// by the others, and showed them as below its protocol level.
+func TestStatusOfAFollowerKnowsTheLevelsOfAllMembers(t *testing.T) {
+	g := newTestGroup(t)
+	first := g.found(3, 3)
+	for _, c := range first {
+		if c == g.leader() {
+			continue
+		}
+		c.mu.Lock()
+		clear(c.levels)
+		c.mu.Unlock()
+		NewWithT(t).Eventually(func() ([]string, error) {
+			status, err := FetchStatus(context.Background(), netip.AddrPortFrom(c.cfg.IP, groupPort))
+			if err != nil {
+				return nil, err
+			}
+			return status.Below, nil
+		}).WithTimeout(testkit.WaitTimeout).Should(BeEmpty())
+	}
+}
--- a/internal/confstore/metrics.go
+++ b/internal/confstore/metrics.go
@@ -38,7 +38,10 @@
 			return float64(len(c.registry.OutdatedEntries(version)))
 		}},
 		{"log_level", "Protocol level that the replicated log requires of its members.", func() float64 { return float64(c.state.protocolLevel()) }},
-		{"members_below", "Members that have not announced the protocol level of this controller.", func() float64 {
+		{"members_below", "Members that have not announced the protocol level of this controller, if it leads, or else 0.", func() float64 {
+			if !c.log.Status().IsLeader {
+				return 0 // other members do not call it
+			}
 			return float64(len(c.membersBelow(roster.Level)))
 		}},
 		{"processes_below", "Entry VMs and relays with a lower protocol level than this controller.", func() float64 {
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -20,7 +20,7 @@
 	// stepTimeout bounds a Step or Join call. It is below the election timeout, so that a connection that
 	// no longer answers is replaced before it causes an election.
 	stepTimeout = 300 * time.Millisecond
-	// forwardTimeout bounds the forwarding of a Join call within its stepTimeout.
+	// forwardTimeout bounds a call to the leader within a Join or Status call. It is below stepTimeout.
 	forwardTimeout = 200 * time.Millisecond
 	// fetchTimeout bounds a Fetch or Status call. It allows for a configuration over a link of 4 Mbit/s.
 	fetchTimeout = 2 * time.Second
@@ -104,7 +104,10 @@
 type FetchReply struct{ Content *Content }
 
 // StatusRequest asks for the Status of a controller.
-type StatusRequest struct{}
+type StatusRequest struct {
+	// Local asks for what the controller itself knows; it does not ask its leader.
+	Local bool
+}
 
 // Status is the state of a controller.
 type Status struct {
@@ -117,7 +120,8 @@
 	// Behind are the names of the entry VMs that have an older configuration in force.
 	Behind []string
 	// Build and Level are the build of the controller and its protocol level. LogLevel is the level that the log requires
-	// of its members, and Below are the members that have not announced the level of this controller.
+	// of its members, and Below are the members that have not announced the level of this controller to the leader, or to
+	// this controller if the leader does not answer.
 	Build    string
 	Level    uint8
 	LogLevel uint8
@@ -239,7 +243,7 @@
 }
 
 // Status returns the state of the controller.
-func (p *Peer) Status(_ *StatusRequest, reply *Status) error {
+func (p *Peer) Status(request *StatusRequest, reply *Status) error {
 	c := p.c
 	logStatus := c.log.Status()
 	*reply = Status{
@@ -247,6 +251,9 @@
 		Build: telemetry.Build(), Level: roster.Level, LogLevel: c.state.protocolLevel(), Below: c.membersBelow(roster.Level),
 		Evacuated: c.state.evacuations().Zones,
 	}
+	if !request.Local && !logStatus.IsLeader {
+		p.askLeader(reply)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply.Targets = c.registry.Targets()
@@ -255,6 +262,22 @@
 	return nil
 }
 
+// askLeader takes into a status what only the leader knows: the other members may never have called this controller.
+func (p *Peer) askLeader(status *Status) {
+	client, err := p.c.leaderClient()
+	if err != nil {
+		return
+	}
+	ctx, cancel := p.peer.CallContext(forwardTimeout)
+	defer cancel()
+	leader, err := rpc.Call[Status](ctx, client, peerService+".Status", &StatusRequest{Local: true})
+	if err != nil {
+		p.c.tel.Logger.Debug().Str("leader", status.Leader).Err(err).Msg("asking the leader for its status failed")
+		return
+	}
+	status.Below = leader.Below
+}
+
 // addPeer records the address of a controller that has called.
 func (c *Controller) addPeer(name string) {
 	c.mu.Lock()
