Move the decisions of membership into one package without I/O

Whom a controller asks to join, which requests count, and what the leader changes next were spread over the store's goroutines, with clocks and RPC between them. repair.Joiner and repair.Requests now hold the first two beside Decide; internal/confstore only hosts them, so that a simulation can run the same code. No behaviour changes, except that a controller is known by its address rather than by its name: another name at the same address is put in the directory as before.

--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -71,7 +71,7 @@
 	}
 	switch m := message.(type) {
 	case *checkpoint.Part:
-		if c.flows.RecordPart(time.Since(c.start), from, m) {
+		if c.flows.RecordPart(c.now(), from, m) {
 			resync := checkpoint.Resync{Process: m.Process}
 			return c.sendEncoded(to, resync.Encode)
 		}
@@ -100,7 +100,7 @@
 func (c *Controller) handleAnnouncement(to netip.AddrPort, from hop.IP, a *roster.Announcement) {
 	base := c.baseAnswer()
 	c.mu.Lock()
-	changed := c.registry.RecordAnnouncement(time.Since(c.start), from, a)
+	changed := c.registry.RecordAnnouncement(c.now(), from, a)
 	if a.Role == roster.RoleRelay && a.Target != nil {
 		base.Previous = c.incarnations.record(from, a.Process, a.Target.ID)
 		if a.Gone {
@@ -110,7 +110,7 @@
 	if a.Role == roster.RoleEntry {
 		c.incarnations.recordEntry(from)
 	}
-	answers := c.registry.AnswersFor(time.Since(c.start), base, from, a)
+	answers := c.registry.AnswersFor(c.now(), base, from, a)
 	c.mu.Unlock()
 	for i := range answers {
 		c.sendAnswer(to, &answers[i])
@@ -130,7 +130,7 @@
 // of power they know only their seeds, which may start later than this controller. It ends after a lease.
 func (c *Controller) callProcesses(ctx context.Context) {
 	pause := minCallInterval
-	for time.Since(c.start) < roster.Lease && ctxtime.Sleep(ctx, pause) {
+	for c.now() < roster.Lease && ctxtime.Sleep(ctx, pause) {
 		call := c.baseAnswer()
 		call.Call = true
 		processes := c.incarnations.notHeard()
@@ -170,7 +170,7 @@
 // listMayBeIncomplete reports whether the list may lack running relays: the controller has run for less than
 // a lease, and some relays have not announced themselves to it since.
 func (c *Controller) listMayBeIncomplete() bool {
-	return time.Since(c.start) < roster.Lease && !c.incarnations.allHeard()
+	return c.now() < roster.Lease && !c.incarnations.allHeard()
 }
 
 func (c *Controller) sendAnswer(to netip.AddrPort, a *roster.Answer) {
@@ -183,7 +183,7 @@
 func (c *Controller) expireLeases(ctx context.Context) {
 	for ctxtime.Sleep(ctx, expireInterval) {
 		c.mu.Lock()
-		expired := c.registry.Expire(time.Since(c.start))
+		expired := c.registry.Expire(c.now())
 		c.mu.Unlock()
 		for _, e := range expired {
 			c.incarnations.markLeft(e.IP)
--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +22,7 @@
 	"github.com/greengagelock/greengagelock/internal/hop"
 	"github.com/greengagelock/greengagelock/internal/lifecycle"
 	"github.com/greengagelock/greengagelock/internal/packet"
+	"github.com/greengagelock/greengagelock/internal/repair"
 	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
@@ -50,8 +50,6 @@
 	memberChangeTimeout = time.Second
 	// transferTimeout bounds the transfer of leadership when the process stops.
 	transferTimeout = time.Second
-	// leaveTimeout bounds the wait for a successor when the process stops. Two changes of the members take less than 0.4 s.
-	leaveTimeout = time.Second
 	// identityFile is the file in the data folder with the name of the member that the folder belongs to.
 	identityFile = "name.json"
 	// bootstrapSuffix ends the names of the members that bootstrap the log. They must know each other's
@@ -97,32 +95,29 @@
 	udp       *net.UDPConn
 	listDirty chan struct{} // holds a value while entry VMs lack a change of the list of targets
 
-	mu           sync.Mutex
-	seeds        []netip.Addr
-	joinRequests map[string]joinRequest // by member name
-	leaving      map[string]time.Time   // time of the last Leave call, by member name
-	levels       map[string]uint8       // protocol level that a controller announced with its last call, by member name
-	registry     *roster.Registry
+	mu       sync.Mutex
+	joiner   *repair.Joiner
+	requests *repair.Requests
+	levels   map[string]uint8 // protocol level that a controller announced with its last call, by member name
+	registry *roster.Registry
 
-	stopping     atomic.Bool // the process is stopping
 	incarnations *incarnations
 	flows        *checkpoint.Store // reported by relays
 	start        time.Time
-	// peerAddresses are the addresses of all controllers that have called, by member name.
-	peerAddresses map[string]string
 }
 
 // New opens the files and sockets of a controller. Run starts it.
 func New(cfg Config, t telemetry.Handle) (*Controller, error) {
 	c := &Controller{
-		cfg: cfg, tel: t, state: newStateMachine(), seeds: cfg.Seeds, joinRequests: map[string]joinRequest{}, leaving: map[string]time.Time{}, levels: map[string]uint8{},
-		registry: roster.NewRegistry(roster.NewInstanceID()), start: time.Now(), peerAddresses: map[string]string{},
+		cfg: cfg, tel: t, state: newStateMachine(), requests: repair.NewRequests(), levels: map[string]uint8{},
+		registry: roster.NewRegistry(roster.NewInstanceID()), start: time.Now(),
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
 		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
 	}
 	if err := c.flows.Load(cfg.DataDir, 0, c.start); err != nil {
 		t.Logger.Warn().Err(err).Msg("the flow checkpoint is not used")
 	}
+	c.joiner = repair.NewJoiner(c.addressAt(cfg.IP), c.addressesAt(cfg.Seeds), cfg.Bootstrap)
 	bootstrapNames := c.bootstrapNames()
 	var err error
 	if c.name, err = c.loadOrCreateName(bootstrapNames); err != nil {
@@ -161,6 +156,9 @@
 	return c, nil
 }
 
+// now returns the time since the start.
+func (c *Controller) now() time.Duration { return time.Since(c.start) }
+
 // Name returns the name of the member.
 func (c *Controller) Name() string { return c.name }
 
@@ -226,9 +224,22 @@
 	if err != nil {
 		return ""
 	}
+	return c.addressAt(ip)
+}
+
+// addressAt returns the address and port of the controller of a VM.
+func (c *Controller) addressAt(ip netip.Addr) string {
 	return netip.AddrPortFrom(ip, c.cfg.Port).String()
 }
 
+func (c *Controller) addressesAt(ips []netip.Addr) []string {
+	var addresses []string
+	for _, ip := range ips {
+		addresses = append(addresses, c.addressAt(ip))
+	}
+	return addresses
+}
+
 // memberIP returns the IP address of the VM of a member, with which its name starts.
 func memberIP(name string) (netip.Addr, error) {
 	ip, _, _ := strings.Cut(name, "/")
@@ -239,7 +250,7 @@
 func (c *Controller) SetSeeds(seeds []netip.Addr) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seeds = seeds
+	c.joiner.SetSeeds(c.addressesAt(seeds))
 }
 
 // Run serves until ctx is done, and transfers leadership before it stops.
@@ -254,7 +265,7 @@
 		lifecycle.WithoutError(c.runListUpdates),
 		lifecycle.WithoutError(func(ctx context.Context) { c.incarnations.runSaves(ctx, c.tel.Logger) }),
 		lifecycle.WithoutError(func(ctx context.Context) {
-			c.flows.RunSaves(ctx, c.cfg.DataDir, func() time.Duration { return time.Since(c.start) }, c.tel.Logger)
+			c.flows.RunSaves(ctx, c.cfg.DataDir, c.now, c.tel.Logger)
 		}),
 		lifecycle.WithoutError(c.repairMembers),
 		lifecycle.WithoutError(c.requestMembership),
@@ -263,7 +274,9 @@
 
 // beforeStop hands over the duties of this controller while its process is stopping.
 func (c *Controller) beforeStop(ctx context.Context) {
-	c.stopping.Store(true)
+	c.mu.Lock()
+	c.joiner.Stop()
+	c.mu.Unlock()
 	c.transferLeadership(ctx)
 	c.leave(ctx)
 }
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
@@ -16,28 +14,35 @@
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
 
-// requestMembership asks other controllers for membership, as long as this one is not a voter with a known leader: it
-// may be new, or have been removed while it was cut off.
+// requestMembership asks other controllers for membership as long as that is needed.
 func (c *Controller) requestMembership(ctx context.Context) {
-	hasBeenVoter := false
 	for ctxtime.Sleep(ctx, repair.JoinInterval) {
-		status := c.log.Status()
-		isVoter := c.isVoter(status)
-		hasBeenVoter = hasBeenVoter || isVoter
-		if status.IsLeader || (status.Leader != "" && isVoter) || c.stopping.Load() {
-			continue
-		}
-		request := JoinRequest{
-			Name: c.name, Level: roster.Level, Founding: c.cfg.Bootstrap && !hasBeenVoter, Losses: uint8(c.cfg.FaultTolerance),
-		}
+		view := c.membershipView()
+		c.mu.Lock()
+		addresses := c.joiner.Next(view)
+		request := JoinRequest{Name: c.name, Level: roster.Level, Founding: c.joiner.Founding(), Losses: uint8(c.cfg.FaultTolerance)}
+		c.mu.Unlock()
 		var wg sync.WaitGroup
-		for _, address := range c.joinAddresses(status) {
+		for _, address := range addresses {
 			wg.Go(func() { c.join(ctx, address, request) })
 		}
 		wg.Wait()
 	}
 }
 
+// membershipView returns what this controller knows of the group.
+func (c *Controller) membershipView() repair.View {
+	status := c.log.Status()
+	v := repair.View{Leads: status.IsLeader, Votes: c.isVoter(status), HasLeader: status.Leader != ""}
+	if v.HasLeader {
+		_, v.LeaderAddress = c.directory.Find(replica.MemberID(status.Leader))
+	}
+	for _, m := range status.Members {
+		v.Members = append(v.Members, m.Address)
+	}
+	return v
+}
+
 // join sends a join request to the controller at an address, and records the controllers that the reply names.
 func (c *Controller) join(ctx context.Context, address string, request JoinRequest) {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
@@ -60,39 +65,10 @@
 	return slices.ContainsFunc(status.Members, func(m replica.Member) bool { return m.Name == c.name && !m.Learner })
 }
 
-// joinAddresses returns the addresses to which join requests are sent. A learner that knows its leader asks only
-// that; otherwise they are those of all other known controllers: seeds, members, and controllers that have called or
-// were named in a reply.
-func (c *Controller) joinAddresses(status replica.Status) []string {
-	if status.Leader != "" {
-		if _, address := c.directory.Find(replica.MemberID(status.Leader)); address != "" {
-			return []string{address}
-		}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var addresses []string
-	add := func(address string) {
-		if address != "" && address != c.peerAddress(c.name) && !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
-		}
-	}
-	for _, ip := range c.seeds {
-		add(netip.AddrPortFrom(ip, c.cfg.Port).String())
-	}
-	for _, m := range status.Members {
-		add(m.Address)
-	}
-	for _, address := range c.peerAddresses {
-		add(address)
-	}
-	return addresses
-}
-
 // leave tells the leader that this controller stops, if it is a voter that a learner can replace, and waits until it has
 // been replaced. A leader of an older build does not know the call; the controller then is replaced once it is lost.
 func (c *Controller) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, repair.LeaveLease)
 	defer cancel()
 	isLearner := func(m replica.Member) bool { return m.Learner }
 	for status := c.log.Status(); c.isVoter(status) && slices.ContainsFunc(status.Members, isLearner); status = c.log.Status() {
@@ -128,36 +104,21 @@
 	}
 }
 
-// repairGroup returns the input of repair.Decide. It drops join requests older than repair.JoinLease.
+// repairGroup returns the input of repair.Decide.
 func (c *Controller) repairGroup(status replica.Status) repair.Group {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	g := repair.Group{Commit: status.Commit, Losses: c.cfg.FaultTolerance}
-	for name, r := range c.joinRequests {
-		if time.Since(r.at) > repair.JoinLease {
-			delete(c.joinRequests, name)
-			continue
-		}
-		g.Losses = max(g.Losses, r.losses)
-		g.Joining = append(g.Joining, repair.Member{ID: replica.MemberID(name), Name: name})
-	}
-	for name, at := range c.leaving {
-		if time.Since(at) > leaveTimeout {
-			delete(c.leaving, name)
-		}
-	}
+	var members []repair.Member
 	for _, m := range status.Members {
-		_, leaving := c.leaving[m.Name]
 		address := ""
 		if ip, err := memberIP(m.Name); err == nil {
 			address = ip.String()
 		}
-		g.Members = append(g.Members, repair.Member{
-			ID: m.ID, Name: m.Name, Address: address, Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge,
-			Self: m.Name == c.name, Founding: c.joinRequests[m.Name].founding, Leaving: leaving,
+		members = append(members, repair.Member{
+			ID: m.ID, Name: m.Name, Address: address, Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge, Self: m.Name == c.name,
 		})
 	}
-	return g
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests.Group(c.now(), members, status.Commit, c.cfg.FaultTolerance)
 }
 
 // applyChange runs one change of the members through the log.
--- a/internal/confstore/membership_test.go
+++ b/internal/confstore/membership_test.go
@@ -87,7 +87,9 @@
 	successor := g.add(Config{Seeds: first[0].cfg.Seeds})
 	g.start(successor)
 	g.waitForMembers(4)
-	first[0].stopping.Store(true)
+	first[0].mu.Lock()
+	first[0].joiner.Stop()
+	first[0].mu.Unlock()
 	NewWithT(t).Eventually(func() []string {
 		first[0].transferLeadership(context.Background())
 		first[0].leave(context.Background())
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/repair"
 	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
@@ -83,13 +84,6 @@
 // LeaveReply is the empty answer to a LeaveRequest.
 type LeaveReply struct{}
 
-// joinRequest is the last join request of a controller.
-type joinRequest struct {
-	at       time.Time
-	founding bool
-	losses   int
-}
-
 // JoinReply holds the names of the leader, empty if unknown, and of the members that the answering
 // controller knows.
 type JoinReply struct {
@@ -194,7 +188,9 @@
 	c.addPeer(request.Name)
 	c.recordLevel(request.Name, request.Level)
 	c.mu.Lock()
-	c.joinRequests[request.Name] = joinRequest{at: time.Now(), founding: request.Founding, losses: int(request.Losses)}
+	c.requests.Join(c.now(), repair.Request{
+		ID: replica.MemberID(request.Name), Name: request.Name, Founding: request.Founding, Losses: int(request.Losses),
+	})
 	c.mu.Unlock()
 	status := c.log.Status()
 	if !status.IsLeader && !request.Forwarded {
@@ -215,7 +211,7 @@
 	}
 	p.c.mu.Lock()
 	defer p.c.mu.Unlock()
-	p.c.leaving[request.Name] = time.Now()
+	p.c.requests.Leave(p.c.now(), request.Name)
 	return nil
 }
 
@@ -278,15 +274,13 @@
 	status.Below = leader.Below
 }
 
-// addPeer records the address of a controller that has called.
+// addPeer records the name and the address of a controller that has called or was named by another one.
 func (c *Controller) addPeer(name string) {
+	address := c.peerAddress(name)
 	c.mu.Lock()
-	known := c.peerAddresses[name] != ""
-	if !known {
-		c.peerAddresses[name] = c.peerAddress(name)
-	}
+	c.joiner.Learn(address)
 	c.mu.Unlock()
-	if !known {
+	if _, known := c.directory.Find(replica.MemberID(name)); known != address {
 		c.addToDirectory(name)
 	}
 }
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -19,11 +19,6 @@
 	// exceeds two election timeouts and is far below the 4 s within which a replaced controller must vote
 	// again.
 	LostAfter = 1500 * time.Millisecond
-	// JoinLease is the time for which a join request is valid. It is renewed every JoinInterval.
-	JoinLease = 2 * time.Second
-	// JoinInterval is the time between two join requests of a controller that is not a member or has no
-	// contact with a leader.
-	JoinInterval = 300 * time.Millisecond
 )
 
 // Member is the leader's view of a member.
