Do not take members for lost that a new leader has not heard yet

Cause: the age of the last contact of a member that had not answered in the leader's term was given as an hour. A member that was removed and added again kept the age of its first time.

Change: the age counts from the election, or from when the member was added, at the latest. Whether it was heard in this term is told apart.

Measured: TestMembersAreNotLostRightAfterAnElection does not compile before (Heard); with the old age its first check fails.

--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -113,7 +113,7 @@
 			address = ip.String()
 		}
 		members = append(members, repair.Member{
-			ID: m.ID, Name: m.Name, Address: address, Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge, Self: m.Name == c.name,
+			ID: m.ID, Name: m.Name, Address: address, Voter: !m.Learner, Match: m.Match, ContactAge: m.ContactAge, Heard: m.Heard, Self: m.Name == c.name,
 		})
 	}
 	c.mu.Lock()
--- a/internal/consensus/election_test.go
+++ b/internal/consensus/election_test.go
@@ -76,3 +76,29 @@
 		}
 	}
 }
+
+// Guards against members that a new leader takes for lost because they have not answered it yet, and that are then removed.
+func TestMembersAreNotLostRightAfterAnElection(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, seed, 3, consensus.Config{})
+		c.run(10*time.Second, func() bool { return c.leader() != nil })
+		c.run(5*time.Second, nil)
+		c.leader().crash()
+		if !c.run(10*time.Second, func() bool { return c.leader() != nil }) {
+			t.Fatalf("seed %d: no new leader%s", seed, c.describe())
+		}
+		leader := c.leader()
+		heard := 0
+		for _, p := range leader.node.Status(c.now - leader.startedAt).Peers {
+			if p.ContactAge > 100*ms {
+				t.Errorf("seed %d: member %d was not heard for %v right after the election", seed, p.ID, p.ContactAge)
+			}
+			if p.Heard {
+				heard++
+			}
+		}
+		if heard > 1 {
+			t.Errorf("seed %d: %d members were heard, one of which is down", seed, heard)
+		}
+	}
+}
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -47,10 +47,10 @@
 func (n *Node) updatePeers() {
 	members := n.Members()
 	for _, id := range members.all() {
-		if p := n.leadership.peers[id]; p != nil {
-			p.removalIndex = 0
-		} else if id != n.cfg.ID {
-			n.leadership.peers[id] = newProgress(n.log.last().Index + 1)
+		if p := n.leadership.peers[id]; p != nil && p.removalIndex != 0 {
+			p.removalIndex, p.trackedAt = 0, n.now
+		} else if p == nil && id != n.cfg.ID {
+			n.leadership.peers[id] = newProgress(n.log.last().Index+1, n.now)
 		}
 	}
 	for id, p := range n.leadership.peers {
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -25,6 +25,7 @@
 	sentCommit uint64        // last commit index sent to the peer
 	snapshot   *outgoingSnapshot
 
+	trackedAt     time.Duration // when the peer was added, or the leader was elected
 	contactAt     time.Duration // send time of the latest message that was answered
 	answeredRound uint64        // latest heartbeat round that was answered
 	lastStamp     Stamp         // latest stamp received from the peer
@@ -35,8 +36,8 @@
 	removalDeadline time.Duration
 }
 
-func newProgress(next uint64) *progress {
-	return &progress{next: next, contactAt: never, sentAt: never}
+func newProgress(next uint64, now time.Duration) *progress {
+	return &progress{next: next, trackedAt: now, contactAt: never, sentAt: never}
 }
 
 func (p *progress) startProbing(next uint64) {
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -44,8 +44,10 @@
 	ID           MemberID
 	Match        uint64
 	Snapshotting bool
-	ContactAge   time.Duration
-	ContactKnown bool
+	// ContactAge is the time since the last contact, or since the member was added or the leader was elected if that is
+	// later: a member that could not answer yet is not lost.
+	ContactAge time.Duration
+	Heard      bool // there was contact in the leader's term
 }
 
 // Status returns the state at now.
@@ -58,10 +60,7 @@
 	}
 	for _, id := range n.peerIDs() {
 		p := n.leadership.peers[id]
-		peer := PeerStatus{ID: id, Match: p.match, Snapshotting: p.state == snapshotting, ContactKnown: p.contactAt != never}
-		if peer.ContactKnown {
-			peer.ContactAge = n.now - p.contactAt
-		}
+		peer := PeerStatus{ID: id, Match: p.match, Snapshotting: p.state == snapshotting, ContactAge: n.now - max(p.contactAt, p.trackedAt), Heard: p.contactAt >= p.trackedAt}
 		s.Peers = append(s.Peers, peer)
 	}
 	return s
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -29,7 +29,10 @@
 	Voter      bool
 	Match      uint64 // index of the last entry that it is known to have
 	ContactAge time.Duration
-	Self       bool
+	// Heard is set if the leader has had contact with the member in its term. Without it, ContactAge is the time since the
+	// member was added or the leader was elected.
+	Heard bool
+	Self  bool
 	// Founding is set for a controller that was started together with the whole system and has not been a voter yet.
 	Founding bool
 	// Leaving is set for a controller whose process is stopping.
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -65,7 +65,8 @@
 	Leader  bool
 	// Match is the index of the last entry that the member is known to have; set only on the leader.
 	Match uint64
-	// ContactAge is the time since the leader last had contact with the member; set only on the leader,
-	// and zero for the leader itself.
+	// ContactAge is the time since the leader last had contact with the member, or since the member was added or the leader
+	// was elected; set only on the leader, and zero for the leader itself.
 	ContactAge time.Duration `json:"-"`
+	Heard      bool          `json:"-"` // there was contact in the leader's term; set only on the leader
 }
--- a/internal/replica/replicaapi.go
+++ b/internal/replica/replicaapi.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
@@ -143,9 +142,6 @@
 	return result.New(result.DeadlineExceeded, "no other member became leader in time")
 }
 
-// noContactAge is the ContactAge of a member that the leader has had no contact with in its term.
-const noContactAge = time.Hour
-
 // Status implements Log.
 func (r *Replica) Status() Status {
 	p := r.status.Load()
@@ -165,11 +161,7 @@
 		}
 		for _, peer := range p.Peers {
 			if peer.ID == id {
-				m.Match = peer.Match
-				m.ContactAge = noContactAge
-				if peer.ContactKnown {
-					m.ContactAge = peer.ContactAge
-				}
+				m.Match, m.ContactAge, m.Heard = peer.Match, peer.ContactAge, peer.Heard
 			}
 		}
 		s.Members = append(s.Members, m)
