Promote a learner before the voter that it replaces is removed

A restarting voter was removed in favour of a learner while another voter had been gone for 1.2 s; the two voters that were left included that one, and the removal never committed.

Cause: the voter was removed first. In between, entries are committed by a smaller group, which may include a voter whose loss is not known yet.

Change: the learner is promoted first, if the voters that have been heard in this term and the learner are a majority afterwards; then the voter that it replaces is removed. For that, eight voters are allowed for a moment.

Ruled out: a change of both members in one step with joint majorities.

--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -109,7 +109,7 @@
 	if !m.IsLearner(id) {
 		return m, result.New(result.PeerUnknown, "member %d is not a learner", id)
 	}
-	if len(m.Voters) >= MaxVoters {
+	if len(m.Voters) > MaxVoters { // one more only until the voter that this one replaces is removed
 		return m, result.New(result.ConfigInvalid, "there are already %d voters", len(m.Voters))
 	}
 	p := n.leadership.peers[id]
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -41,6 +41,9 @@
 
 func (m *Member) isLost() bool { return !m.Self && m.ContactAge > LostAfter }
 
+// isAlive reports whether the member is known to run. A member that the leader has not heard yet is neither lost nor alive.
+func (m *Member) isAlive() bool { return m.Self || m.Heard && !m.isLost() }
+
 // Group is the membership state on which a decision is based.
 type Group struct {
 	Members []Member
@@ -80,19 +83,22 @@
 }
 
 // Decide returns the next change, or a change of kind None if there is nothing to do.
+//
+// A learner that replaces a voter is promoted before that is removed. In the other order an entry would be committed on
+// fewer disks in between, and a group that loses one of these for good while the removed voter was only cut off would never
+// have a majority again.
 func Decide(g Group) Change {
 	for i := range g.Members {
 		if m := &g.Members[i]; !m.Voter && m.isLost() {
 			return m.change(Remove, "the learner is unreachable")
 		}
 	}
-	if c := g.addLearner(); c.Kind != None {
-		return c
-	}
-	if c := g.promoteLearner(); c.Kind != None {
-		return c
+	for _, step := range []func() Change{g.addLearner, g.removeSurplus, g.promoteLearner} {
+		if c := step(); c.Kind != None {
+			return c
+		}
 	}
-	return g.removeSurplus()
+	return Change{}
 }
 
 func (m *Member) change(kind Kind, reason string) Change {
@@ -113,104 +119,88 @@
 	return Change{}
 }
 
-// promoteLearner promotes a learner that has caught up if the group has too few voters, or removes the voter that the
-// learner replaces, so that the next decision promotes it. As the learner already has the log by then, there is one
-// voter less only between the two changes.
+// promoteLearner promotes a learner that has caught up, if the group has too few voters or the learner replaces one. The
+// voters that are alive and the learner must be a majority afterwards.
 func (g *Group) promoteLearner() Change {
-	learners := g.caughtUpLearners()
-	if voters, _ := g.countMembers(); voters < consensus.MaxVoters {
-		for _, learner := range learners {
-			if reason := g.reasonToGrow(learner); reason != "" {
-				return learner.change(Promote, reason)
-			}
-		}
+	voters, alive := g.countVoters("")
+	if alive+1 < majority(voters+1) || voters > consensus.MaxVoters {
+		return Change{}
 	}
-	if len(learners) > 0 {
-		if learner, replaced := g.replacement(learners); replaced != nil && g.hasQuorumWithout(replaced.Name) {
-			return replaced.change(Remove, learner.Name+" replaces it")
+	replaced := g.goneVoter()
+	for i := range g.Members {
+		learner := &g.Members[i]
+		if learner.Voter || !learner.isAlive() || learner.Leaving || learner.Match < g.Commit {
+			continue
+		}
+		switch {
+		case replaced != nil:
+			return learner.change(Promote, "it replaces "+replaced.Name)
+		case voters >= consensus.MaxVoters:
+		case learner.Founding:
+			return learner.change(Promote, "it belongs to the first members")
+		case voters < g.minVoters():
+			return learner.change(Promote, "the group has too few voters for the losses that it has to bear")
 		}
 	}
 	return Change{}
 }
 
-// reasonToGrow returns why the group needs the learner as one more voter, or "".
-func (g *Group) reasonToGrow(learner *Member) string {
-	voters, _ := g.countMembers()
-	needed := g.minVoters()
-	switch {
-	case learner.Founding:
-		return "it belongs to the first members"
-	case voters < needed:
-		return "the group has too few voters for the losses that it has to bear"
-	case needed == 0 && voters%2 == 0:
-		return "one voter more than an even number bears one loss more"
-	}
-	return ""
-}
-
-// caughtUpLearners returns the learners that have all committed entries and are not lost.
-func (g *Group) caughtUpLearners() []*Member {
-	var learners []*Member
+// goneVoter returns a voter that is lost, whose VM has another member now because its disk was lost, or whose process is
+// stopping, or nil. The first of these is preferred.
+func (g *Group) goneVoter() *Member {
+	var replaced, leaving *Member
 	for i := range g.Members {
 		m := &g.Members[i]
-		if !m.Voter && !m.isLost() && !m.Leaving && m.Match >= g.Commit {
-			learners = append(learners, m)
+		switch {
+		case !m.Voter:
+		case m.isLost():
+			return m
+		case g.isReplacedOnVM(m):
+			replaced = m
+		case m.Leaving:
+			leaving = m
 		}
 	}
-	return learners
+	return cmp.Or(replaced, leaving)
 }
 
-// replacement returns a learner and the voter that it replaces: the voter on the learner's VM, whose disk was lost, or
-// else any voter that is lost or leaves. It returns nil if there is no such voter.
-func (g *Group) replacement(learners []*Member) (learner, replaced *Member) {
-	var lost, leaving *Member
+// isReplacedOnVM reports whether another member on the same VM has been heard later. A VM runs one controller.
+func (g *Group) isReplacedOnVM(m *Member) bool {
 	for i := range g.Members {
-		m := &g.Members[i]
-		if !m.Voter {
-			continue
-		}
-		for _, l := range learners {
-			if m.Address != "" && m.Address == l.Address {
-				return l, m
-			}
-		}
-		switch {
-		case m.isLost():
-			lost = m
-		case m.Leaving:
-			leaving = m
+		o := &g.Members[i]
+		if o != m && m.Address != "" && o.Address == m.Address && !m.Self && o.isAlive() && (!m.Heard || o.ContactAge < m.ContactAge) {
+			return true
 		}
 	}
-	return learners[0], cmp.Or(lost, leaving)
+	return false
 }
 
-// removeSurplus removes a lost voter that the group does not need. From an even number of voters that is always so: an
-// odd number that is one less has a smaller majority and tolerates as many failures. From an odd number it is so only
-// above the known size of the group. A group that keeps fewer voters than its size would commit entries on so few disks
-// that the losses it has to bear could take them all.
+// removeSurplus removes a voter that is gone, if the group does not need it. That is so above the known size of the group.
+// If the size is not known, it is so from an even number of voters on: an odd number that is one less has a smaller majority
+// and tolerates as many failures. A group that kept fewer voters than its size would commit entries on so few disks that
+// the losses it has to bear could take them all.
 func (g *Group) removeSurplus() Change {
-	voters, _ := g.countMembers()
+	voters, _ := g.countVoters("")
 	needed := g.minVoters()
 	if needed == 0 && (voters < 4 || voters%2 != 0) || needed > 0 && voters <= max(needed, 3) {
 		return Change{}
 	}
-	for i := range g.Members {
-		m := &g.Members[i]
-		if m.Voter && m.isLost() && g.hasQuorumWithout(m.Name) {
-			return m.change(Remove, "it is unreachable and the group has enough other voters")
-		}
+	if m := g.goneVoter(); m != nil && g.hasQuorumWithout(m.Name) {
+		return m.change(Remove, "it is gone and the group has enough other voters")
 	}
 	return Change{}
 }
 
-// hasQuorumWithout reports whether the reachable voters are still a majority, of at least two voters, after
-// the named voter is removed.
+// majority returns the number of voters that form a majority.
+func majority(voters int) int { return voters/2 + 1 }
+
+// hasQuorumWithout reports whether the voters that are alive are a majority after the named voter is removed.
 func (g *Group) hasQuorumWithout(name string) bool {
 	voters, alive := g.countVoters(name)
-	return voters >= consensus.MinVoters && alive >= voters/2+1
+	return voters >= consensus.MinVoters && alive >= majority(voters)
 }
 
-// countVoters counts the voters, and those that are reachable, without the named one.
+// countVoters counts the voters, and those that are alive, without the named one.
 func (g *Group) countVoters(without string) (voters, alive int) {
 	for i := range g.Members {
 		m := &g.Members[i]
@@ -218,7 +208,7 @@
 			continue
 		}
 		voters++
-		if !m.isLost() {
+		if m.isAlive() {
 			alive++
 		}
 	}
