Show the losses that the store bears, and report a failing change once

Change: the leader compares the losses that it bears with those it should bear, logs when the number falls and when it is back, and shows it in the status of every controller and in two metrics, with the members that it does not hear and the change that is due. A change that fails is logged once and counted.

Measured: TestStatusShowsTheLossesThatTheStoreBears and TestFailedChangeIsLoggedOnceAndCounted pass; the fields are new.

--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -101,6 +101,7 @@
 	levels   map[string]uint8 // protocol level that a controller announced with its last call, by member name
 	registry *roster.Registry
 
+	repairs      repairReport
 	incarnations *incarnations
 	flows        *checkpoint.Store // reported by relays
 	start        time.Time
@@ -109,7 +110,7 @@
 // New opens the files and sockets of a controller. Run starts it.
 func New(cfg Config, t telemetry.Handle) (*Controller, error) {
 	c := &Controller{
-		cfg: cfg, tel: t, state: newStateMachine(), requests: repair.NewRequests(), levels: map[string]uint8{},
+		cfg: cfg, tel: t, state: newStateMachine(), requests: repair.NewRequests(), repairs: repairReport{logger: t.Logger}, levels: map[string]uint8{},
 		registry: roster.NewRegistry(roster.NewInstanceID()), start: time.Now(),
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
 		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -92,15 +92,15 @@
 	for ctxtime.Sleep(ctx, repairInterval) {
 		status := c.log.Status()
 		if !status.IsLeader {
+			c.repairs.clear()
 			continue
 		}
-		change := repair.Decide(c.repairGroup(status))
-		if change.Kind == repair.None {
-			continue
+		g := c.repairGroup(status)
+		change := repair.Decide(g)
+		c.repairs.observe(&g, &change)
+		if change.Kind != repair.None {
+			c.repairs.finish(&change, c.applyChange(ctx, change, status))
 		}
-		err := c.applyChange(ctx, change, status)
-		c.tel.Logger.Info().Str("member", change.Name).Uint8("change", uint8(change.Kind)).Str("reason", change.Reason).
-			Err(err).Msg("store membership change")
 	}
 }
 
--- a/internal/confstore/membership_test.go
+++ b/internal/confstore/membership_test.go
@@ -1,12 +1,18 @@
 package confstore
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
 
+	"github.com/greengagelock/greengagelock/internal/repair"
+	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
@@ -118,3 +124,52 @@
 		}).WithTimeout(testkit.WaitTimeout).Should(BeEmpty())
 	}
 }
+
+// Guards against a store that bears fewer losses than it should without any sign of it: every controller shows it, with the
+// member that is lost, until a successor has taken its place.
+func TestStatusShowsTheLossesThatTheStoreBears(t *testing.T) {
+	g := newTestGroup(t)
+	first := g.found(3, 3)
+	g.stop(first[2])
+	for _, c := range first[:2] {
+		NewWithT(t).Eventually(func() (*RepairStatus, error) { return c.repairStatus() }).WithTimeout(testkit.WaitTimeout).Should(And(
+			HaveField("Borne", 0), HaveField("Wanted", 1), HaveField("Lost", ConsistOf(HaveField("Name", first[2].name)))))
+	}
+	successor := g.add(Config{Seeds: first[0].cfg.Seeds})
+	g.start(successor)
+	NewWithT(t).Eventually(func() (*RepairStatus, error) { return successor.repairStatus() }).WithTimeout(testkit.WaitTimeout).Should(And(
+		HaveField("Borne", 1), HaveField("Wanted", 1), HaveField("Lost", BeEmpty()), HaveField("Change", "")))
+}
+
+func (c *testController) repairStatus() (*RepairStatus, error) {
+	status, err := FetchStatus(context.Background(), netip.AddrPortFrom(c.cfg.IP, groupPort))
+	if err != nil || status.Repair == nil {
+		return nil, err
+	}
+	return status.Repair, nil
+}
+
+// Guards against a change of the members that fails again and again and fills the log.
+func TestFailedChangeIsLoggedOnceAndCounted(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	r := repairReport{logger: &log.Logger{Writer: &log.IOWriter{Writer: &out}}}
+	group := &repair.Group{Members: []repair.Member{{Name: "a", Voter: true, Self: true}, {Name: "b", Voter: true}, {Name: "c", Voter: true, ContactAge: time.Hour}}}
+	due := &repair.Change{Kind: repair.Remove, Name: "c", Reason: "it is gone"}
+	for range 30 {
+		r.observe(group, due)
+		r.finish(due, result.New(result.PeerUnknown, "member 3 does not exist"))
+	}
+	g.Expect(strings.Count(out.String(), "store membership change")).To(Equal(1))
+	g.Expect(strings.Count(out.String(), "the store bears fewer losses than it should")).To(Equal(1))
+	g.Expect(out.String()).To(ContainSubstring("GGL-"))
+	s := r.current()
+	g.Expect(s.Failures).To(Equal(uint64(30)))
+	g.Expect(s.Error).To(ContainSubstring("does not exist"))
+	g.Expect(r.failureCount()).To(Equal(uint64(30)))
+
+	group.Members[2].ContactAge = 0
+	r.observe(group, &repair.Change{})
+	g.Expect(out.String()).To(ContainSubstring("the store bears its losses again"))
+	g.Expect(r.current().Failures).To(BeZero())
+}
--- a/internal/confstore/metrics.go
+++ b/internal/confstore/metrics.go
@@ -25,6 +25,18 @@
 		{"leader", "1 if this controller leads.", func() float64 { return boolValue(c.log.Status().IsLeader) }},
 		{"current", "1 while the controller is in contact with a majority.", func() float64 { return boolValue(c.IsCurrent()) }},
 		{"members", "Members of the store.", func() float64 { return float64(len(c.log.Status().Members)) }},
+		{"losses_borne", "Controllers that may be lost now without the loss of the majority, on the leader; -1 on others.", func() float64 {
+			if r := c.repairs.current(); r != nil {
+				return float64(r.Borne)
+			}
+			return -1
+		}},
+		{"losses_wanted", "Controllers that the store should be able to lose at once, on the leader; -1 on others.", func() float64 {
+			if r := c.repairs.current(); r != nil {
+				return float64(r.Wanted)
+			}
+			return -1
+		}},
 		{"term", "Term of the replicated log.", func() float64 { return float64(c.log.Status().Term) }},
 		{"targets", "Targets that announce themselves.", func() float64 {
 			c.mu.Lock()
@@ -61,6 +73,7 @@
 		name, help string
 		read       func() float64
 	}{
+		{"member_change_failures", "Changes of the members that failed at this leader.", func() float64 { return float64(c.repairs.failureCount()) }},
 		{"checkpoint_dropped", "Lists of flows dropped because the store of flows was full.", func() float64 { return float64(c.flows.Stats().Dropped) }},
 		{"checkpoint_save_errors", "Failed writes of the file with the flows.", func() float64 { return float64(c.flows.Stats().SaveErrors) }},
 	}
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -124,6 +124,8 @@
 	Evacuated []string
 	// Outdated are the names of the entry VMs and relays whose build has a lower level than this controller.
 	Outdated []string
+	// Repair is what the leader knows of the losses that the store can bear; nil if the leader does not answer.
+	Repair *RepairStatus
 }
 
 // Peer serves the RPC calls of one connection.
@@ -245,7 +247,7 @@
 	*reply = Status{
 		Name: c.name, Leader: logStatus.Leader, Version: c.state.version(), Current: c.IsCurrent(), Members: logStatus.Members,
 		Build: telemetry.Build(), Level: roster.Level, LogLevel: c.state.protocolLevel(), Below: c.membersBelow(roster.Level),
-		Evacuated: c.state.evacuations().Zones,
+		Evacuated: c.state.evacuations().Zones, Repair: c.repairs.current(),
 	}
 	if !request.Local && !logStatus.IsLeader {
 		p.askLeader(reply)
@@ -271,7 +273,7 @@
 		p.c.tel.Logger.Debug().Str("leader", status.Leader).Err(err).Msg("asking the leader for its status failed")
 		return
 	}
-	status.Below = leader.Below
+	status.Below, status.Repair = leader.Below, leader.Repair
 }
 
 // addPeer records the name and the address of a controller that has called or was named by another one.
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -51,6 +52,18 @@
 				t.row("build", orDash(s.Build))
 				t.row("protocol level", s.Level)
 				t.row("level of the log", s.LogLevel)
+				if r := s.Repair; r != nil {
+					t.row("losses borne", fmt.Sprintf("%d of %d", r.Borne, r.Wanted))
+					for _, m := range r.Lost {
+						t.row("not heard", fmt.Sprintf("%s for %v", m.Name, m.For.Round(time.Second)))
+					}
+					if r.Change != "" {
+						t.row("change of members", fmt.Sprintf("%s: %s", r.Change, r.Reason))
+					}
+					if r.Failures > 0 {
+						t.row("failed changes", fmt.Sprintf("%d, the last: %s", r.Failures, r.Error))
+					}
+				}
 				for _, zone := range s.Evacuated {
 					t.row("evacuated", zone)
 				}
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -73,6 +73,9 @@
 	Remove
 )
 
+// String returns what is done.
+func (k Kind) String() string { return [...]string{"none", "add", "promote", "remove"}[k] }
+
 // Change is a membership change of one member.
 type Change struct {
 	Kind Kind
@@ -215,6 +218,34 @@
 	return voters, alive
 }
 
+// Tolerance returns how many of the voters that are not lost the group can lose now without the loss of its majority, and
+// how many it should be able to lose.
+func (g *Group) Tolerance() (now, wanted int) {
+	voters, _ := g.countVoters("")
+	lost := 0
+	for i := range g.Members {
+		if m := &g.Members[i]; m.Voter && m.isLost() {
+			lost++
+		}
+	}
+	wanted = g.Losses
+	if wanted == 0 {
+		wanted = (voters - 1) / 2
+	}
+	return max(voters-lost-majority(voters), 0), wanted
+}
+
+// Lost returns the members that are lost.
+func (g *Group) Lost() []Member {
+	var lost []Member
+	for i := range g.Members {
+		if m := &g.Members[i]; m.isLost() {
+			lost = append(lost, *m)
+		}
+	}
+	return lost
+}
+
 func (g *Group) contains(name string) bool {
 	for i := range g.Members {
 		if g.Members[i].Name == name {
