--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/encap
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./internal/flow
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./platform
+	$(GO) test -run '^$$' -fuzz FuzzConfigVersion -fuzztime 30s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzMessage -fuzztime 30s ./internal/hop
 	$(GO) test -run '^$$' -fuzz FuzzDecodeAnswer -fuzztime 30s ./internal/roster
 	$(GO) test -run '^$$' -fuzz FuzzDatagrams -fuzztime 30s ./internal/confstore
