--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/operator"
 	"github.com/greengagelock/greengagelock/internal/replica"
@@ -155,3 +156,15 @@
 	c.stop("c3")
 	apply(t, h.operator(c.addresses()...), 1, document(2, 1, ""))
 }
+
+// Guards against an eighth voter: the log allows one for a moment, while a member is replaced, which operators do not do here.
+func TestNoMoreThanSevenVotersAreAdded(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	c := h.cluster(consensus.MaxVoters)
+	testkit.Eventually(t, "a leader", func() bool { return c.leader() != "" })
+	members, err := h.operator(c.addresses()...).AddMember(t.Context(), "c8", "127.0.0.1:1")
+	if result.CodeOf(err) != result.ConfigInvalid {
+		t.Fatalf("adding an eighth controller returned %v and %d members, want %v", err, len(members), result.ConfigInvalid)
+	}
+}
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -75,7 +75,7 @@
 		if member.Address != "" && (!ok || (known.Folder == "" && folder != "")) {
 			m.register(ctx, catalog.Member{Name: member.Name, Address: member.Address, Folder: folder})
 		}
-		if !member.Learner {
+		if !member.Learner || m.voters() >= consensus.MaxVoters {
 			continue
 		}
 		if err := m.c.log.ChangeMember(ctx, consensus.MemberChange{Promote: replica.MemberID(member.Name)}); err == nil {
@@ -97,6 +97,9 @@
 
 // add adds a controller as a learner and waits until it is a voter. After an error it can be called again.
 func (m *members) add(ctx context.Context, name, address string) error {
+	if _, isMember := m.find(name); !isMember && m.voters() >= consensus.MaxVoters {
+		return result.New(result.ConfigInvalid, "there are already %d voting controllers, remove one before adding %s", consensus.MaxVoters, name)
+	}
 	r, err := m.c.propose(ctx, &catalog.Command{Kind: catalog.KindMember, Member: catalog.Member{Name: name, Address: address}})
 	if err != nil {
 		return err
@@ -142,16 +145,22 @@
 // checkRemoval returns an error if the log would reject the removal. It is called before the name is
 // retired, which cannot be undone.
 func (m *members) checkRemoval(name string) error {
+	voters := m.voters()
+	if member, ok := m.find(name); ok && !member.Learner && voters <= consensus.MinVoters {
+		return result.New(result.ConfigInvalid, "there are only %d voting controllers, none can be removed", voters)
+	}
+	return nil
+}
+
+// voters returns the number of voters of the log.
+func (m *members) voters() int {
 	voters := 0
 	for _, member := range m.c.log.Status().Members {
 		if !member.Learner {
 			voters++
 		}
 	}
-	if member, ok := m.find(name); ok && !member.Learner && voters <= consensus.MinVoters {
-		return result.New(result.ConfigInvalid, "there are only %d voting controllers, none can be removed", voters)
-	}
-	return nil
+	return voters
 }
 
 // find returns a member of the log by name.
