--- a/internal/repair/schedule_test.go
+++ b/internal/repair/schedule_test.go
@@ -74,7 +74,7 @@
 // drawSchedule draws a schedule. Troubles overlap.
 func drawSchedule(r *rand.Rand) []trouble {
 	var schedule []trouble
-	for range 1 + r.IntN(7) {
+	for range 1 + r.IntN(9) {
 		schedule = append(schedule, trouble{
 			at: time.Duration(r.Int64N(int64(scheduleTime))), kind: kind(r.IntN(int(kinds))), target: r.IntN(16),
 			length: 200*time.Millisecond + time.Duration(r.Int64N(int64(4*time.Second))),
@@ -212,6 +212,10 @@
 // play plays a schedule, checks the group after it, takes the losses that it has to bear, and checks it again.
 func play(seed uint64, size, losses int, f fault, schedule []trouble) []string {
 	p := &player{world: newWorld(seed, size, losses, f), size: size, waiting: len(schedule)}
+	// Every fourth world loses messages and delivers them late, until the troubles are over.
+	if seed%4 == 3 {
+		p.lossRate, p.jitter = 0.05, 30*ms
+	}
 	for _, t := range schedule {
 		p.after(t.at, func() { p.start(t) })
 	}
@@ -224,6 +228,7 @@
 			return p.problems
 		}
 	}
+	p.lossRate, p.jitter = 0, 0
 	p.run(settleTime)
 	p.checkWhole()
 	if len(p.problems) > 0 {
--- a/internal/repair/world_test.go
+++ b/internal/repair/world_test.go
@@ -45,6 +45,8 @@
 	seeds  []string
 	// cut holds the pairs of VMs, from and to, between which nothing passes.
 	cut       map[[2]*vm]bool
+	lossRate  float64       // share of messages that get lost
+	jitter    time.Duration // largest random part of the delay of a message
 	committed []consensus.Entry // by index, from 1
 	leaders   map[uint64]string // by term
 	proposed  uint64            // last number that was proposed
@@ -264,10 +266,10 @@
 // send runs f at the process at an address, unless the network or the process are down.
 func (w *world) send(from *vm, address string, f func(to *proc)) {
 	to := w.at(address)
-	if to == nil || w.cut[[2]*vm{from, to}] {
+	if to == nil || w.cut[[2]*vm{from, to}] || w.rand.Float64() < w.lossRate {
 		return
 	}
-	w.after(messageDelay, func() {
+	w.after(messageDelay+time.Duration(w.rand.Int64N(int64(w.jitter)+1)), func() {
 		if p := to.proc; p != nil {
 			p.when(func() { f(p) })
 		}
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -6,11 +6,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -78,6 +80,8 @@
 	starts  int
 	since   time.Time // of the last start
 	old     bool      // the next process is of the production build
+	joins   bool      // the VM was added after the first start of the system
+	retired bool      // the VM is gone for good
 
 	restarting sync.Mutex // held during a restart, so that two events do not overlap
 }
@@ -117,15 +121,11 @@
 	p.starts++
 	p.since = time.Now()
 	if p.role == "store" {
-		p.settings["first_start"] = p.starts == 1
+		p.settings["first_start"] = p.starts == 1 && !p.joins
 	}
-	data, err := json.Marshal(p.settings)
+	file, err := p.writeSettings()
 	if err != nil {
-		return errors.Wrap(err, "encode settings")
-	}
-	file := filepath.Join(p.d.dir, p.name+".json")
-	if err := os.WriteFile(file, data, 0o600); err != nil {
-		return errors.Wrap(err, "write settings")
+		return err
 	}
 	logFile, err := os.OpenFile(filepath.Join(p.d.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -156,6 +156,49 @@
 	return nil
 }
 
+// writeSettings writes the settings file and returns its path.
+func (p *program) writeSettings() (string, error) {
+	data, err := json.Marshal(p.settings)
+	if err != nil {
+		return "", errors.Wrap(err, "encode settings")
+	}
+	file := filepath.Join(p.d.dir, p.name+".json")
+	return file, errors.Wrap(os.WriteFile(file, data, 0o600), "write settings")
+}
+
+// setSeeds names other controllers in the settings, and tells the process.
+func (p *program) setSeeds(seeds []string) error {
+	p.mu.Lock()
+	p.settings["controllers"] = seeds
+	_, err := p.writeSettings()
+	runs := p.command != nil && !p.ending
+	p.mu.Unlock()
+	if runs {
+		p.signal(syscall.SIGHUP)
+	}
+	return err
+}
+
+// retire marks the VM as gone for good.
+func (p *program) retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = true
+}
+
+func (p *program) isRetired() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retired
+}
+
+// list returns all processes, also those of VMs that are gone.
+func (d *deployment) list() []*program {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.processes))
+}
+
 // setOld chooses the build of the next process.
 func (p *program) setOld(old bool) {
 	p.mu.Lock()
@@ -215,8 +258,12 @@
 // checkResources checks the memory and the open files of the process.
 func (p *program) checkResources() {
 	p.mu.Lock()
-	pid := p.command.Process.Pid
+	command := p.command
 	p.mu.Unlock()
+	if command == nil {
+		return // it has not started yet
+	}
+	pid := command.Process.Pid
 	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return // it has ended
--- a/internal/soak/evacuation.go
+++ b/internal/soak/evacuation.go
@@ -48,7 +48,7 @@
 // orderEvacuation sends an order to one controller after the other until it is acknowledged or the time is up.
 func (r *run) orderEvacuation(ctx context.Context, zone string, evacuate bool, limit time.Duration) bool {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && ctx.Err() == nil; {
-		to := r.d.address(storeGroup, rand.IntN(storeCount), operatorPort)
+		to := r.storeAddress(rand.IntN(storeCount))
 		code, err := standin.SetEvacuated(ctx, to, zone, evacuate)
 		switch {
 		case err == nil && code == http.StatusOK:
@@ -63,7 +63,7 @@
 }
 
 func (r *run) anyOldStore() bool {
-	for _, p := range r.stores {
+	for _, p := range r.allStores() {
 		if p.isOld() {
 			return true
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,6 +31,9 @@
 	PauseEntry    Kind = "pause_entry"     // SIGSTOP for ForMS
 	PauseRelay    Kind = "pause_relay"     // the same for a relay
 	PauseStore    Kind = "pause_store"     // the same for a controller
+	ReplaceStore  Kind = "replace_store"   // planned: an empty controller at another address; after ForMS, SIGTERM to the old one, for good
+	ExchangeSeeds Kind = "exchange_seeds"  // planned: all settings name the controllers in another order, without number Index
+	LoseStore     Kind = "lose_store"      // SIGKILL for good; after ForMS an empty controller at another address
 	KillStores    Kind = "kill_all_stores" // all controllers at once
 	KillAll       Kind = "kill_all"        // all processes at once
 	CrashTarget   Kind = "crash_target"    // the target ends without notice; another starts after ForMS
@@ -57,13 +60,13 @@
 func (e *Event) planned() bool {
 	return slices.Contains([]Kind{
 		TermEntry, TermRelay, TermStore, DrainTarget, ReplaceConfig, EvacuateZone, UpgradeEntry, UpgradeRelay, UpgradeStore,
-		RevertEntry, RevertRelay, RevertStore,
+		RevertEntry, RevertRelay, RevertStore, ReplaceStore, ExchangeSeeds,
 	}, e.Kind)
 }
 
 // ofStore reports whether the event stops a controller for a time.
 func (e *Event) ofStore() bool {
-	return slices.Contains([]Kind{TermStore, KillStore, WipeStore, PauseStore, UpgradeStore, RevertStore}, e.Kind)
+	return slices.Contains([]Kind{TermStore, KillStore, WipeStore, PauseStore, UpgradeStore, RevertStore, ReplaceStore, LoseStore}, e.Kind)
 }
 
 // end returns the time at which the event is over.
@@ -96,6 +99,8 @@
 	// storeFaultGapMS is the least time between the end of a fault of one controller and the next one. A majority of
 	// three bears one at a time.
 	storeFaultGapMS = 3000
+	// storeSyncMS is the same after the loss of a disk: syncS of the pages, and the time in which a process stops.
+	storeSyncMS = 5000
 	// evacuationMS is the length of an evacuation: the bound within which it must be obeyed, and some time to see that it is.
 	evacuationMS = 8000
 )
@@ -107,6 +112,7 @@
 	kinds := []Kind{
 		TermEntry, TermRelay, TermStore, DrainTarget, ReplaceConfig, ReplaceConfig, KillEntry, KillRelay, KillStore, WipeStore,
 		PauseEntry, PauseRelay, PauseStore, KillStores, KillAll, CrashTarget, LosePackets, EvacuateZone,
+		ReplaceStore, LoseStore, ExchangeSeeds,
 	}
 	for range max(int(float64(lengthMS)/1000*eventsPerSecond), 1) {
 		e := Event{AtMS: r.IntN(lengthMS), Kind: kinds[r.IntN(len(kinds))], ForMS: 200 + r.IntN(maxFaultMS)}
@@ -115,7 +121,7 @@
 			e.Index = r.IntN(entryCount)
 		case TermRelay, KillRelay, PauseRelay, DrainTarget, CrashTarget:
 			e.Index = r.IntN(relayCount)
-		case TermStore, KillStore, WipeStore, PauseStore:
+		case TermStore, KillStore, WipeStore, PauseStore, ReplaceStore, LoseStore, ExchangeSeeds:
 			e.Index = r.IntN(storeCount)
 		case ReplaceConfig:
 			e.Count = 1 + r.IntN(5)
@@ -195,6 +201,9 @@
 		}
 		e.AtMS = max(e.AtMS, free)
 		free = e.end() + storeFaultGapMS
+		if e.Kind == WipeStore || e.Kind == ReplaceStore || e.Kind == LoseStore {
+			free = e.end() + storeSyncMS
+		}
 	}
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.AtMS, b.AtMS) })
 }
@@ -213,7 +222,7 @@
 		limit := map[Kind]int{
 			TermEntry: entryCount, KillEntry: entryCount, PauseEntry: entryCount, TermRelay: relayCount, KillRelay: relayCount,
 			PauseRelay: relayCount, DrainTarget: relayCount, CrashTarget: relayCount, TermStore: storeCount, KillStore: storeCount,
-			WipeStore: storeCount, PauseStore: storeCount, ReplaceConfig: 1, KillStores: 1, KillAll: 1, LosePackets: 1,
+			WipeStore: storeCount, PauseStore: storeCount, ReplaceStore: storeCount, LoseStore: storeCount, ExchangeSeeds: storeCount, ReplaceConfig: 1, KillStores: 1, KillAll: 1, LosePackets: 1,
 			EvacuateZone: zoneCount, UpgradeEntry: entryCount, RevertEntry: entryCount, UpgradeRelay: relayCount,
 			RevertRelay: relayCount, UpgradeStore: storeCount, RevertStore: storeCount,
 		}[e.Kind]
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -69,7 +69,9 @@
 	plan         *Plan
 	d            *deployment
 	check        *checker
-	stores       []*program
+	membership   sync.Mutex // held while stores changes
+	stores       []*program // by index of events; a successor takes the place of the controller that it replaces
+	storesAdded  int
 	entries      []*program
 	relays       []*program
 	targets      []*targetSlot
@@ -138,14 +140,12 @@
 }
 
 func (r *run) startAll(ctx context.Context) error {
-	for i := range storeCount {
-		folder := filepath.Join(r.d.dir, fmt.Sprintf("data-%d", i))
-		if err := os.MkdirAll(folder, 0o700); err != nil {
-			return errors.Wrap(err, "create a data folder")
+	for range storeCount {
+		p, err := r.addStore()
+		if err != nil {
+			return err
 		}
-		r.stores = append(r.stores, r.d.add("store", storeGroup, i, map[string]any{
-			"operators": r.d.address(storeGroup, i, operatorPort), "data_dir": folder,
-		}))
+		r.stores = append(r.stores, p)
 	}
 	for i := range entryCount {
 		r.entries = append(r.entries, r.d.add("entry", entryGroup, i, map[string]any{
@@ -159,7 +159,7 @@
 			"heartbeat_ms": int(heartbeatInterval.Milliseconds()),
 		}))
 	}
-	for _, p := range r.d.processes {
+	for _, p := range r.d.list() {
 		p.setOld(r.plan.Production)
 		if err := p.start(); err != nil {
 			return err
@@ -232,7 +232,7 @@
 			t.Stop()
 		}
 	}
-	for _, p := range r.d.processes {
+	for _, p := range r.d.list() {
 		if p.command != nil {
 			p.signal(syscall.SIGCONT)
 			p.kill()
@@ -279,13 +279,13 @@
 	case TermRelay:
 		r.restart(r.relays[e.Index], (*program).terminate, func() {})
 	case TermStore:
-		r.restart(r.stores[e.Index], (*program).terminate, func() {})
+		r.restart(r.store(e.Index), (*program).terminate, func() {})
 	case UpgradeEntry, RevertEntry:
 		r.changeBuild(r.entries[e.Index], e.Kind == RevertEntry)
 	case UpgradeRelay, RevertRelay:
 		r.changeBuild(r.relays[e.Index], e.Kind == RevertRelay)
 	case UpgradeStore, RevertStore:
-		r.changeBuild(r.stores[e.Index], e.Kind == RevertStore)
+		r.changeBuild(r.store(e.Index), e.Kind == RevertStore)
 	case EvacuateZone:
 		r.evacuate(ctx, e.Index, pause)
 	case KillEntry:
@@ -293,24 +293,28 @@
 	case KillRelay:
 		r.restart(r.relays[e.Index], (*program).kill, pause)
 	case KillStore:
-		r.restart(r.stores[e.Index], (*program).kill, pause)
+		r.restart(r.store(e.Index), (*program).kill, pause)
 	case WipeStore:
-		r.restart(r.stores[e.Index], (*program).kill, func() {
-			folder := r.stores[e.Index].settings["data_dir"].(string)
+		r.restart(r.store(e.Index), (*program).kill, func() {
+			folder := r.store(e.Index).settings["data_dir"].(string)
 			if err := errors.CombineErrors(os.RemoveAll(folder), os.MkdirAll(folder, 0o700)); err != nil {
 				r.check.violate("cannot empty %s: %v", folder, err)
 			}
 			pause()
 		})
 	case PauseEntry, PauseRelay, PauseStore:
-		p := map[Kind][]*program{PauseEntry: r.entries, PauseRelay: r.relays, PauseStore: r.stores}[e.Kind][e.Index]
+		p := map[Kind][]*program{PauseEntry: r.entries, PauseRelay: r.relays, PauseStore: r.allStores()}[e.Kind][e.Index]
 		p.signal(syscall.SIGSTOP)
 		pause()
 		p.signal(syscall.SIGCONT)
+	case ReplaceStore, LoseStore:
+		r.replaceStore(e.Index, e.Kind == ReplaceStore, pause)
+	case ExchangeSeeds:
+		r.exchangeSeeds(e.Index)
 	case KillStores:
-		r.restartMany(r.stores, pause)
+		r.restartMany(r.allStores(), pause)
 	case KillAll:
-		r.restartMany(append(append(append([]*program{}, r.stores...), r.entries...), r.relays...), pause)
+		r.restartMany(append(append(r.allStores(), r.entries...), r.relays...), pause)
 	case DrainTarget:
 		r.drainTarget(ctx, e.Index)
 	case CrashTarget:
@@ -335,6 +339,9 @@
 	p.signal(syscall.SIGCONT) // a paused process cannot end
 	end(p)
 	between()
+	if p.isRetired() {
+		return
+	}
 	if err := p.start(); err != nil {
 		r.check.violate("%v", err)
 	}
@@ -384,7 +391,7 @@
 	defer r.operator.Unlock()
 	version := r.version.Add(1)
 	for try := 0; ctx.Err() == nil; try++ {
-		to := r.d.address(storeGroup, rand.IntN(storeCount), operatorPort)
+		to := r.storeAddress(rand.IntN(storeCount))
 		code, err := standin.ReplaceConfig(ctx, to, version, "x")
 		if err == nil && code == 200 {
 			r.background.Go(func() { r.checkInForce(ctx, version) })
@@ -402,7 +409,7 @@
 // after the bound.
 func (r *run) checkInForce(ctx context.Context, version uint64) {
 	for i := range storeCount {
-		if read := standin.ReadConfig(ctx, r.d.address(storeGroup, i, operatorPort)); read != 0 && read < version {
+		if read := standin.ReadConfig(ctx, r.storeAddress(i)); read != 0 && read < version {
 			r.check.violate("controller %d returned configuration %d after %d had been accepted", i, read, version)
 		}
 	}
@@ -438,7 +445,7 @@
 				r.check.violate("%s had %v lists of targets that differed from the controllers'", p.name, mismatches)
 			}
 		}
-		for _, p := range r.d.processes {
+		for _, p := range r.d.list() {
 			p.checkResources()
 		}
 	}
