Remove the old member of a VM also in a group below its size

Cause: a voter is removed only above the known size of the group. With fewer controllers than that (fault_tolerance 2 and three controllers), a lost disk left the old member as a voter beside its successor on the same VM, and each further one made the majority larger.

Change: once the successor on the VM is a voter, the old member goes, at any size: its disk is lost, so that it protects nothing.

Measured: a row of TestDecide fails before (no change) and passes.

--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -158,7 +158,7 @@
 		case !m.Voter:
 		case m.isLost():
 			return m
-		case g.isReplacedOnVM(m):
+		case g.successorOnVM(m) != nil:
 			replaced = m
 		case m.Leaving:
 			leaving = m
@@ -167,22 +167,30 @@
 	return cmp.Or(replaced, leaving)
 }
 
-// isReplacedOnVM reports whether another member on the same VM has been heard later. A VM runs one controller.
-func (g *Group) isReplacedOnVM(m *Member) bool {
+// successorOnVM returns another member on the same VM that has been heard later, or nil. A VM runs one controller, so the
+// disk of m was lost.
+func (g *Group) successorOnVM(m *Member) *Member {
 	for i := range g.Members {
 		o := &g.Members[i]
 		if o != m && m.Address != "" && o.Address == m.Address && !m.Self && o.isAlive() && (!m.Heard || o.ContactAge < m.ContactAge) {
-			return true
+			return o
 		}
 	}
-	return false
+	return nil
 }
 
-// removeSurplus removes a voter that is gone, if the group does not need it. That is so above the known size of the group.
+// removeSurplus removes a voter that is gone, if the group does not need it. That is so if its disk was lost and another
+// voter has taken its place on the VM, and above the known size of the group.
 // If the size is not known, it is so from an even number of voters on: an odd number that is one less has a smaller majority
 // and tolerates as many failures. A group that kept fewer voters than its size would commit entries on so few disks that
 // the losses it has to bear could take them all.
 func (g *Group) removeSurplus() Change {
+	for i := range g.Members {
+		m := &g.Members[i]
+		if s := g.successorOnVM(m); m.Voter && s != nil && s.Voter && g.hasQuorumWithout(m.Name) {
+			return m.change(Remove, s.Name+" has replaced it on its VM")
+		}
+	}
 	voters, _ := g.countVoters("")
 	needed := g.minVoters()
 	if needed == 0 && (voters < 4 || voters%2 != 0) || needed > 0 && voters <= max(needed, 3) {
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -76,6 +76,9 @@
 		"the old member on the VM of a new voter is removed": {
 			Group{Members: append(slices.Clone(healthy[:2]), voter("c/1", 200), voter("c/2", 0)), Commit: 10}, Change{Kind: Remove, Name: "c/1"},
 		},
+		"also in a group that has fewer voters than it should": {
+			Group{Members: append(slices.Clone(healthy[:2]), voter("c/1", 200), voter("c/2", 0)), Commit: 10, Losses: 2}, Change{Kind: Remove, Name: "c/1"},
+		},
 		"a voter that has not been heard yet does not count for a majority": {
 			Group{Members: append(slices.Clone(healthy[:1]), unheard(voter("b/1", 0)), leaving(voter("c/1", 0)), learner("d/1", 10)), Commit: 10}, Change{Kind: Promote, Name: "d/1"},
 		},
