Share the timeline of the simulated worlds

The simulated worlds of internal/entry, internal/flowtable and internal/repair each had a queue of events on a clock; testkit.Timeline takes their place.

--- a/internal/entry/backlog_test.go
+++ b/internal/entry/backlog_test.go
@@ -11,7 +11,7 @@
 func (w *world) requestOnIdleFlow() *caller {
 	for _, c := range w.callers {
 		if c.state == "open" && c.awaitedAck == 0 {
-			c.requestedAt, c.awaitedAck = w.now, c.seq+100
+			c.requestedAt, c.awaitedAck = w.Now, c.seq+100
 			c.sendRequest(0)
 			return c
 		}
@@ -34,23 +34,23 @@
 	w.run(2 * time.Second)
 	requestInterval := time.Duration(float64(serviceTime) / float64(target.slots) / 0.7)
 	for i := range target.slotFreeAt {
-		target.slotFreeAt[i] = w.now + time.Second
+		target.slotFreeAt[i] = w.Now + time.Second
 	}
-	pauseStart := w.now
+	pauseStart := w.Now
 	measured, inTime, lost := 0, 0, 0
-	for w.now < pauseStart+3*time.Second {
+	for w.Now < pauseStart+3*time.Second {
 		c := w.requestOnIdleFlow()
 		g.Expect(c).NotTo(BeNil())
 		want := c.awaitedAck
-		w.after(2*time.Second, func() { // the timeout of the route
+		w.After(2*time.Second, func() { // the timeout of the route
 			if c.awaitedAck == want {
 				lost++
 			}
 		})
-		if w.now > pauseStart+1300*time.Millisecond && w.now < pauseStart+2800*time.Millisecond {
+		if w.Now > pauseStart+1300*time.Millisecond && w.Now < pauseStart+2800*time.Millisecond {
 			measured++
 			before := c.served
-			w.after(6*serviceTime, func() {
+			w.After(6*serviceTime, func() {
 				if c.served > before {
 					inTime++
 				}
--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -52,7 +52,7 @@
 		return int(int64(key.Hash()*uint64(a.ip[3])>>1) - int64(key.Hash()*uint64(b.ip[3])>>1))
 	})
 	b := encode(v)
-	c.w.deliver(func() { e.withEntry(func(n *entry.Entry) { n.FromCaller(c.w.now, b) }) })
+	c.w.deliver(func() { e.withEntry(func(n *entry.Entry) { n.FromCaller(c.w.Now, b) }) })
 }
 
 func (c *caller) sendSYN(attempt uint32) {
@@ -64,7 +64,7 @@
 		return
 	}
 	c.send(packet.View{Flags: packet.SYN, Seq: c.seq, Ack: attempt})
-	c.w.after([]time.Duration{200, 400, 800}[attempt]*time.Millisecond, func() { c.sendSYN(attempt + 1) })
+	c.w.After([]time.Duration{200, 400, 800}[attempt]*time.Millisecond, func() { c.sendSYN(attempt + 1) })
 }
 
 // sendRequest sends the current request, and retransmits it until it is answered.
@@ -74,7 +74,7 @@
 	}
 	c.send(packet.View{Flags: packet.ACK, Seq: c.seq, Ack: c.ack, DataBytes: 100})
 	want := c.awaitedAck
-	c.w.after(min(200*time.Millisecond<<attempt, 1600*time.Millisecond), func() {
+	c.w.After(min(200*time.Millisecond<<attempt, 1600*time.Millisecond), func() {
 		if c.awaitedAck == want && c.awaitedAck != 0 {
 			c.sendRequest(attempt + 1)
 		}
@@ -83,7 +83,7 @@
 
 func (c *caller) startRequest() {
 	if c.state == "open" && (!c.singleRequest || c.served+c.rejected == 0) {
-		c.requestedAt, c.awaitedAck = c.w.now, c.seq+100
+		c.requestedAt, c.awaitedAck = c.w.Now, c.seq+100
 		c.sendRequest(0)
 	}
 }
@@ -101,7 +101,7 @@
 		if by != c.target {
 			c.w.wrongReplies++
 		}
-		if c.w.now-c.requestedAt > time.Second {
+		if c.w.Now-c.requestedAt > time.Second {
 			c.slow++
 		}
 		if v.DataBytes == rejectionBytes {
@@ -111,7 +111,7 @@
 		}
 		c.seq, c.awaitedAck = c.awaitedAck, 0
 		c.ack = v.Seq + uint32(v.DataBytes)
-		c.w.after(idleTime, c.startRequest)
+		c.w.After(idleTime, c.startRequest)
 	}
 }
 
--- a/internal/entry/cold_test.go
+++ b/internal/entry/cold_test.go
@@ -49,7 +49,7 @@
 		}
 		w.run(10 * time.Millisecond)
 	}
-	g.Expect(w.now).To(BeNumerically("<", cold[0].warmAt))
+	g.Expect(w.Now).To(BeNumerically("<", cold[0].warmAt))
 	got := 0
 	for i, v := range cold {
 		g.Expect(mostInWindow(v.acceptedAt, time.Second)).To(BeNumerically("<=", 6), "target %d", i)
--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -44,9 +44,9 @@
 		}
 		target, flows := current.ReportedFlows()
 		if target.ID != "" {
-			t.sendReports(reporter, reporter.Reports(w.now, target, flows, w.storeIPs()))
+			t.sendReports(reporter, reporter.Reports(w.Now, target, flows, w.storeIPs()))
 		}
-		w.after(reportInterval, report)
+		w.After(reportInterval, report)
 	}
 	request = func() {
 		if t.relay != current {
@@ -57,22 +57,22 @@
 				continue
 			}
 			current.RecordPreviousTarget(s.ip, "", storeCount)
-			if !current.WantsEarlierFlows(w.now, s.ip) {
+			if !current.WantsEarlierFlows(w.Now, s.ip) {
 				continue
 			}
 			for _, part := range s.flows.Earlier(t.ip, process) {
 				w.deliver(func() {
 					if t.relay == current {
-						current.RecordEarlierFlows(w.now, s.ip, &part)
+						current.RecordEarlierFlows(w.Now, s.ip, &part)
 					}
 				})
 			}
 		}
-		current.ResetEarlierFlows(w.now)
-		w.after(earlierFlowsPeriod, request)
+		current.ResetEarlierFlows(w.Now)
+		w.After(earlierFlowsPeriod, request)
 	}
-	w.after(reportInterval, report)
-	w.after(earlierFlowsPeriod, request)
+	w.After(reportInterval, report)
+	w.After(earlierFlowsPeriod, request)
 }
 
 // sendReports delivers reports to the controllers.
@@ -81,7 +81,7 @@
 		i := slices.IndexFunc(t.w.stores, func(s *flowStore) bool { return s.ip == r.To })
 		s := t.w.stores[i]
 		t.w.deliver(func() {
-			if !s.stopped && s.flows.RecordPart(t.w.now, t.ip, &r.Part) {
+			if !s.stopped && s.flows.RecordPart(t.w.Now, t.ip, &r.Part) {
 				t.w.deliver(func() { reporter.Resync(s.ip) })
 			}
 		})
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -103,7 +103,7 @@
 	w.rosterPaused = true
 	leaving.draining = true
 	w.run(heartbeatInterval)
-	drainedAt := w.now
+	drainedAt := w.Now
 	for range 60 {
 		w.openFlow()
 	}
@@ -168,14 +168,14 @@
 	g := NewWithT(t)
 	w := newWorld(6, 1, 4)
 	w.targets[0].partitioned, w.targets[1].partitioned = true, true
-	start := w.now
+	start := w.Now
 	var callers []*caller
 	for range 20 {
 		callers = append(callers, w.openFlow())
 	}
 	w.run(190 * time.Millisecond)
 	for _, c := range callers {
-		g.Expect(c.state).To(Equal("open"), "%s after the SYN", w.now-start)
+		g.Expect(c.state).To(Equal("open"), "%s after the SYN", w.Now-start)
 	}
 }
 
@@ -197,10 +197,10 @@
 	}
 	w.entries[0].start()
 	w.bytes = 0
-	start := w.now
+	start := w.Now
 	w.run(time.Second)
 	// Half of the link remains for the packets of callers.
-	rate := float64(w.bytes) / (w.now - start).Seconds()
+	rate := float64(w.bytes) / (w.Now - start).Seconds()
 	g.Expect(rate).To(BeNumerically("<", 0.5*650_000))
 	w.run(5 * time.Second)
 	g.Expect(w.openFlows()).To(BeZero(), "flows wait for targets that are gone")
@@ -263,9 +263,9 @@
 	}
 	w.entries[0].start()
 	w.bytes = 0
-	start := w.now
+	start := w.Now
 	w.run(time.Second)
-	rate := float64(w.bytes) / (w.now - start).Seconds()
+	rate := float64(w.bytes) / (w.Now - start).Seconds()
 	g.Expect(rate).To(BeNumerically("<", 0.5*650_000))
 	w.run(5 * time.Second)
 	g.Expect(w.openFlows()).To(BeZero(), "flows wait for targets that are gone")
@@ -436,7 +436,7 @@
 	case "hang":
 		// The relay hangs for less than the lease after which its flows are reset.
 		target.hung = true
-		w.after(time.Duration(rapid.IntRange(50, 1800).Draw(rt, "hang"))*time.Millisecond, func() { target.hung = false })
+		w.After(time.Duration(rapid.IntRange(50, 1800).Draw(rt, "hang"))*time.Millisecond, func() { target.hung = false })
 	case "drain":
 		target.draining = true
 	case "restart target":
@@ -448,7 +448,7 @@
 		// It returns with what it had on disk.
 		s := w.stores[rapid.IntRange(0, storeCount-1).Draw(rt, "store")]
 		s.stopped = true
-		w.after(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "stopped"))*time.Millisecond, func() { s.stopped = false })
+		w.After(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "stopped"))*time.Millisecond, func() { s.stopped = false })
 	case "wipe store":
 		w.stores[rapid.IntRange(0, storeCount-1).Draw(rt, "store")].flows = checkpoint.NewStore()
 	case "add":
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -40,10 +40,10 @@
 		w.run(10 * time.Millisecond)
 		e, t := w.entries[0].entry, w.targets[0]
 		for range 2 { // the second one meets the state that the first one has left
-			e.FromNode(w.now, relay, datagram)
-			e.FromCaller(w.now, datagram)
-			t.relay.FromNode(w.now, w.entries[0].ip, datagram)
-			t.relay.FromTarget(w.now, datagram)
+			e.FromNode(w.Now, relay, datagram)
+			e.FromCaller(w.Now, datagram)
+			t.relay.FromNode(w.Now, w.entries[0].ip, datagram)
+			t.relay.FromTarget(w.Now, datagram)
 			t.armTimer()
 			w.run(300 * time.Millisecond)
 		}
--- a/internal/entry/hold_test.go
+++ b/internal/entry/hold_test.go
@@ -36,7 +36,7 @@
 		v.relay = nil
 	}
 	w.targets[0].crash()
-	w.targets[0].relay.RecordCheck(w.now, relay.ConnectionRefused, heartbeatInterval)
+	w.targets[0].relay.RecordCheck(w.Now, relay.ConnectionRefused, heartbeatInterval)
 	w.controllersFresh = true
 	w.run(rosterInterval)
 	c := w.openFlow()
@@ -73,7 +73,7 @@
 	g := NewWithT(t)
 	w := newWorld(42, 1, 1)
 	w.targets[0].crash()
-	w.targets[0].relay.RecordCheck(w.now, relay.ConnectionRefused, heartbeatInterval)
+	w.targets[0].relay.RecordCheck(w.Now, relay.ConnectionRefused, heartbeatInterval)
 	w.run(2 * rosterInterval)
 	c := w.openFlow()
 	w.run(10 * time.Millisecond)
--- a/internal/entry/target_test.go
+++ b/internal/entry/target_test.go
@@ -68,8 +68,8 @@
 
 func (t *targetVM) armTimer() {
 	current := t.relay
-	if due := current.Tick(t.w.now); due >= 0 {
-		t.w.after(max(due-t.w.now, 0), func() {
+	if due := current.Tick(t.w.Now); due >= 0 {
+		t.w.After(max(due-t.w.Now, 0), func() {
 			if t.relay == current {
 				t.armTimer()
 			}
@@ -82,7 +82,7 @@
 	t.incarnation++
 	t.sequence = 0
 	t.flows = map[packet.Key]*targetFlow{}
-	t.warmAt = t.w.now + t.warmUp
+	t.warmAt = t.w.Now + t.warmUp
 	t.busy = 0
 	t.slotFreeAt = make([]time.Duration, t.slots)
 	t.sendHeartbeats(t.incarnation)
@@ -96,13 +96,13 @@
 	if t.relay != nil {
 		h := relay.Heartbeat{
 			ID: string(rune('a' + t.incarnation)), Sequence: t.sequence, Service: t.service, Draining: t.draining, Slots: t.slots,
-			WarmupLeft: max(t.warmAt-t.w.now, 0),
+			WarmupLeft: max(t.warmAt-t.w.Now, 0),
 		}
-		if err := t.relay.Heartbeat(t.w.now, &h); err != nil {
+		if err := t.relay.Heartbeat(t.w.Now, &h); err != nil {
 			panic(err)
 		}
 	}
-	t.w.after(heartbeatInterval, func() { t.sendHeartbeats(incarnation) })
+	t.w.After(heartbeatInterval, func() { t.sendHeartbeats(incarnation) })
 }
 
 func (t *targetVM) crash() {
@@ -127,7 +127,7 @@
 func (t *targetVM) ToTarget(raw []byte) {
 	b := slices.Clone(raw)
 	incarnation := t.incarnation
-	t.w.after(100*time.Microsecond, func() {
+	t.w.After(100*time.Microsecond, func() {
 		if t.alive && t.incarnation == incarnation {
 			t.handle(b)
 		}
@@ -146,8 +146,8 @@
 		f = &targetFlow{isn: t.w.rand.Uint32()}
 		t.flows[key] = f
 		t.acceptedSYNs++
-		t.lastAcceptedAt = t.w.now
-		t.acceptedAt = append(t.acceptedAt, t.w.now)
+		t.lastAcceptedAt = t.w.Now
+		t.acceptedAt = append(t.acceptedAt, t.w.Now)
 		t.sendReply(key, packet.View{Flags: packet.SYN | packet.ACK, Seq: f.isn, Ack: v.Seq + 1})
 	case v.IsSYN():
 		t.sendReply(key, packet.View{Flags: packet.SYN | packet.ACK, Seq: f.isn, Ack: v.Seq + 1})
@@ -179,14 +179,14 @@
 	}
 	t.busy++
 	// Without a queue limit, every request has its own slot.
-	start := t.w.now
+	start := t.w.Now
 	if t.queueLimit > 0 {
 		slices.Sort(t.slotFreeAt)
 		start = max(start, t.slotFreeAt[0])
 		t.slotFreeAt[0] = start + serviceTime
 	}
 	incarnation := t.incarnation
-	t.w.after(start+serviceTime-t.w.now, func() {
+	t.w.After(start+serviceTime-t.w.Now, func() {
 		if t.incarnation != incarnation {
 			return
 		}
@@ -207,6 +207,6 @@
 
 func (t *targetVM) send(raw []byte) {
 	if t.relay != nil {
-		t.relay.FromTarget(t.w.now, raw)
+		t.relay.FromTarget(t.w.Now, raw)
 	}
 }
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"errors"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/routing"
 	"github.com/greengagelock/greengagelock/internal/targetpicker"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
 // testCodec is a packet format for tests: source, destination, flags, sequence and acknowledgement numbers,
@@ -69,15 +69,13 @@
 
 // world simulates entry VMs, relays with their targets, and callers on a simulated clock.
 type world struct {
-	now        time.Duration
-	events     eventQueue
-	eventCount uint64
-	rand       *rand.Rand
-	loss       float64 // share of lost datagrams
-	entries    []*entryVM
-	targets    []*targetVM
-	callers    []*caller
-	table      *routing.Table
+	testkit.Timeline
+	rand    *rand.Rand
+	loss    float64 // share of lost datagrams
+	entries []*entryVM
+	targets []*targetVM
+	callers []*caller
+	table   *routing.Table
 	// datagrams and bytes count what entry VMs have sent to relays.
 	datagrams, bytes int
 	wrongResets      []string // flows that were reset although their target lives
@@ -89,46 +87,16 @@
 	coldPerSecond    float64 // flows a second that a cold target bears
 }
 
-type event struct {
-	at  time.Duration
-	seq uint64
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
-func (w *world) after(d time.Duration, run func()) {
-	w.eventCount++
-	heap.Push(&w.events, event{w.now + d, w.eventCount, run})
-}
-
 // run advances the clock by d, and runs the events due.
 func (w *world) run(d time.Duration) {
-	end := w.now + d
-	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
+	for end := w.Now + d; w.RunNext(end); {
 	}
-	w.now = end
 }
 
 // deliver calls run after the network delay, unless the datagram is lost.
 func (w *world) deliver(run func()) {
 	if w.rand.Float64() >= w.loss {
-		w.after(oneWayDelay, run)
+		w.After(oneWayDelay, run)
 	}
 }
 
@@ -177,7 +145,7 @@
 	var list []roster.Target
 	for _, t := range w.targets {
 		if t.relay != nil && !t.partitioned && !t.unlisted {
-			list = append(list, t.relay.AnnouncedTarget(w.now, t.zone))
+			list = append(list, t.relay.AnnouncedTarget(w.Now, t.zone))
 		}
 	}
 	return list
@@ -186,23 +154,23 @@
 // sendRosters sends the list of targets to all entry VMs, and repeats that periodically.
 func (w *world) sendRosters() {
 	// Each list is that of a new controller process, so that it replaces the list before.
-	registry := roster.NewRegistry(uint64(w.now) + 1)
+	registry := roster.NewRegistry(uint64(w.Now) + 1)
 	for _, t := range w.listedTargets() {
-		registry.RecordAnnouncement(w.now, t.Relay, &roster.Announcement{
-			Role: roster.RoleRelay, Target: &t, Load: w.targetAt(t.Relay).relay.Load(w.now),
+		registry.RecordAnnouncement(w.Now, t.Relay, &roster.Announcement{
+			Role: roster.RoleRelay, Target: &t, Load: w.targetAt(t.Relay).relay.Load(w.Now),
 		})
 	}
-	answers := registry.AnswersFor(w.now, roster.Answer{Version: w.table.Version, Current: true, Fresh: w.controllersFresh}, hop.IP{},
+	answers := registry.AnswersFor(w.Now, roster.Answer{Version: w.table.Version, Current: true, Fresh: w.controllersFresh}, hop.IP{},
 		&roster.Announcement{Role: roster.RoleEntry, Answers: 255, Loads: true})
 	for _, e := range w.entries {
 		if e.entry == nil || w.rosterPaused {
 			continue
 		}
 		for i := range answers {
-			e.entry.View.HandleAnswer(w.now, hop.IP{10, 0, 3, 1}, &answers[i])
+			e.entry.View.HandleAnswer(w.Now, hop.IP{10, 0, 3, 1}, &answers[i])
 		}
 	}
-	w.after(rosterInterval, w.sendRosters)
+	w.After(rosterInterval, w.sendRosters)
 }
 
 func (w *world) targetAt(ip hop.IP) *targetVM {
@@ -237,17 +205,17 @@
 // checkReach checks which zones are reached, as long as the process runs.
 func (e *entryVM) checkReach() {
 	of := e.entry
-	e.w.after(entry.ReachInterval, func() {
+	e.w.After(entry.ReachInterval, func() {
 		if e.entry == of {
-			e.withEntry(func(n *entry.Entry) { n.CheckReach(e.w.now) })
+			e.withEntry(func(n *entry.Entry) { n.CheckReach(e.w.Now) })
 			e.checkReach()
 		}
 	})
 }
 
 func (e *entryVM) replayStartupQueue(of *entry.Entry) {
-	if e.entry == of && of.ReplayStartupQueue(e.w.now) {
-		e.w.after(10*time.Millisecond, func() { e.replayStartupQueue(of) })
+	if e.entry == of && of.ReplayStartupQueue(e.w.Now) {
+		e.w.After(10*time.Millisecond, func() { e.replayStartupQueue(of) })
 	}
 }
 
@@ -260,15 +228,15 @@
 }
 
 func (e *entryVM) armTimer(due time.Duration) {
-	if due < 0 || (e.timerDue > e.w.now && e.timerDue <= due && e.timerEntry == e.entry) {
+	if due < 0 || (e.timerDue > e.w.Now && e.timerDue <= due && e.timerEntry == e.entry) {
 		return
 	}
 	of := e.entry
 	e.timerDue, e.timerEntry = due, of
-	e.w.after(max(due-e.w.now, 0), func() {
+	e.w.After(max(due-e.w.Now, 0), func() {
 		if e.entry == of && of != nil && e.timerDue == due {
 			e.timerDue = 0
-			e.armTimer(of.Tick(e.w.now))
+			e.armTimer(of.Tick(e.w.Now))
 		}
 	})
 }
@@ -286,11 +254,11 @@
 	w.deliver(func() {
 		for _, e := range w.entries {
 			if e.ip == to {
-				e.withEntry(func(n *entry.Entry) { n.FromNode(w.now, from, b) })
+				e.withEntry(func(n *entry.Entry) { n.FromNode(w.Now, from, b) })
 			}
 		}
 		if t := w.targetAt(to); t != nil && t.relay != nil && !t.partitioned && !t.hung {
-			t.relay.FromNode(w.now, from, b)
+			t.relay.FromNode(w.Now, from, b)
 			t.armTimer()
 		}
 	})
--- a/internal/flowtable/faults_test.go
+++ b/internal/flowtable/faults_test.go
@@ -46,13 +46,13 @@
 			case 1:
 				s.targets[0].restartTarget()
 			case 2:
-				s.balancers[0].disconnectedUntil = s.now + 30*time.Second
+				s.balancers[0].disconnectedUntil = s.Now + 30*time.Second
 			default:
 				s.randomChange()
 			}
-			s.runUntil(s.now + time.Duration(rapid.IntRange(10, 3000).Draw(t, "pause ms"))*time.Millisecond)
+			s.runUntil(s.Now + time.Duration(rapid.IntRange(10, 3000).Draw(t, "pause ms"))*time.Millisecond)
 		}
-		s.runUntil(s.now + 40*time.Second)
+		s.runUntil(s.Now + 40*time.Second)
 		s.checkInvariants()
 		for event, n := range s.eventCounts {
 			totals[event] += n
@@ -78,7 +78,7 @@
 			ids = append(ids, id)
 			s.streams[id] = s.call(id, netip.AddrPortFrom(netip.MustParseAddr("10.8.0.1"), uint16(10000+i)), addressOf[streamService], false)
 		}
-		s.runUntil(s.now + time.Duration(rapid.IntRange(1, 200).Draw(t, "alive s"))*time.Second)
+		s.runUntil(s.Now + time.Duration(rapid.IntRange(1, 200).Draw(t, "alive s"))*time.Second)
 		owner := map[string]*simAgent{}
 		for _, id := range ids {
 			owner[id] = s.ownerOf(s.streams[id].local)
@@ -91,7 +91,7 @@
 			s.targets[rapid.IntRange(0, len(s.targets)-1).Draw(t, "silent target")].silent = true
 		}
 		for _, wait := range []time.Duration{detectionTime, 5 * time.Minute} {
-			s.runUntil(s.now + wait)
+			s.runUntil(s.Now + wait)
 			for _, id := range ids {
 				s.checkFlowOpen(id, owner[id], slices.Contains(silent, id))
 			}
--- a/internal/flowtable/property_test.go
+++ b/internal/flowtable/property_test.go
@@ -105,7 +105,7 @@
 	case "restart agent":
 		if !any.down {
 			// A restarted agent without a view stalls handshakes until the target gives up on them.
-			any.disconnectedUntil = min(any.disconnectedUntil, s.now+4*time.Second)
+			any.disconnectedUntil = min(any.disconnectedUntil, s.Now+4*time.Second)
 			any.restart(time.Duration(rapid.IntRange(10, 2000).Draw(t, "downtime ms")) * time.Millisecond)
 		}
 	case "remove":
@@ -124,14 +124,14 @@
 	case "cut balancer":
 		// Changes are in force everywhere within 4 s. A balancer that lags for longer may delay a handshake
 		// beyond the half-open timeout of 10 s.
-		s.balancers[0].disconnectedUntil = s.now + time.Duration(rapid.IntRange(1, 4).Draw(t, "cut s"))*time.Second
+		s.balancers[0].disconnectedUntil = s.Now + time.Duration(rapid.IntRange(1, 4).Draw(t, "cut s"))*time.Second
 	case "cut agent":
 		if any.view != nil {
-			any.disconnectedUntil = s.now + time.Duration(rapid.IntRange(1, 20).Draw(t, "cut s"))*time.Second
+			any.disconnectedUntil = s.Now + time.Duration(rapid.IntRange(1, 20).Draw(t, "cut s"))*time.Second
 		}
 	case "refuse SYNs":
 		any.refusesSYNs = true
-		s.after(2*time.Second, func() { any.refusesSYNs = false })
+		s.After(2*time.Second, func() { any.refusesSYNs = false })
 	}
 }
 
@@ -190,15 +190,15 @@
 				s.newCall()
 			}
 			s.randomChange()
-			s.runUntil(s.now + time.Duration(rapid.IntRange(10, 3000).Draw(t, "pause ms"))*time.Millisecond)
+			s.runUntil(s.Now + time.Duration(rapid.IntRange(10, 3000).Draw(t, "pause ms"))*time.Millisecond)
 		}
 		s.faults = faults{}
-		s.runUntil(s.now + 25*time.Second)
+		s.runUntil(s.Now + 25*time.Second)
 		received := map[string]uint32{}
 		for id, e := range s.streams {
 			received[id] = e.rcv
 		}
-		s.runUntil(s.now + 30*time.Second)
+		s.runUntil(s.Now + 30*time.Second)
 		if len(s.brokenFlows) > 0 {
 			t.Fatalf("broken flows: %v", s.brokenFlows)
 		}
@@ -212,7 +212,7 @@
 			t.Fatalf("%d of %d requests finished and %d were refused", s.finishedRequests, n, s.refusedRequests())
 		}
 		// Within that time three probes of the agent reveal a flow that its target has dropped.
-		s.runUntil(s.now + 4*time.Minute)
+		s.runUntil(s.Now + 4*time.Minute)
 		for _, a := range s.targets {
 			if n := a.table.OpenRequests(); n > 0 && !a.down {
 				t.Fatalf("target %d has %d slots in use after all requests ended", a.target, n)
--- a/internal/flowtable/simagent_test.go
+++ b/internal/flowtable/simagent_test.go
@@ -63,13 +63,13 @@
 	if t, ok := a.view.Targets[a.target]; ok {
 		endpoints = append(endpoints, flowtable.NewEndpoint(a.view, t))
 	}
-	a.execute(a.table.SetEndpoints(a.w.now, endpoints), 0)
+	a.execute(a.table.SetEndpoints(a.w.Now, endpoints), 0)
 }
 
 // restart replaces the agent process after a downtime; the target and its kernel keep running.
 func (a *simAgent) restart(downtime time.Duration) {
 	a.down, a.stopped = true, true
-	a.w.after(downtime, func() {
+	a.w.After(downtime, func() {
 		a.down, a.stopped = false, false
 		a.view = nil
 		a.table = flowtable.New(flowtable.Config{Extend: a.extend, Recovering: true})
@@ -84,7 +84,7 @@
 	}
 	a.conns = map[flow.Key]*tcpEnd{}
 	if !a.down {
-		a.execute(a.table.TargetRestarted(a.w.now), 0)
+		a.execute(a.table.TargetRestarted(a.w.Now), 0)
 	}
 }
 
@@ -96,8 +96,8 @@
 	if p.Parse(raw) != flow.DropNone {
 		a.w.fail("an agent received a malformed packet")
 	}
-	a.table.SetControlAge(a.w.now, a.controlAge())
-	a.execute(a.table.FromFabric(a.w.now, &h, &p), h.Service)
+	a.table.SetControlAge(a.w.Now, a.controlAge())
+	a.execute(a.table.FromFabric(a.w.Now, &h, &p), h.Service)
 }
 
 // execute carries out actions. The service is that of the packet from the fabric that caused them, or 0 for
@@ -150,16 +150,16 @@
 }
 
 func (a *simAgent) armTick() {
-	wait, ok := a.table.Next(a.w.now)
+	wait, ok := a.table.Next(a.w.Now)
 	if !ok {
 		return
 	}
 	a.tickTimer++
 	armed, table := a.tickTimer, a.table
-	a.w.after(wait, func() {
+	a.w.After(wait, func() {
 		if armed == a.tickTimer && table == a.table && !a.down {
-			a.table.SetControlAge(a.w.now, a.controlAge())
-			a.execute(a.table.Tick(a.w.now), 0)
+			a.table.SetControlAge(a.w.Now, a.controlAge())
+			a.execute(a.table.Tick(a.w.Now), 0)
 		}
 	})
 }
@@ -167,7 +167,7 @@
 // deliverToKernel delivers a packet to the target's kernel after 100 µs, in order and without loss.
 func (a *simAgent) deliverToKernel(raw []byte) {
 	raw = append([]byte(nil), raw...)
-	a.w.after(100*time.Microsecond, func() { a.kernelReceive(raw) })
+	a.w.After(100*time.Microsecond, func() { a.kernelReceive(raw) })
 }
 
 func (a *simAgent) kernelReceive(raw []byte) {
@@ -198,10 +198,10 @@
 }
 
 func (a *simAgent) kernelSend(raw []byte) {
-	a.w.after(100*time.Microsecond, func() {
+	a.w.After(100*time.Microsecond, func() {
 		var p flow.Packet
 		if !a.down && !a.silent && p.Parse(raw) == flow.DropNone {
-			a.execute(a.table.FromTarget(a.w.now, &p), 0)
+			a.execute(a.table.FromTarget(a.w.Now, &p), 0)
 		}
 	})
 }
@@ -220,7 +220,7 @@
 		if strings.HasPrefix(id, "idle") {
 			return
 		}
-		w.after(a.serviceTime, func() { e.write(chunk{data: "answer " + id}) })
+		w.After(a.serviceTime, func() { e.write(chunk{data: "answer " + id}) })
 	}
 	e.onEOF = func() { e.write(chunk{fin: true}) }
 	a.conns[key] = e
@@ -232,5 +232,5 @@
 		return
 	}
 	e.write(chunk{data: "push"})
-	a.w.after(time.Second+time.Duration(a.w.rng.Int64N(int64(6*time.Second))), func() { a.pushUntilClosed(e) })
+	a.w.After(time.Second+time.Duration(a.w.rng.Int64N(int64(6*time.Second))), func() { a.pushUntilClosed(e) })
 }
--- a/internal/flowtable/tcp_test.go
+++ b/internal/flowtable/tcp_test.go
@@ -121,7 +121,7 @@
 	e.tries++
 	e.timerSeq++
 	armed := e.timerSeq
-	e.w.after(min(rto<<(e.tries-1), maxRTO), func() {
+	e.w.After(min(rto<<(e.tries-1), maxRTO), func() {
 		if armed != e.timerSeq || e.state == tcpClosed || e.una == e.nxt {
 			return
 		}
@@ -260,8 +260,8 @@
 // challenge answers an unacceptable segment with an ACK. The rate is limited as in kernels, because two ends
 // that answer each other's old ACKs would never stop.
 func (e *tcpEnd) challenge() {
-	if e.w.now >= e.nextChallengeAt {
-		e.nextChallengeAt = e.w.now + challengeInterval
+	if e.w.Now >= e.nextChallengeAt {
+		e.nextChallengeAt = e.w.Now + challengeInterval
 		e.ack()
 	}
 }
--- a/internal/flowtable/world_test.go
+++ b/internal/flowtable/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -16,30 +15,9 @@
 	"github.com/greengagelock/greengagelock/internal/flow"
 	"github.com/greengagelock/greengagelock/internal/flowtable"
 	"github.com/greengagelock/greengagelock/internal/model"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
-// event is a function to run at a virtual time. Events at the same time run in the given order.
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(q[i].at, q[j].at), q[i].order-q[j].order) < 0
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // maxEvents is far more than the packets of a scenario need. Two ends that answer each other without end
 // exceed it at once.
 const maxEvents = 1_000_000
@@ -52,11 +30,9 @@
 
 // world simulates callers, balancers, agents and targets in virtual time.
 type world struct {
-	fail                  func(format string, args ...any)
-	rng                   *rand.Rand
-	now                   time.Duration
-	events                eventQueue
-	order                 int
+	fail func(format string, args ...any)
+	rng  *rand.Rand
+	testkit.Timeline
 	handledEvents         int
 	faults                faults
 	controlView           *model.View
@@ -82,22 +58,13 @@
 	}
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.events, event{w.now + d, w.order, do})
-}
-
 // runUntil runs the world up to a time.
 func (w *world) runUntil(end time.Duration) {
-	for len(w.events) > 0 && w.events[0].at <= end {
+	for w.RunNext(end) {
 		if w.handledEvents++; w.handledEvents > maxEvents {
-			w.fail("packets are answered without end: %d events until %v", w.handledEvents, w.now)
+			w.fail("packets are answered without end: %d events until %v", w.handledEvents, w.Now)
 		}
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
 	}
-	w.now = end
 }
 
 // transfer sends a packet over the network, which may lose, duplicate or delay it.
@@ -115,7 +82,7 @@
 			delay += time.Duration(w.rng.Int64N(int64(3 * time.Second)))
 		}
 		data := slices.Clone(raw)
-		w.after(delay, func() { arrive(data) })
+		w.After(delay, func() { arrive(data) })
 	}
 }
 
@@ -180,17 +147,17 @@
 	if n.stopped {
 		return
 	}
-	if n.w.now >= n.disconnectedUntil {
-		n.lastContact = n.w.now
+	if n.w.Now >= n.disconnectedUntil {
+		n.lastContact = n.w.Now
 		if n.view != n.w.controlView {
 			n.view = n.w.controlView
 			n.onView()
 		}
 	}
-	n.w.after(100*time.Millisecond+time.Duration(n.w.rng.Int64N(int64(time.Second))), n.poll)
+	n.w.After(100*time.Millisecond+time.Duration(n.w.rng.Int64N(int64(time.Second))), n.poll)
 }
 
-func (n *simNode) controlAge() time.Duration { return n.w.now - n.lastContact }
+func (n *simNode) controlAge() time.Duration { return n.w.Now - n.lastContact }
 
 // simBalancer is a simulated balancer with its own view and hints.
 type simBalancer struct {
@@ -202,7 +169,7 @@
 func (w *world) addBalancer() {
 	b := &simBalancer{hints: map[flow.Key]encap.Candidate{}}
 	b.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(len(w.balancers))}), 7000)
-	b.simNode = simNode{w: w, view: w.controlView, lastContact: w.now, onView: func() {}}
+	b.simNode = simNode{w: w, view: w.controlView, lastContact: w.Now, onView: func() {}}
 	w.balancers = append(w.balancers, b)
 	b.poll()
 }
@@ -258,7 +225,7 @@
 func (w *world) sendSignal(s encap.Signal, to netip.AddrPort) {
 	w.transfer(nil, func([]byte) {
 		if a := w.agents[to]; a != nil && !a.down {
-			a.execute(a.table.Signal(w.now, &s), 0)
+			a.execute(a.table.Signal(w.Now, &s), 0)
 		}
 	})
 }
@@ -304,7 +271,7 @@
 	e.onOpen = func() { e.write(chunk{data: id}) }
 	e.onRefused = func(reason string) { w.refused[id] = reason }
 	e.onBroken = func(why string) {
-		w.brokenFlows = append(w.brokenFlows, fmt.Sprintf("%s at %s: %s", id, w.now, why))
+		w.brokenFlows = append(w.brokenFlows, fmt.Sprintf("%s at %s: %s", id, w.Now, why))
 	}
 	e.onData = func(data string) {
 		if request && data == "answer "+id {
--- a/internal/repair/schedule_test.go
+++ b/internal/repair/schedule_test.go
@@ -99,13 +99,13 @@
 
 func (p *player) end() {
 	p.active--
-	p.calmSince = p.now
+	p.calmSince = p.Now
 }
 
 // releaseDisk ends the count of a lost disk once its successor has had syncTime without trouble.
 func (p *player) releaseDisk() {
-	if p.active > 0 || p.now-p.calmSince < syncTime {
-		p.after(repairInterval, p.releaseDisk)
+	if p.active > 0 || p.Now-p.calmSince < syncTime {
+		p.After(repairInterval, p.releaseDisk)
 		return
 	}
 	p.disksLost--
@@ -115,18 +115,18 @@
 func (p *player) start(t trouble) {
 	running := p.running()
 	if t.kind.takesDisk() && p.disksLost >= (p.size-1)/2 || len(running) == 0 {
-		p.after(repairInterval, func() { p.start(t) })
+		p.After(repairInterval, func() { p.start(t) })
 		return
 	}
 	p.waiting--
 	v := running[t.target%len(running)]
 	later := func(f func()) {
 		p.begin()
-		p.after(t.length, func() { f(); p.end() })
+		p.After(t.length, func() { f(); p.end() })
 	}
 	if t.kind.takesDisk() {
 		p.disksLost++
-		defer func() { p.after(t.length+repairInterval, p.releaseDisk) }()
+		defer func() { p.After(t.length+repairInterval, p.releaseDisk) }()
 	}
 	switch t.kind {
 	case replacePlanned:
@@ -149,13 +149,13 @@
 		for _, v := range running {
 			v.crash()
 			p.begin()
-			p.after(min(t.length, time.Second), func() { v.start(); p.end() })
+			p.After(min(t.length, time.Second), func() { v.start(); p.end() })
 		}
 	case restart:
 		p.begin()
-		v.terminate(func() { p.after(300*time.Millisecond, func() { v.start(); p.end() }) })
+		v.terminate(func() { p.After(300*time.Millisecond, func() { v.start(); p.end() }) })
 	case pause:
-		v.proc.pausedTo = p.now + t.length
+		v.proc.pausedTo = p.Now + t.length
 		later(func() {})
 	case isolate, isolateOut, isolateIn:
 		for _, other := range p.vms {
@@ -190,7 +190,7 @@
 func (p *player) remove(v *vm) {
 	v.crash()
 	v.gone = true
-	p.after(seedLag, func() {
+	p.After(seedLag, func() {
 		p.setSeeds(slices.DeleteFunc(slices.Clone(p.seeds), func(address string) bool { return p.at(address).gone }))
 	})
 }
@@ -217,11 +217,11 @@
 		p.lossRate, p.jitter = 0.05, 30*ms
 	}
 	for _, t := range schedule {
-		p.after(t.at, func() { p.start(t) })
+		p.After(t.at, func() { p.start(t) })
 	}
 	for p.waiting > 0 || p.active > 0 || p.disksLost > 0 {
 		p.run(time.Second)
-		if p.now > 10*time.Minute {
+		if p.Now > 10*time.Minute {
 			p.problem("the troubles do not end")
 		}
 		if len(p.problems) > 0 {
--- a/internal/repair/world_test.go
+++ b/internal/repair/world_test.go
@@ -1,8 +1,6 @@
 package repair_test
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +9,7 @@
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/repair"
+	"github.com/greengagelock/greengagelock/internal/testkit"
 )
 
 const (
@@ -35,10 +34,8 @@
 
 // world runs the decisions of membership of some controllers with the real log, on simulated disks, clocks and network.
 type world struct {
+	testkit.Timeline
 	rand   *rand.Rand
-	now    time.Duration
-	events eventQueue
-	order  uint64
 	fault  fault
 	losses int // that the controllers know of; zero if it is not set
 	vms    []*vm
@@ -83,43 +80,13 @@
 	names     []string                      // committed
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].order, q[j].order)) < 0
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
-func (w *world) after(d time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.events, event{w.now + d, w.order, run})
-}
-
 func (w *world) run(d time.Duration) {
-	end := w.now + d
-	for len(w.events) > 0 && w.events[0].at <= end && len(w.problems) == 0 {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
+	for end := w.Now + d; len(w.problems) == 0 && w.RunNext(end); {
 	}
-	w.now = end
 }
 
 func (w *world) problem(format string, args ...any) {
-	w.problems = append(w.problems, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+	w.problems = append(w.problems, fmt.Sprintf("%v: ", w.Now)+fmt.Sprintf(format, args...))
 }
 
 // memberID hashes a name as the product does, in a few bits less.
@@ -149,7 +116,7 @@
 		w.seeds = append(w.seeds, v.address)
 	}
 	for _, v := range w.vms {
-		w.after(time.Duration(w.rand.Int64N(int64(300*time.Millisecond))), v.start)
+		w.After(time.Duration(w.rand.Int64N(int64(300*time.Millisecond))), v.start)
 	}
 	w.proposeEntries()
 	w.run(5 * time.Second)
@@ -177,7 +144,7 @@
 		}
 	}
 	p := &proc{
-		vm: v, startedAt: v.w.now, joiner: repair.NewJoiner(v.address, v.w.seeds, v.first), requests: repair.NewRequests(),
+		vm: v, startedAt: v.w.Now, joiner: repair.NewJoiner(v.address, v.w.seeds, v.first), requests: repair.NewRequests(),
 		directory: map[consensus.MemberID]string{memberID(v.disk.name): v.disk.name},
 	}
 	var founders []consensus.MemberID
@@ -202,21 +169,21 @@
 	p.every(repair.JoinInterval, p.requestMembership)
 }
 
-func (p *proc) clock() time.Duration { return p.w.now - p.startedAt }
+func (p *proc) clock() time.Duration { return p.w.Now - p.startedAt }
 
 // when runs f at once or at the end of a pause, if the process still runs then.
 func (p *proc) when(f func()) {
 	switch {
 	case p.proc != p:
-	case p.pausedTo > p.w.now:
-		p.w.after(p.pausedTo-p.w.now, func() { p.when(f) })
+	case p.pausedTo > p.w.Now:
+		p.w.After(p.pausedTo-p.w.Now, func() { p.when(f) })
 	default:
 		f()
 	}
 }
 
 func (p *proc) every(interval time.Duration, f func()) {
-	p.w.after(interval, func() {
+	p.w.After(interval, func() {
 		p.when(f)
 		if p.proc == p {
 			p.every(interval, f)
@@ -237,21 +204,21 @@
 	p.joiner.Stop()
 	_ = p.node.TransferLeadership(0)
 	p.afterInput()
-	deadline := v.w.now + 2*time.Second
+	deadline := v.w.Now + 2*time.Second
 	var leave func()
 	leave = func() {
 		learners := len(p.node.Members().Learners) > 0
-		if v.proc == p && v.w.now < deadline && p.isVoter() && learners && p.pausedTo <= v.w.now {
+		if v.proc == p && v.w.Now < deadline && p.isVoter() && learners && p.pausedTo <= v.w.Now {
 			if leader := p.directory[p.leader()]; leader != "" {
 				v.w.send(v, addressOf(leader), func(to *proc) { to.requests.Leave(to.clock(), v.disk.name) })
 			}
-			v.w.after(repairInterval, leave)
+			v.w.After(repairInterval, leave)
 			return
 		}
 		v.crash()
 		then()
 	}
-	v.w.after(repairInterval, leave)
+	v.w.After(repairInterval, leave)
 }
 
 func (w *world) at(address string) *vm {
@@ -269,7 +236,7 @@
 	if to == nil || w.cut[[2]*vm{from, to}] || w.rand.Float64() < w.lossRate {
 		return
 	}
-	w.after(messageDelay+time.Duration(w.rand.Int64N(int64(w.jitter)+1)), func() {
+	w.After(messageDelay+time.Duration(w.rand.Int64N(int64(w.jitter)+1)), func() {
 		if p := to.proc; p != nil {
 			p.when(func() { f(p) })
 		}
@@ -323,7 +290,7 @@
 	due := p.node.Deadline()
 	if p.tickAt != due {
 		p.tickAt = due
-		p.w.after(max(due-p.clock(), 0), func() {
+		p.w.After(max(due-p.clock(), 0), func() {
 			p.when(func() {
 				if p.tickAt == due {
 					p.tickAt = -1
@@ -471,12 +438,12 @@
 
 // proposeEntries proposes an entry now and then at the leader that runs.
 func (w *world) proposeEntries() {
-	if p := w.leaderProc(); p != nil && p.pausedTo <= w.now {
+	if p := w.leaderProc(); p != nil && p.pausedTo <= w.Now {
 		w.proposed++
 		_, _ = p.node.Propose(fmt.Append(nil, w.proposed))
 		p.afterInput()
 	}
-	w.after(commitInterval, w.proposeEntries)
+	w.After(commitInterval, w.proposeEntries)
 }
 
 // leaderProc returns the leader of the highest term that runs, or nil.
