--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: build test format lint unit race demo trial tun-check capacity bench fuzz soak soak-upgrade
+.PHONY: build test format lint unit race demo trial tun-check capacity bench fuzz soak soak-upgrade schedules
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -52,6 +52,12 @@
 soak-upgrade: build
 	$(BIN)/soak run --upgrade --seed $(SEED) --seeds $(SEEDS)
 
+# Drawn schedules of trouble for groups of controllers in simulated time: SCHEDULES for each size, from FIRST on.
+FIRST ?= 0
+SCHEDULES ?= 5000
+schedules:
+	$(GO) test ./internal/repair -run TestGroupHealsAfterAnySchedule -timeout 2h -args -schedules $(SCHEDULES) -first-schedule $(FIRST)
+
 # Measures the slopes of docs/CAPACITY.md and rewrites its tables and plots, in under 4 minutes.
 capacity:
 	$(GO) run ./cmd/capacity
--- a/internal/repair/schedule_test.go
+++ b/internal/repair/schedule_test.go
@@ -308,6 +308,7 @@
 // Guards against states from which a group of controllers does not heal by itself: replacements, lost disks, restarts,
 // cuts and exchanged seeds overlap, within the losses that the group has to bear.
 func TestGroupHealsAfterAnySchedule(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for _, size := range []int{3, 5} {
 		for i := range *schedules {
@@ -322,6 +323,7 @@
 
 // Guards against the same after schedules that once failed.
 func TestGroupHealsAfterKeptSchedules(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for name, c := range map[string]struct {
 		seed     uint64
@@ -353,6 +355,7 @@
 
 // Guards against a group that stays small after fault_tolerance was raised and controllers were added.
 func TestGroupGrowsToTheSizeForItsLosses(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for seed := range uint64(20) {
 		p := &player{world: newWorld(seed, 3, 1, noFault), size: 5}
@@ -369,6 +372,7 @@
 // Guards against states that random schedules miss: all sequences of two troubles of a group of three, at distances at which
 // they overlap and do not.
 func TestGroupHealsAfterAllShortSchedules(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for _, gap := range []time.Duration{50 * ms, 1200 * ms, 2200 * ms} {
 		for first := range kinds {
@@ -385,6 +389,7 @@
 // Shows that the schedules find the faults of the review, each put back alone. The number of schedules that it takes is in
 // docs/design.md.
 func TestSchedulesFindTheFaultsOfTheReview(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for name, c := range map[string]struct {
 		fault  fault
