Take a fault tolerance above 3 from the environment as 3

Cause: the variable gives the losses of the whole deployment. On one with more than seven controllers the value is above what the store can use, and a process would refuse to start.

Change: the environment's value is capped; a value in the settings file is still checked.

--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -323,7 +323,7 @@
 }
 
 // targetsWithoutFlow returns the relays whose targets have returned a packet of the flow, so that the next lookup
-// continues with the others. It returns none once all have been probed: one of them may have been mistaken.
+// continues with the others. It returns none once all have been probed, so that the next lookup probes all of them again.
 func (e *Entry) targetsWithoutFlow(f *flow) []hop.IP {
 	if f.queriedAll && len(f.unsure) == 0 && e.pendingProbes(f) == 0 {
 		return nil
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -59,7 +59,8 @@
 	// store.
 	FirstStart bool `json:"first_start"`
 	// FaultTolerance is the number of controllers that may be lost at once. The store keeps twice as many voters, and one
-	// more. Zero means that it is not known; the store then keeps the number of voters that it was started with.
+	// more, up to confstore.MaxFaultTolerance. Zero means that it is not known; the store then keeps the number of voters
+	// that it was started with.
 	FaultTolerance int    `json:"fault_tolerance"`
 	DataDir        string `json:"data_dir"`
 	MemoryMB       int    `json:"memory_mb"` // memory of the VM in MiB; zero sets no limit
@@ -109,11 +110,11 @@
 		return nil
 	}
 	losses, err := strconv.Atoi(value)
-	if err != nil || losses < 0 || losses > confstore.MaxFaultTolerance {
-		return result.New(result.SettingsInvalid, "%s is %q, want a number of controllers from 0 to %d",
-			FaultToleranceVariable, value, confstore.MaxFaultTolerance)
+	if err != nil || losses < 0 {
+		return result.New(result.SettingsInvalid, "%s is %q, want a number of controllers", FaultToleranceVariable, value)
 	}
-	s.FaultTolerance = losses
+	// The variable describes the deployment, which may be larger than what the store can use.
+	s.FaultTolerance = min(losses, confstore.MaxFaultTolerance)
 	return nil
 }
 
