--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -319,32 +319,39 @@
 	g.Expect(w.wrongResets).To(BeEmpty())
 }
 
+// newWorldOfUnsureRelays returns a world whose flows were opened when there was one target, so that most owners are not among
+// the likely ones now. All relays have restarted and are unsure, and all entry VMs 3 s ago. It returns the number of
+// open flows as well.
+func newWorldOfUnsureRelays(g Gomega, seed uint64, relays int) (w *world, open int) {
+	w = newWorld(seed, 2, 1)
+	for range 20 {
+		w.openFlow()
+	}
+	w.run(time.Second)
+	for range relays - 1 {
+		w.addTarget(service)
+	}
+	w.run(time.Second)
+	open = w.openFlows()
+	g.Expect(open).To(BeNumerically(">", 0))
+	for _, v := range w.targets {
+		v.startRelay()
+	}
+	// A relay that does not reply must not keep the others from being queried.
+	w.targets[5].hung = seed%2 == 1
+	for _, e := range w.entries {
+		e.start()
+	}
+	w.run(3 * time.Second)
+	return w, open
+}
+
 // Guards against a reset of a flow whose target takes longer to reply to a probe than the others take to
-// return it. The flows were opened when there was one target, so that most owners are not among the likely
-// ones, and all relays are unsure after their restart.
+// return it.
 func TestLookupWaitsForAllProbedTargets(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range uint64(40) {
-		w := newWorld(seed, 2, 1)
-		for range 20 {
-			w.openFlow()
-		}
-		w.run(time.Second)
-		for range 17 {
-			w.addTarget(service)
-		}
-		w.run(time.Second)
-		open := w.openFlows()
-		g.Expect(open).To(BeNumerically(">", 0))
-		for _, v := range w.targets {
-			v.startRelay()
-		}
-		// A relay that does not reply must not keep the others from being queried.
-		w.targets[5].hung = seed%2 == 1
-		for _, e := range w.entries {
-			e.start()
-		}
-		w.run(3 * time.Second)
+		w, open := newWorldOfUnsureRelays(g, seed, 18)
 		g.Expect(w.wrongResets).To(BeEmpty(), "seed %d", seed)
 		before := w.servedRequests()
 		w.run(2 * time.Second)
@@ -358,26 +365,7 @@
 	g := NewWithT(t)
 	for _, relays := range []int{60, 120} {
 		for seed := range uint64(5) {
-			w := newWorld(seed, 2, 1)
-			for range 20 {
-				w.openFlow()
-			}
-			w.run(time.Second)
-			for range relays - 1 {
-				w.addTarget(service)
-			}
-			w.run(time.Second)
-			open := w.openFlows()
-			g.Expect(open).To(BeNumerically(">", 0))
-			for _, v := range w.targets {
-				v.startRelay()
-			}
-			// A relay that does not reply must not keep the others from being queried.
-			w.targets[5].hung = seed%2 == 1
-			for _, e := range w.entries {
-				e.start()
-			}
-			w.run(3 * time.Second)
+			w, open := newWorldOfUnsureRelays(g, seed, relays)
 			g.Expect(w.wrongResets).To(BeEmpty(), "%d relays, seed %d", relays, seed)
 			before := w.servedRequests()
 			w.run(2 * time.Second)
