--- a/internal/repair/schedule_test.go
+++ b/internal/repair/schedule_test.go
@@ -20,9 +20,9 @@
 
 const (
 	ms = time.Millisecond
-	// syncTime is the time that the users' pages give a controller to catch up, after its start and without other trouble.
+	// syncTime is the time that the platform gives a controller to catch up, after its start and without other trouble.
 	syncTime = 6 * time.Second
-	// settleTime is the time after the last trouble within which the group must be whole: recoveryS of the pages.
+	// settleTime is the time after the last trouble within which the group must be whole. The platform gives 12 to 15 s.
 	settleTime = 12 * time.Second
 	// scheduleTime is the time within which the troubles of a schedule begin.
 	scheduleTime = 20 * time.Second
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -99,7 +99,7 @@
 	// storeFaultGapMS is the least time between the end of a fault of one controller and the next one. A majority of
 	// three bears one at a time.
 	storeFaultGapMS = 3000
-	// storeSyncMS is the same after the loss of a disk: syncS of the pages, and the time in which a process stops.
+	// storeSyncMS is the same after the loss of a disk: the time to catch up, and that in which a process stops.
 	storeSyncMS = 5000
 	// evacuationMS is the length of an evacuation: the bound within which it must be obeyed, and some time to see that it is.
 	evacuationMS = 8000
