Let an entry VM decide by the lists of a majority that a relay is gone

Cause: one complete list was enough to conclude that a relay that it lacks does not run. An entry VM that had just restarted could hear first from a controller that is cut off from the relay, or from one that has joined and is no member yet, which few relays know. A lookup then ended with "no relay has the flow", and the open flow was reset.

Change: View.KnowsAllRelays needs the complete lists of a majority of the members, as a controller in contact with a majority names them. Lists of others still add relays and still have to arrive.

TestViewMergesControllers used two controllers, one of them down, which is no majority; it now uses three with one down.

--- a/internal/entry/lookupbytes_test.go
+++ b/internal/entry/lookupbytes_test.go
@@ -62,7 +62,7 @@
 	controller := hop.IP{10, 0, 3, 1}
 	for e.View.Len() < targets {
 		position, digest, answers := e.View.Position(0, controller)
-		for _, a := range registry.AnswersFor(0, roster.Answer{}, hop.IP{}, &roster.Announcement{Role: roster.RoleEntry, Position: position, Digest: digest, Answers: answers}) {
+		for _, a := range registry.AnswersFor(0, roster.Answer{Current: true, Controllers: []hop.IP{controller}}, hop.IP{}, &roster.Announcement{Role: roster.RoleEntry, Position: position, Digest: digest, Answers: answers}) {
 			e.View.HandleAnswer(0, controller, &a)
 		}
 	}
--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -52,7 +52,7 @@
 			}})
 		}
 		controller := hop.IP{10, 0, 3, 1}
-		answers := registry.AnswersFor(0, roster.Answer{Version: 1, Current: true}, hop.IP{}, &roster.Announcement{Role: roster.RoleEntry, Answers: 255})
+		answers := registry.AnswersFor(0, roster.Answer{Version: 1, Current: true, Controllers: []hop.IP{controller}}, hop.IP{}, &roster.Announcement{Role: roster.RoleEntry, Answers: 255})
 		e.HandleAnswer(0, controller, &answers[0])
 		e.CheckReach(entry.ReachInterval)
 		syn := func(now time.Duration, port uint16) {
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -153,6 +153,7 @@
 
 // sendRosters sends the list of targets to all entry VMs, and repeats that periodically.
 func (w *world) sendRosters() {
+	controller := hop.IP{10, 0, 3, 1}
 	// Each list is that of a new controller process, so that it replaces the list before.
 	registry := roster.NewRegistry(uint64(w.Now) + 1)
 	for _, t := range w.listedTargets() {
@@ -160,14 +161,14 @@
 			Role: roster.RoleRelay, Target: &t, Load: w.targetAt(t.Relay).relay.Load(w.Now),
 		})
 	}
-	answers := registry.AnswersFor(w.Now, roster.Answer{Version: w.table.Version, Current: true, Fresh: w.controllersFresh}, hop.IP{},
+	answers := registry.AnswersFor(w.Now, roster.Answer{Version: w.table.Version, Current: true, Controllers: []hop.IP{controller}, Fresh: w.controllersFresh}, hop.IP{},
 		&roster.Announcement{Role: roster.RoleEntry, Answers: 255, Loads: true})
 	for _, e := range w.entries {
 		if e.entry == nil || w.rosterPaused {
 			continue
 		}
 		for i := range answers {
-			e.entry.View.HandleAnswer(w.Now, hop.IP{10, 0, 3, 1}, &answers[i])
+			e.entry.View.HandleAnswer(w.Now, controller, &answers[i])
 		}
 	}
 	w.After(rosterInterval, w.sendRosters)
--- a/internal/roster/fleet_test.go
+++ b/internal/roster/fleet_test.go
@@ -99,6 +99,15 @@
 	f.lateAnswers = nil
 }
 
+// answer returns an answer without the list, of a controller that is in contact with a majority.
+func (f *fleet) answer() Answer {
+	a := Answer{Fresh: f.fresh, Current: true}
+	for _, c := range f.controllers {
+		a.Controllers = append(a.Controllers, c.ip)
+	}
+	return a
+}
+
 // ask announces the entry VM to a controller, and to those that the answers call for.
 func (f *fleet) ask(n int) {
 	pending := []hop.IP{f.controllers[n].ip}
@@ -119,7 +128,7 @@
 			Loads: f.view.WantsPush(f.now, ip),
 		}
 		c.registry.RecordAnnouncement(f.now, f.view.self, &a)
-		pending = append(pending, f.deliver(c, c.registry.AnswersFor(f.now, Answer{Fresh: f.fresh}, f.view.self, &a))...)
+		pending = append(pending, f.deliver(c, c.registry.AnswersFor(f.now, f.answer(), f.view.self, &a))...)
 		f.now += time.Millisecond
 	}
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -273,13 +273,13 @@
 // when no controller hears them.
 func TestViewMergesControllers(t *testing.T) {
 	g := NewWithT(t)
-	f := newFleet(2)
+	f := newFleet(3)
 	f.set(1, testTarget("a", Ready))
-	f.down[1] = true
+	f.down[1], f.down[2] = true, true
 	f.set(2, testTarget("b", Ready))
-	f.down[1] = false
+	f.down[1], f.down[2] = false, false
 	f.askAll()
-	g.Expect(f.view.KnowsAllRelays(f.now)).To(BeFalse(), "the second list differs and has not arrived")
+	g.Expect(f.view.KnowsAllRelays(f.now)).To(BeFalse(), "the other lists differ and have not arrived")
 	for range 4 {
 		f.now += AnnounceInterval
 		f.askAll()
@@ -296,6 +296,32 @@
 	g.Expect(f.view.Targets(1)).To(HaveLen(2), "a lost target is still asked for its flows")
 }
 
+// An entry VM that has just restarted reset open flows, because the first controller that answered did not list their relay: it
+// was cut off from the relay, or was no member yet. What a list lacks counts only once a majority of the members has answered.
+func TestOneListDoesNotShowThatARelayIsGone(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	f.down[0] = true
+	f.set(1, testTarget("a", Ready))
+	f.down[0] = false
+	f.ask(0)
+	g.Expect(f.view.HasCompleteList(f.now)).To(BeTrue())
+	g.Expect(f.view.KnowsAllRelays(f.now)).To(BeFalse(), "one of three members has answered")
+
+	newcomer := &testController{controllerIP(3), NewRegistry(4)}
+	answer := Answer{Controllers: []hop.IP{newcomer.ip}}
+	f.deliver(newcomer, newcomer.registry.AnswersFor(f.now, answer, f.view.self, &Announcement{Role: RoleEntry, Answers: 255}))
+	g.Expect(f.view.KnowsAllRelays(f.now)).To(BeFalse(), "the second list is not of a member")
+
+	for range 4 {
+		f.now += AnnounceInterval
+		f.askAll()
+	}
+	f.deliver(newcomer, newcomer.registry.AnswersFor(f.now, answer, f.view.self, &Announcement{Role: RoleEntry, Answers: 255}))
+	g.Expect(f.view.KnowsAllRelays(f.now)).To(BeTrue())
+	g.Expect(f.view.Lost(relayIP(1))).To(BeFalse())
+}
+
 // Lookups waited two seconds for a relay that had left together with its target.
 func TestGoneRelayIsRemovedAtOnce(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -46,6 +46,7 @@
 type View struct {
 	self    hop.IP
 	lists   map[hop.IP]*controllerList
+	members []hop.IP // controllers by the last answer of one in contact with a majority
 	targets map[hop.IP]*KnownTarget
 	// services holds the targets of each service, sorted by relay; nil after a change until the next use.
 	services map[routing.ServiceID][]*KnownTarget
@@ -76,6 +77,9 @@
 		v.lists[from] = l
 	}
 	l.lastHeard, l.fresh = now, a.Fresh
+	if a.Current && len(a.Controllers) > 0 {
+		v.members = a.Controllers
+	}
 	before := l.established
 	v.follow(now, from, l, a)
 	if l.established && l.position.Seq == a.Head {
@@ -236,15 +240,21 @@
 	return false
 }
 
-// KnowsAllRelays reports whether a relay that is in no list is known not to run: HasCompleteList is true, and no
-// controller that answers has a complete list that has not arrived here.
+// KnowsAllRelays reports whether a relay that is in no list is known not to run: the complete lists of a majority of the
+// controllers have arrived, and no controller that answers has a complete list that has not. A single list is not enough:
+// the controller may be cut off from the relay, or run without being a member yet and be known to few relays.
 func (v *View) KnowsAllRelays(now time.Duration) bool {
-	for _, l := range v.lists {
-		if !l.established && !l.fresh && now-l.lastHeard <= controllerTimeout {
+	complete := 0
+	for ip, l := range v.lists {
+		switch {
+		case l.fresh || now-l.lastHeard > controllerTimeout:
+		case !l.established:
 			return false
+		case slices.Contains(v.members, ip):
+			complete++
 		}
 	}
-	return v.HasCompleteList(now)
+	return complete > len(v.members)/2
 }
 
 // Age returns the time since any controller last confirmed its list.
