Count only members when a relay asks controllers for the previous target

Cause: a relay that has restarted takes the flows of its target for complete if a majority of the controllers knows other targets of its earlier process. The number of controllers came from any answer. A controller that is no member yet names only itself, so one answer of another controller was a majority, and flows that the relay did not know were reported as absent.

Change: the members come from controllers in contact with a majority, and only their answers count. A controller that knows the current target still rules the conclusion out, whether it is a member or not. As long as no member is known, earlier flows need the full number of confirmations.

Result: the added row of TestFlowKnowledgeAfterRelayRestart.

--- a/internal/relay/earlier.go
+++ b/internal/relay/earlier.go
@@ -153,7 +153,10 @@
 
 // confirmationsNeeded is the number of controllers that have to return a flow.
 func (r *Relay) confirmationsNeeded() int {
-	return min(max(r.controllerCount, 1), checkpoint.Confirmations)
+	if len(r.controllers) == 0 {
+		return checkpoint.Confirmations
+	}
+	return min(len(r.controllers), checkpoint.Confirmations)
 }
 
 // ReportedFlows returns the open flows of the target for the controllers.
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -189,10 +189,14 @@
 func (p *Process) handleAnswer(from hop.IP, a *roster.Answer) {
 	p.controllers.HandleAnswer(from, a)
 	wantsFlows, forgotten := false, false
+	var members []hop.IP
+	if a.Current {
+		members = a.Controllers // one that is no member yet knows only itself
+	}
 	p.withLock(func(now time.Duration) {
 		forgotten = p.confirmedTargets[from] != 0 && a.TargetDigest == 0
 		p.confirmedTargets[from] = a.TargetDigest
-		p.relay.RecordPreviousTarget(from, a.Previous, len(a.Controllers))
+		p.relay.RecordPreviousTarget(from, a.Previous, members)
 		wantsFlows = p.cfg.ReportFlows && p.relay.WantsEarlierFlows(now, from)
 	})
 	p.logFlowKnowledge("a majority of the controllers")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,7 +88,7 @@
 	// previousTargets holds, by controller, the ID of the target that an earlier process of this relay
 	// announced. It is kept until knowsAllFlows is decided, see RecordPreviousTarget.
 	previousTargets map[hop.IP]string
-	controllerCount int
+	controllers     []hop.IP // members by the last answer of one in contact with a majority
 	earlier         earlierFlows
 
 	// probes are the entry VMs that wait for the target to show whether it has a flow.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -94,13 +94,14 @@
 		"one names the same target":         {[]string{"old", "i", "old"}, hop.Unsure},
 		"all name the same target":          {[]string{"i", "i", "i"}, hop.Unsure},
 		"no controller knows a target":      {[]string{"", "", ""}, hop.Unsure},
+		"the others are no members":         {[]string{"old", "", "", "old", "old"}, hop.Unsure},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			r := newRelay()
 			g.Expect(sendHeartbeat(r, 0, "i", 0, 20)).To(Succeed())
 			for n, id := range c.previous {
-				r.RecordPreviousTarget(hop.IP{byte(n)}, id, 3)
+				r.RecordPreviousTarget(hop.IP{byte(n)}, id, []hop.IP{{0}, {1}, {2}})
 			}
 			g.Expect(r.lookup(0, packet.Key{}, 0)).To(Equal(c.want))
 		})
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/hop"
@@ -123,10 +124,11 @@
 }
 
 // RecordPreviousTarget handles what a controller says of the target that an earlier process of this relay
-// announced: its ID, empty if the controller knows none, and the number of controllers, zero if it has not changed.
-func (r *Relay) RecordPreviousTarget(from hop.IP, target string, controllers int) {
-	if controllers > 0 {
-		r.controllerCount = controllers
+// announced: its ID, empty if the controller knows none. members are the addresses of the controllers if from is in contact
+// with a majority, nil if they have not changed.
+func (r *Relay) RecordPreviousTarget(from hop.IP, target string, members []hop.IP) {
+	if len(members) > 0 {
+		r.controllers = members
 	}
 	if r.knowsAllFlows || target == "" {
 		return
@@ -138,15 +140,19 @@
 // comparePreviousTargets sets knowsAllFlows once a majority of the controllers knows only other targets of
 // earlier processes: all flows of the current target were then opened through this process.
 func (r *Relay) comparePreviousTargets() {
-	if r.knowsAllFlows || r.target.ID == "" || len(r.previousTargets) <= r.controllerCount/2 {
+	if r.knowsAllFlows || r.target.ID == "" {
 		return
 	}
-	for _, id := range r.previousTargets {
+	others := 0
+	for controller, id := range r.previousTargets {
 		if id == r.target.ID {
 			return
 		}
+		if slices.Contains(r.controllers, controller) {
+			others++
+		}
 	}
-	r.knowsAllFlows = true
+	r.knowsAllFlows = others > len(r.controllers)/2
 }
 
 // Leave handles the target's notice that it ends. It returns an error for any but the current incarnation. A relay that
