Keep the leases of relays while a controller does not run

Cause: a controller that was paused for more than a lease dropped all relays and entry VMs when it went on, before it read the announcements that had arrived meanwhile. Its list lacked running relays and counted as complete.

Change: leases are extended by the time in which the check of leases did not run.

Result: TestPausedControllerKeepsItsRelays; without the change all relays are dropped at the end of the pause.

--- a/internal/confstore/announcements.go
+++ b/internal/confstore/announcements.go
@@ -179,11 +179,14 @@
 	}
 }
 
-// expireLeases removes processes whose lease has expired, because they stopped announcing themselves.
+// expireLeases removes processes whose lease has expired, because they stopped announcing themselves. Time in which this
+// process did not run does not count: announcements that arrived in it have not been read.
 func (c *Controller) expireLeases(ctx context.Context) {
 	for ctxtime.Sleep(ctx, expireInterval) {
+		now := c.now()
 		c.mu.Lock()
-		expired := c.registry.Expire(c.now())
+		c.registry.ExtendAfterPause(now)
+		expired := c.registry.Expire(now)
 		c.mu.Unlock()
 		for _, e := range expired {
 			c.incarnations.markLeft(e.IP)
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -12,6 +12,8 @@
 	// removalTTL is the time for which removals are kept. An entry VM that was out of contact for longer gets the whole
 	// list.
 	removalTTL = time.Minute
+	// maxRunInterval is the time between two calls of ExtendAfterPause from which on the process was paused in between.
+	maxRunInterval = AnnounceInterval
 	// minObsoleteChanges is the number of obsolete entries that the list of changes may always hold.
 	minObsoleteChanges = 64
 	// loadsTTL is the time for which packed loads are reused for further entry VMs.
@@ -35,7 +37,8 @@
 	changes   []change                 // in ascending order; obsolete once the relay has a later change
 	// forgotten is the number of the newest removal that is not kept.
 	forgotten uint64
-	pushed    uint64 // changes up to this number were returned by PushAnswers
+	pushed    uint64        // changes up to this number were returned by PushAnswers
+	ranAt     time.Duration // time of the last call of ExtendAfterPause
 
 	evacuations Evacuations
 
@@ -226,6 +229,19 @@
 	return expired
 }
 
+// ExtendAfterPause extends all leases by the time in which this process did not run, if the last call is longer ago than
+// maxRunInterval.
+func (r *Registry) ExtendAfterPause(now time.Duration) {
+	pause := now - r.ranAt
+	r.ranAt = now
+	if pause <= maxRunInterval {
+		return
+	}
+	for _, p := range r.processes {
+		p.lastHeard = min(p.lastHeard+pause, now)
+	}
+}
+
 // nodes returns the addresses of the processes that match, sorted.
 func (r *Registry) nodes(matches func(*process) bool) []hop.IP {
 	var ips []hop.IP
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -322,6 +322,26 @@
 	g.Expect(f.view.Lost(relayIP(1))).To(BeFalse())
 }
 
+// A controller that had been paused for longer than a lease dropped all relays before it read their announcements, so that entry
+// VMs took open flows for lost.
+func TestPausedControllerKeepsItsRelays(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1)
+	f.set(0, testTarget("a", Ready))
+	r := f.controllers[0].registry
+	run := func(from, to time.Duration) {
+		for now := from; now <= to; now += maxRunInterval / 2 {
+			r.ExtendAfterPause(now)
+			r.Expire(now)
+		}
+	}
+	run(0, Lease/2)
+	run(5*Lease, 5*Lease+Lease/2)
+	g.Expect(r.Len()).To(Equal(1), "the announcements of the pause have not been read")
+	run(5*Lease+Lease/2, 7*Lease)
+	g.Expect(r.Len()).To(BeZero(), "the relay is gone")
+}
+
 // Lookups waited two seconds for a relay that had left together with its target.
 func TestGoneRelayIsRemovedAtOnce(t *testing.T) {
 	g := NewWithT(t)
