Tell a member that has lost its disk from one that is off

The VMs of these had lost their disks and answered each call, so that the senders took them for reached and logged nothing.

Change: the answer to a Step call names the member that answers. If it is another one than the recipient, the message counts as not delivered and the sender logs that the disk of the recipient was lost. A member without a known address is reported as well; messages to it were dropped without a word. The transport keeps how each member was reached last. The name is a new field of a reply in gob, which older builds pass over; a build that does not send it is taken for reached as before.

--- a/internal/confstore/golden_test.go
+++ b/internal/confstore/golden_test.go
@@ -86,6 +86,10 @@
 	recode(g, old, &now)
 	g.Expect(now).To(Equal(StepRequest{Name: "a", Messages: messages}))
 
+	// The reply had no field.
+	recode(g, StepReply{Name: "a"}, &struct{}{})
+	recode(g, struct{}{}, &StepReply{})
+
 	step := &StepRequest{Name: "a", Messages: messages}
 	g.Expect(testkit.GoldenGob(t, "step-request", step)).To(Equal(step))
 	replace := &ReplaceRequest{Content: Content{Version: 7, Packed: []byte{1, 2}}}
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -34,8 +34,12 @@
 	Level    uint8 // protocol level of the sender
 }
 
-// StepReply is the empty answer to a StepRequest.
-type StepReply struct{}
+// StepReply is the answer to a StepRequest.
+type StepReply struct {
+	// Name is the member name of the controller that answers. It differs from that of the recipient if the disk of its VM was
+	// lost. Empty in builds that do not send it.
+	Name string
+}
 
 // ReplaceRequest forwards an edit to the leader.
 type ReplaceRequest struct{ Content Content }
@@ -135,7 +139,8 @@
 }
 
 // Step passes messages of another member to the replicated log.
-func (p *Peer) Step(request *StepRequest, _ *StepReply) error {
+func (p *Peer) Step(request *StepRequest, reply *StepReply) error {
+	reply.Name = p.c.name
 	from := replica.MemberID(request.Name)
 	for i := range request.Messages {
 		if request.Messages[i].From != from {
--- a/internal/confstore/transport.go
+++ b/internal/confstore/transport.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/replica"
+	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/rpc"
 )
@@ -27,8 +29,15 @@
 		Directory: d,
 		Dial:      func(_, address string) *rpc.Client { return newClient(address, stepTimeout) },
 		Step: func(ctx context.Context, client *rpc.Client, messages []consensus.Message) error {
-			_, err := rpc.Call[StepReply](ctx, client, peerService+".Step", &StepRequest{Name: name, Messages: messages, Level: roster.Level})
-			return err
+			reply, err := rpc.Call[StepReply](ctx, client, peerService+".Step", &StepRequest{Name: name, Messages: messages, Level: roster.Level})
+			if err != nil {
+				return err
+			}
+			if to := messages[0].To; reply.Name != "" && replica.MemberID(reply.Name) != to {
+				err := result.New(result.PeerUnknown, "controller %s runs on the VM of member %s, whose disk was lost", reply.Name, d.Name(to))
+				return errors.Mark(err, replica.ErrReplaced)
+			}
+			return nil
 		},
 		Contact: func(member string, err error) {
 			logger.Info().Str("member", member).Bool("reached", err == nil).Err(err).Msg("reachability of a member changed")
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -24,12 +24,12 @@
 	Directory *Directory
 	// Dial returns a client for a member. The client connects at its first call.
 	Dial func(name, address string) *rpc.Client
-	// Step delivers messages to a member.
+	// Step delivers messages to a member. Its error is marked as ErrReplaced if another member has answered.
 	Step func(ctx context.Context, client *rpc.Client, messages []consensus.Message) error
 	// Dropped is called with the number of messages that were not delivered; may be nil.
 	Dropped func(count int)
-	// Contact is called when a member becomes unreachable, with the error, and when it is reachable again,
-	// with nil; may be nil.
+	// Contact is called when the Contact of a member changes, with the reason why it is not reached, or nil if it is; may be
+	// nil.
 	Contact func(name string, err error)
 }
 
@@ -52,6 +52,8 @@
 	mu sync.Mutex
 	// abandon ends the running call; nil unless that may be stuck in connecting to a member that was off.
 	abandon context.CancelFunc
+	contact Contact
+	reason  error // why the member was not reached
 }
 
 // startCall prepares a call. abandonable says that retryNow may end it.
@@ -161,7 +163,7 @@
 
 func (t *Transport) deliver(ctx context.Context, to consensus.MemberID, queue *peerQueue) {
 	var client *rpc.Client
-	clientAddress, isFailing, abandonable := "", false, true
+	clientAddress, abandonable := "", true
 	defer func() {
 		if client != nil {
 			client.Close()
@@ -178,6 +180,7 @@
 		name, address := t.cfg.Directory.Find(to)
 		if address == "" {
 			t.cfg.Dropped(len(batch))
+			t.recordContact(ctx, queue, name, errNoAddress)
 			continue
 		}
 		if client == nil || address != clientAddress {
@@ -197,10 +200,7 @@
 		if abandoned {
 			continue
 		}
-		if isFailing != (err != nil) && ctx.Err() == nil {
-			isFailing = err != nil
-			t.cfg.Contact(name, err)
-		}
+		t.recordContact(ctx, queue, name, err)
 		if err != nil {
 			queue.pauseAfterFailure(ctx, stepRetryDelay)
 		}
--- a/internal/replica/transport_test.go
+++ b/internal/replica/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +118,30 @@
 	q.retryNow()
 	g.Eventually(ended).Should(BeClosed())
 }
+
+// Guards against a member that has lost its disk and is taken for one that is only off, or for one that is reached, and
+// against a line for each message to it.
+func TestContactTellsHowAMemberIsNotReached(t *testing.T) {
+	g := NewWithT(t)
+	var step atomic.Pointer[error]
+	transport, member := transportTo(t, func(context.Context) error { return *step.Load() })
+	var changes atomic.Int64
+	transport.cfg.Contact = func(string, error) { changes.Add(1) }
+	contactWith := func(to consensus.MemberID, err error) func() Contact {
+		step.Store(&err)
+		return func() Contact {
+			transport.Send([]consensus.Message{{To: to}})
+			contact, _ := transport.Contact(to)
+			return contact
+		}
+	}
+	for _, c := range []struct {
+		err  error
+		want Contact
+	}{{nil, Reached}, {errors.New("off"), Unreachable}, {ErrReplaced, Replaced}, {nil, Reached}} {
+		g.Eventually(contactWith(member, c.err)).Should(Equal(c.want))
+		g.Consistently(contactWith(member, c.err), "30ms").Should(Equal(c.want))
+	}
+	g.Eventually(contactWith(99, nil)).Should(Equal(NoAddress))
+	g.Eventually(changes.Load).Should(BeEquivalentTo(4))
+}
