Log what each controller knows of the members, and why there is no leader

Only the leader logged changes of the members, and each rejected message wrote a line.

Change: every controller logs the members and the log position that its disk holds at the start, each change of the members, and, after 3 s without a leader, its role, the voters it reaches and why not the others; and the end of that. A controller that is no voter logs when the result of its join requests changes. Gauges show the voters known, reached and replaced, and whether this controller is one.

Lines are written by the goroutine of the log at a change, so that there are no further timers.

--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -95,11 +95,12 @@
 	udp       *net.UDPConn
 	listDirty chan struct{} // holds a value while entry VMs lack a change of the list of targets
 
-	mu       sync.Mutex
-	joiner   *repair.Joiner
-	requests *repair.Requests
-	levels   map[string]uint8 // protocol level that a controller announced with its last call, by member name
-	registry *roster.Registry
+	mu           sync.Mutex
+	joiner       *repair.Joiner
+	requests     *repair.Requests
+	joinOutcomes map[string]string // result code or leader of the last join request, by address
+	levels       map[string]uint8  // protocol level that a controller announced with its last call, by member name
+	registry     *roster.Registry
 
 	repairs      repairReport
 	incarnations *incarnations
@@ -110,7 +111,7 @@
 // New opens the files and sockets of a controller. Run starts it.
 func New(cfg Config, t telemetry.Handle) (*Controller, error) {
 	c := &Controller{
-		cfg: cfg, tel: t, state: newStateMachine(), requests: repair.NewRequests(), repairs: repairReport{logger: t.Logger}, levels: map[string]uint8{},
+		cfg: cfg, tel: t, state: newStateMachine(), requests: repair.NewRequests(), repairs: repairReport{logger: t.Logger}, levels: map[string]uint8{}, joinOutcomes: map[string]string{},
 		registry: roster.NewRegistry(roster.NewInstanceID()), start: time.Now(),
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
 		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
@@ -133,7 +134,7 @@
 	c.transport = newTransport(c.name, c.directory, t.Logger)
 	c.log, err = replica.New(replica.Config{
 		Name: c.name, Folder: cfg.DataDir, Members: bootstrapNames, Directory: c.directory, Send: c.transport.Send,
-		CompactEvery: compactEvery, KeptEntries: keptEntries,
+		Contact: c.transport.Contact, CompactEvery: compactEvery, KeptEntries: keptEntries,
 	}, t)
 	if err != nil {
 		return nil, err
--- a/internal/confstore/group_test.go
+++ b/internal/confstore/group_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/phuslu/log"
 
 	"github.com/greengagelock/greengagelock/internal/loopback"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
@@ -30,7 +32,8 @@
 type testController struct {
 	*Controller
 	cfg  Config
-	stop func() // ends the process and waits for its end; nil while it does not run
+	logs *gbytes.Buffer // of all its processes
+	stop func()         // ends the process and waits for its end; nil while it does not run
 }
 
 func newTestGroup(t testing.TB) *testGroup {
@@ -54,7 +57,7 @@
 		_, err = fmt.Sscan(string(body), &version)
 		return version, err
 	}
-	c := &testController{cfg: cfg}
+	c := &testController{cfg: cfg, logs: gbytes.NewBuffer()}
 	g.all = append(g.all, c)
 	return c
 }
@@ -77,7 +80,9 @@
 
 func (g *testGroup) start(c *testController) {
 	var err error
-	c.Controller, err = New(c.cfg, telemetry.Discard())
+	tel := telemetry.Discard()
+	tel.Logger = &log.Logger{Writer: log.IOWriter{Writer: c.logs}}
+	c.Controller, err = New(c.cfg, tel)
 	testkit.Check(g.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -48,10 +48,9 @@
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	reply, err := rpc.Call[JoinReply](ctx, c.transport.clientAt(address), peerService+".Join", &request)
+	c.recordJoin(address, reply, err)
 	if err != nil {
-		// Some addresses may belong to controllers that are down. The next round retries them.
-		c.tel.Logger.Debug().Str("controller", address).Err(err).Msg("join request failed")
-		return
+		return // some addresses may belong to controllers that are down; the next round retries them
 	}
 	// The leader is often none of the controllers that this one was told of.
 	for _, name := range append(reply.Members, reply.Leader) {
@@ -61,6 +60,28 @@
 	}
 }
 
+// recordJoin logs the result of a join request of a controller that is no voter, if it differs from the last one of the
+// address. A controller that never becomes a member shows in this way whether nobody answers, or who answers without
+// knowing a leader.
+func (c *Controller) recordJoin(address string, reply *JoinReply, err error) {
+	outcome := result.CodeOf(err).String()
+	if err == nil {
+		outcome = reply.Leader
+	}
+	c.mu.Lock()
+	last, isKnown := c.joinOutcomes[address]
+	c.joinOutcomes[address] = outcome
+	c.mu.Unlock()
+	if isKnown && last == outcome || c.isVoter(c.log.Status()) {
+		return
+	}
+	entry := c.tel.Logger.Info().Str("controller", address).Err(err)
+	if err == nil {
+		entry.Str("leader", reply.Leader).Strs("members", reply.Members)
+	}
+	entry.Msg("result of join requests changed")
+}
+
 func (c *Controller) isVoter(status replica.Status) bool {
 	return slices.ContainsFunc(status.Members, func(m replica.Member) bool { return m.Name == c.name && !m.Learner })
 }
--- a/internal/confstore/metrics.go
+++ b/internal/confstore/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/roster"
 	"github.com/greengagelock/greengagelock/internal/stats"
 	"github.com/greengagelock/greengagelock/internal/telemetry"
@@ -25,6 +26,14 @@
 		{"leader", "1 if this controller leads.", func() float64 { return boolValue(c.log.Status().IsLeader) }},
 		{"current", "1 while the controller is in contact with a majority.", func() float64 { return boolValue(c.IsCurrent()) }},
 		{"members", "Members of the store.", func() float64 { return float64(len(c.log.Status().Members)) }},
+		{"voter", "1 if this controller is a voter.", func() float64 { return boolValue(c.isVoter(c.log.Status())) }},
+		{"voters", "Voters that this controller knows of.", func() float64 { return float64(c.voterContacts().voters) }},
+		{"voters_reached", "Voters that the last messages have reached, this one included, if it leads or is a voter without a leader; -1 on others.", func() float64 {
+			return float64(c.voterContacts().reached)
+		}},
+		{"voters_replaced", "Voters on whose VM another member runs, because the disk was lost, if this controller leads or is a voter without a leader; -1 on others.", func() float64 {
+			return float64(c.voterContacts().replaced)
+		}},
 		{"losses_borne", "Controllers that may be lost now without the loss of the majority, on the leader; -1 on others.", func() float64 {
 			if r := c.repairs.current(); r != nil {
 				return float64(r.Borne)
@@ -74,6 +83,7 @@
 		read       func() float64
 	}{
 		{"member_change_failures", "Changes of the members that failed at this leader.", func() float64 { return float64(c.repairs.failureCount()) }},
+		{"messages_rejected", "Messages of other members that were invalid or for another member.", func() float64 { return float64(c.log.Rejected()) }},
 		{"checkpoint_dropped", "Lists of flows dropped because the store of flows was full.", func() float64 { return float64(c.flows.Stats().Dropped) }},
 		{"checkpoint_save_errors", "Failed writes of the file with the flows.", func() float64 { return float64(c.flows.Stats().SaveErrors) }},
 	}
@@ -88,3 +98,29 @@
 	}))
 	return errors.Wrap(err, "register metrics")
 }
+
+// voterContacts are numbers of voters.
+type voterContacts struct{ voters, reached, replaced int }
+
+// voterContacts counts the voters, and those that were reached. Only a leader and a voter without one call the others.
+func (c *Controller) voterContacts() voterContacts {
+	status := c.log.Status()
+	var counts voterContacts
+	calls := status.IsLeader || status.Leader == "" && c.isVoter(status)
+	for _, m := range status.Members {
+		if m.Learner {
+			continue
+		}
+		counts.voters++
+		switch contact, _ := c.transport.Contact(m.ID); {
+		case m.Name == c.name || contact == replica.Reached:
+			counts.reached++
+		case contact == replica.Replaced:
+			counts.replaced++
+		}
+	}
+	if !calls {
+		counts.reached, counts.replaced = -1, -1
+	}
+	return counts
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -17,6 +17,9 @@
 	Applied       uint64
 	SnapshotIndex uint64
 	Members       Members
+	// MembersIndex is the index of the entry that contains Members, zero for the initial ones. It is above Commit until the
+	// change is committed.
+	MembersIndex uint64
 	// Peers is set only on the leader.
 	Peers    []PeerStatus
 	Counters Counters
@@ -56,7 +59,7 @@
 	s := Status{
 		ID: n.cfg.ID, SoftState: n.softState(), Vote: n.vote, Halted: n.halted,
 		First: n.log.base.Index + 1, Last: n.log.last().Index, Commit: n.log.commit, Applied: n.log.applied,
-		SnapshotIndex: n.snapshot.Index, Members: n.Members().Clone(), Counters: n.counters,
+		SnapshotIndex: n.snapshot.Index, Members: n.Members().Clone(), MembersIndex: n.memberships[len(n.memberships)-1].index, Counters: n.counters,
 	}
 	for _, id := range n.peerIDs() {
 		p := n.leadership.peers[id]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -55,12 +55,14 @@
 	send      func(messages []consensus.Message)
 	startedAt time.Time
 	rng       *rand.Rand
+	rejected  atomic.Uint64 // messages of other members
 
 	requests chan func()
 	messages chan consensus.Message
 	status   atomic.Pointer[publishedStatus]
 
 	// Owned by the goroutine of Run.
+	reporter             *reporter
 	node                 *consensus.Node
 	storage              *wal.Log
 	machine              StateMachine
@@ -90,6 +92,8 @@
 	Directory *Directory
 	// Send sends messages to other members. Messages may be lost.
 	Send func(messages []consensus.Message)
+	// Contact returns the result of the last messages to a member, and why it was not reached; may be nil.
+	Contact func(id consensus.MemberID) (Contact, error)
 	// FS stores the files of the write-ahead log; nil selects the subfolder log of Folder.
 	FS wal.FS
 	// CompactEvery is the number of entries between two snapshots. KeptEntries is the number of entries
@@ -116,6 +120,10 @@
 		requests: make(chan func(), requestQueueSize), messages: make(chan consensus.Message, messageQueueSize),
 		pendingReads: map[uint64]chan consensus.ReadState{},
 	}
+	if cfg.Contact == nil {
+		cfg.Contact = func(consensus.MemberID) (Contact, error) { return NotCalled, nil }
+	}
+	r.reporter = &reporter{name: cfg.Name, logger: t.Logger, directory: cfg.Directory, contact: cfg.Contact}
 	r.status.Store(&publishedStatus{})
 	return r, nil
 }
@@ -185,10 +193,17 @@
 func (r *Replica) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	isOpened := false
 	for {
 		if err := r.processReady(); err != nil {
 			return err
 		}
+		if s := r.status.Load(); isOpened {
+			r.reporter.update(&s.Status, s.takenAt)
+		} else {
+			r.reporter.opened(&s.Status)
+			isOpened = true
+		}
 		timer.Reset(max(r.node.Deadline()-r.now(), 0))
 		select {
 		case <-ctx.Done():
@@ -221,10 +236,14 @@
 
 func (r *Replica) step(m consensus.Message) {
 	if err := r.node.Step(m, r.now()); err != nil {
-		r.tel.Logger.Warn().Str("controller", r.cfg.Name).Err(err).Msg("invalid message from another member rejected")
+		r.rejected.Add(1)
+		r.reporter.rejected(&m, err)
 	}
 }
 
+// Rejected returns the number of messages of other members that were invalid or for another member.
+func (r *Replica) Rejected() uint64 { return r.rejected.Load() }
+
 // processReady handles all pending work of the node and takes a snapshot when one is due.
 func (r *Replica) processReady() error {
 	for {
