--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -44,7 +44,7 @@
 	{NoQuorum, "NoQuorum", "The controller has no contact to a majority. The command did not run.", "Run `members`; restore members or the network between them."},
 	{Overloaded, "Overloaded", "A bounded queue is full. The command did not run.", "Try again after the time in the answer."},
 	{DeadlineExceeded, "DeadlineExceeded", "No answer arrived in time. It is unknown whether the command ran.", "Repeat the command with the same identifier; it runs at most once."},
-	{PeerUnknown, "PeerUnknown", "The peer's certificate names no role that may make this call.", "Check the certificate's URI and the CA file."},
+	{PeerUnknown, "PeerUnknown", "The peer may not make this call, or is not the one that is addressed.", "TLS: check the certificate's URI and the CA file. Controllers: see `A store without a leader` in OPERATIONS.md; a VM that lost its disk runs another member."},
 	{StaleGeneration, "StaleGeneration", "The controller offered a state older than the node's.", "Nothing; the node asks another controller."},
 	{MemberChangeBusy, "MemberChangeBusy", "Another change of members is not finished. The command did not run.", "Run `members` and repeat when it has finished."},
 	{OutcomeUnknown, "OutcomeUnknown", "The connection or the leader was lost before the outcome was known.", "Repeat the command with the same identifier; it runs at most once."},
