Refuse the removal of a controller that the group needs

With one of three controllers lost, "members remove" of a running one took the majority for good: the leader appends the removal, which counts at once, and the two that are left in the list include the lost one. The removal ended with an unknown outcome, and no edit was accepted any more as long as the lost one stayed away; if its disk was lost, for good. "members remove" before "members add", or of another one than the lost one, left a group that bears fewer losses, without a word: the only check was that two voters stay.

A call of an older greengagelockctl is not forced; an older leader passes the new field over.

--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -86,25 +86,18 @@
 
 // register writes a controller to the catalog. reconcile retries it after a failure.
 func (m *members) register(ctx context.Context, member catalog.Member) {
-	r, err := m.c.propose(ctx, &catalog.Command{Kind: catalog.KindMember, Member: member})
-	if err == nil {
-		err = r.Err()
-	}
-	if err != nil {
+	if err := m.commit(ctx, member); err != nil {
 		m.c.tel.Logger.Warn().Str("controller", m.c.cfg.Name).Str("member", member.Name).Err(err).Msg("registering a controller failed")
 	}
 }
 
 // add adds a controller as a learner and waits until it is a voter. After an error it can be called again.
 func (m *members) add(ctx context.Context, name, address string) error {
-	if _, isMember := m.find(name); !isMember && m.voters() >= consensus.MaxVoters {
-		return result.New(result.ConfigInvalid, "there are already %d voting controllers, remove one before adding %s", consensus.MaxVoters, name)
-	}
-	r, err := m.c.propose(ctx, &catalog.Command{Kind: catalog.KindMember, Member: catalog.Member{Name: name, Address: address}})
-	if err != nil {
+	added := catalog.Member{Name: name, Address: address}
+	if err := m.checkAddition(added); err != nil {
 		return err
 	}
-	if err := r.Err(); err != nil {
+	if err := m.commit(ctx, added); err != nil {
 		return err
 	}
 	m.updateDirectory()
@@ -122,53 +115,47 @@
 	return result.New(result.MemberChangeBusy, "controller %s has not caught up with the log yet", name)
 }
 
+// checkAddition returns an error if a controller must not be added.
+func (m *members) checkAddition(added catalog.Member) error {
+	if _, isMember := m.find(added.Name); !isMember && m.voters() >= consensus.MaxVoters {
+		return result.New(result.ConfigInvalid, "there are already %d voting controllers, remove one before adding %s", consensus.MaxVoters, added.Name)
+	}
+	return nil
+}
+
+// commit changes a controller in the catalog.
+func (m *members) commit(ctx context.Context, changed catalog.Member) error {
+	r, err := m.c.propose(ctx, &catalog.Command{Kind: catalog.KindMember, Member: changed})
+	if err != nil {
+		return err
+	}
+	return r.Err()
+}
+
 // remove removes a controller. It retires the name first, so that the name can never be added again.
-func (m *members) remove(ctx context.Context, name string) error {
+func (m *members) remove(ctx context.Context, name string, force bool) error {
 	if known, ok := m.registeredMember(name); !ok {
 		return result.New(result.PeerUnknown, "controller %s does not exist", name)
 	} else if _, isMember := m.find(name); known.Retired && !isMember {
 		return nil
 	}
-	if err := m.checkRemoval(name); err != nil {
-		return err
-	}
-	r, err := m.c.propose(ctx, &catalog.Command{Kind: catalog.KindMember, Member: catalog.Member{Name: name, Retired: true}})
-	if err != nil {
+	// Retiring a name cannot be undone, so the removal is checked before.
+	if err := checkRemoval(m.c.log.Status().Members, name, force); err != nil {
 		return err
 	}
-	if err := r.Err(); err != nil {
+	if err := m.commit(ctx, catalog.Member{Name: name, Retired: true}); err != nil {
 		return err
 	}
 	return m.c.log.ChangeMember(ctx, consensus.MemberChange{Remove: replica.MemberID(name)})
 }
 
-// checkRemoval returns an error if the log would reject the removal. It is called before the name is
-// retired, which cannot be undone.
-func (m *members) checkRemoval(name string) error {
-	voters := m.voters()
-	if member, ok := m.find(name); ok && !member.Learner && voters <= consensus.MinVoters {
-		return result.New(result.ConfigInvalid, "there are only %d voting controllers, none can be removed", voters)
-	}
-	return nil
-}
-
 // voters returns the number of voters of the log.
-func (m *members) voters() int {
-	voters := 0
-	for _, member := range m.c.log.Status().Members {
-		if !member.Learner {
-			voters++
-		}
-	}
-	return voters
-}
+func (m *members) voters() int { return countVoters(m.c.log.Status().Members, "").all }
 
 // find returns a member of the log by name.
 func (m *members) find(name string) (operator.Member, bool) {
-	for _, member := range m.c.log.Status().Members {
-		if member.Name == name {
-			return member, true
-		}
+	if member := memberNamed(m.c.log.Status().Members, name); member != nil {
+		return *member, true
 	}
 	return operator.Member{}, false
 }
--- a/internal/controller/operatorservice.go
+++ b/internal/controller/operatorservice.go
@@ -252,7 +252,7 @@
 // RemoveMember removes a controller.
 func (o *Operator) RemoveMember(change *operator.MemberChange, reply *operator.MemberChangeReply) error {
 	return runOnLeader(o, &change.Origin, "RemoveMember", change, reply, func(ctx context.Context) error {
-		err := o.c.members.remove(ctx, change.Name)
+		err := o.c.members.remove(ctx, change.Name, change.Force)
 		reply.Members = o.c.log.Status().Members
 		return err
 	})
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -53,18 +53,27 @@
 			})
 		},
 	}
-	remove := &cobra.Command{
+	list.AddCommand(add, a.removeMemberCommand())
+	return list
+}
+
+func (a *app) removeMemberCommand() *cobra.Command {
+	force := false
+	c := &cobra.Command{
 		Use:   "remove NAME",
-		Short: "Remove a controller",
+		Short: "Remove a controller; refused if the others would bear fewer losses",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return a.changeMembers(cmd, func(c *operator.Client, ctx context.Context) ([]operator.Member, error) {
+				if force {
+					return c.ForceRemoveMember(ctx, args[0])
+				}
 				return c.RemoveMember(ctx, args[0])
 			})
 		},
 	}
-	list.AddCommand(add, remove)
-	return list
+	c.Flags().BoolVar(&force, "force", false, "remove it even if the others bear fewer losses then; never if they have no majority")
+	return c
 }
 
 // changeMembers changes the members of the replicated log and prints the new ones.
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -140,6 +140,8 @@
 	Origin
 	Name    string
 	Address string // for AddMember
+	// Force lets RemoveMember leave a group that bears fewer losses.
+	Force bool
 }
 
 // MemberChangeReply contains the members after a change.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -225,11 +225,18 @@
 	return c.changeMember(ctx, "AddMember", &MemberChange{Name: name, Address: address})
 }
 
-// RemoveMember removes a controller from the replicated log.
+// RemoveMember removes a controller from the replicated log. It returns an error with code RedundancyReduced if the group
+// would bear fewer losses.
 func (c *Client) RemoveMember(ctx context.Context, name string) ([]Member, error) {
 	return c.changeMember(ctx, "RemoveMember", &MemberChange{Name: name})
 }
 
+// ForceRemoveMember removes a controller even if the group bears fewer losses afterwards, but not if it would lose its
+// majority.
+func (c *Client) ForceRemoveMember(ctx context.Context, name string) ([]Member, error) {
+	return c.changeMember(ctx, "RemoveMember", &MemberChange{Name: name, Force: true})
+}
+
 func (c *Client) changeMember(ctx context.Context, method string, change *MemberChange) ([]Member, error) {
 	reply, err := call[MemberChangeReply](ctx, c, method, change)
 	if err != nil {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -28,6 +28,7 @@
 	TooManyTargets       Code = 1009
 	NotInForceEverywhere Code = 1010
 	ZoneNotFound         Code = 1011
+	RedundancyReduced    Code = 1012
 
 	// 2xxx: admission of flows. The payload of a refusal contains one of these codes.
 	NoFreeSlot         Code = 2001
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -27,6 +27,7 @@
 	{TooManyTargets, "TooManyTargets", "A service selects more than 32 VMs.", "Split the service, or narrow its selector."},
 	{NotInForceEverywhere, "NotInForceEverywhere", "The configuration was accepted, and some nodes do not have it in force yet.", "Run `status`; it names the nodes. They get it as soon as they reach a controller."},
 	{ZoneNotFound, "ZoneNotFound", "The deployment has no availability zone of this name.", "Compare the name with the zones in the settings."},
+	{RedundancyReduced, "RedundancyReduced", "Without this controller the others would bear fewer losses, or have no majority. It was not removed.", "Run `members` and `status`; add the replacement first, or remove the lost controller. `members remove --force` accepts fewer losses, but never the loss of the majority."},
 	{NoFreeSlot, "NoFreeSlot", "Every target's slots are taken. The request did not run.", "Try again after the time in the refusal; add targets if it lasts."},
 	{QueueFull, "QueueFull", "The expected wait in the shortest queue exceeds the service's bound. The request did not run.", "Try again after the time in the refusal; add targets if it lasts."},
 	{QueueTimeout, "QueueTimeout", "No slot became free within the service's bound. The request did not run.", "Try again after the time in the refusal."},
