Report a change of controllers only once it is committed

A change of the log's members counts from the moment in which the leader appends it, and the list that the leader shows includes it. "members add" answered as soon as the new controller voted in that list, and a repeated "members remove" as soon as the old one was missing there. If the leader was lost right then, the next one undid the change, while the operator went on: a data folder was deleted whose controller still votes, and the group bears one loss fewer than it is said to.

Both now commit the controller's entry of the catalog once more and wait for it, which is committed only after the change. The entry changes nothing, so the log format stays as it is.

--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -108,7 +108,7 @@
 	}
 	for ctx.Err() == nil {
 		if member, ok := m.find(name); ok && !member.Learner {
-			return nil
+			return m.commit(ctx, added)
 		}
 		ctxtime.Sleep(ctx, promotionPollInterval)
 	}
@@ -123,7 +123,8 @@
 	return nil
 }
 
-// commit changes a controller in the catalog.
+// commit changes a controller in the catalog. A change of the log's members takes effect before it is committed, and the next
+// leader may undo it; it is committed once an entry after it is.
 func (m *members) commit(ctx context.Context, changed catalog.Member) error {
 	r, err := m.c.propose(ctx, &catalog.Command{Kind: catalog.KindMember, Member: changed})
 	if err != nil {
@@ -134,10 +135,8 @@
 
 // remove removes a controller. It retires the name first, so that the name can never be added again.
 func (m *members) remove(ctx context.Context, name string, force bool) error {
-	if known, ok := m.registeredMember(name); !ok {
+	if _, ok := m.registeredMember(name); !ok {
 		return result.New(result.PeerUnknown, "controller %s does not exist", name)
-	} else if _, isMember := m.find(name); known.Retired && !isMember {
-		return nil
 	}
 	// Retiring a name cannot be undone, so the removal is checked before.
 	if err := checkRemoval(m.c.log.Status().Members, name, force); err != nil {
@@ -146,6 +145,9 @@
 	if err := m.commit(ctx, catalog.Member{Name: name, Retired: true}); err != nil {
 		return err
 	}
+	if _, isMember := m.find(name); !isMember {
+		return nil // by an earlier call; the commit above covers it
+	}
 	return m.c.log.ChangeMember(ctx, consensus.MemberChange{Remove: replica.MemberID(name)})
 }
 
--- a/internal/controller/removal_test.go
+++ b/internal/controller/removal_test.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"testing"
+	"time"
 
+	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/consensus"
+	"github.com/greengagelock/greengagelock/internal/model"
 	"github.com/greengagelock/greengagelock/internal/operator"
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/testkit"
 )
@@ -55,3 +60,53 @@
 		t.Fatalf("no edit is accepted after the removal: %v", err)
 	}
 }
+
+// uncommittedChange is the log of a leader that commits one more command, and shows members that are not committed.
+type uncommittedChange struct {
+	replica.Log
+	state   *state
+	members []replica.Member
+	index   uint64
+}
+
+func (l *uncommittedChange) Status() replica.Status {
+	return replica.Status{Leader: "a", IsLeader: true, Term: 1, Members: l.members}
+}
+
+func (l *uncommittedChange) Propose(_ context.Context, data []byte) (consensus.Position, error) {
+	l.index++
+	position := consensus.Position{Index: l.index, Term: 1}
+	if l.index > 1 {
+		return position, nil
+	}
+	return position, l.state.Apply(replica.Committed{Position: position, Data: data})
+}
+
+// Guards against a change of the members that is reported as done before it is committed: the next leader may undo it, after
+// the operator has deleted the data folder of a controller that still votes.
+func TestMemberChangesAreReportedOnceCommitted(t *testing.T) {
+	t.Parallel()
+	changes := map[string]func(ctx context.Context, m *members) error{
+		"add": func(ctx context.Context, m *members) error { return m.add(ctx, "b", "127.0.0.1:1") },
+		"remove again": func(ctx context.Context, m *members) error {
+			testkit.Check(t, m.commit(ctx, catalog.Member{Name: "d", Address: "127.0.0.1:4", Retired: true}))
+			return m.remove(ctx, "d", false)
+		},
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			c, err := newWithoutLog(Config{Name: "a"}, testkit.LoadCredentials(t, h.files(model.RoleController, "a")), h.telemetry())
+			testkit.Check(t, err)
+			log := &uncommittedChange{state: c.state, members: group("Lrr")}
+			log.members[1].Address = "127.0.0.1:1"
+			c.setLog(log, "folder")
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			if err := change(ctx, c.members); result.CodeOf(err) != result.OutcomeUnknown {
+				t.Errorf("a change that is not committed returned %v, want %v", err, result.OutcomeUnknown)
+			}
+		})
+	}
+}
