Keep the address of a controller that runs

"members add" of a controller that is a member wrote the given address to the catalog and answered at once. With a wrong address, of a slip of the pen or of another controller, nobody reached the running controller any more: it counted as a voter and could not vote, and the group bore one loss fewer, which nothing showed.

One that is stopped can still be moved with its disk to another address.

TestAddressOfARunningControllerStays failed before: the call returned no error and the catalog had the wrong address.

--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -115,11 +115,15 @@
 	return result.New(result.MemberChangeBusy, "controller %s has not caught up with the log yet", name)
 }
 
-// checkAddition returns an error if a controller must not be added.
+// checkAddition returns an error if a controller must not be added, or must not get another address.
 func (m *members) checkAddition(added catalog.Member) error {
-	if _, isMember := m.find(added.Name); !isMember && m.voters() >= consensus.MaxVoters {
+	member, isMember := m.find(added.Name)
+	if !isMember && m.voters() >= consensus.MaxVoters {
 		return result.New(result.ConfigInvalid, "there are already %d voting controllers, remove one before adding %s", consensus.MaxVoters, added.Name)
 	}
+	if isMember && isRunning(&member) && member.Address != added.Address {
+		return result.New(result.ConfigInvalid, "controller %s runs at %s; it can get another address once it is stopped", added.Name, member.Address)
+	}
 	return nil
 }
 
--- a/internal/controller/removal_test.go
+++ b/internal/controller/removal_test.go
@@ -61,6 +61,23 @@
 	}
 }
 
+// Guards against a running controller that nobody reaches any more, because its name was given with another address.
+func TestAddressOfARunningControllerStays(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	c := h.cluster(3)
+	ctl := h.operator(c.addresses()...)
+	follower := c.followers()[0]
+	apply(t, ctl, 0, document(1, 1, ""))
+	c.waitForRegistration()
+	if _, err := ctl.AddMember(t.Context(), follower, "127.0.0.1:1"); result.CodeOf(err) != result.ConfigInvalid {
+		t.Errorf("another address for a running controller: %v, want %v", err, result.ConfigInvalid)
+	}
+	if m, _ := c.controllers[c.leader()].members.registeredMember(follower); m.Address != c.members[follower] {
+		t.Errorf("the address of %s is %s, want %s", follower, m.Address, c.members[follower])
+	}
+}
+
 // uncommittedChange is the log of a leader that commits one more command, and shows members that are not committed.
 type uncommittedChange struct {
 	replica.Log
