Keep a stopping controller until its removal is committed

Cause: the process that stops waited only while the group had a learner. It ended as soon as its successor had been promoted, 0.1 s and more before it was removed. In between the group has six voters, one of which is gone: it bears the loss of one more, and has to bear two. The controller also gave up after 1 s, less than an election takes.

Change: it stays until its removal is committed, for up to 3 s. repair.Leaver decides that; the status of the log says whether the members are committed.

--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -86,13 +86,13 @@
 	return slices.ContainsFunc(status.Members, func(m replica.Member) bool { return m.Name == c.name && !m.Learner })
 }
 
-// leave tells the leader that this controller stops, if it is a voter that a learner can replace, and waits until it has
-// been replaced. A leader of an older build does not know the call; the controller then is replaced once it is lost.
+// leave tells the leader that this controller stops, if the group can do without it, and stays until its removal is
+// committed. A leader of an older build does not know the call; the controller then is replaced once it is lost.
 func (c *Controller) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, repair.LeaveLease)
+	ctx, cancel := context.WithTimeout(ctx, repair.LeaveTimeout)
 	defer cancel()
-	isLearner := func(m replica.Member) bool { return m.Learner }
-	for status := c.log.Status(); c.isVoter(status) && slices.ContainsFunc(status.Members, isLearner); status = c.log.Status() {
+	leaver := repair.Leaver{Losses: c.cfg.FaultTolerance}
+	for c.staysAsMember(&leaver) {
 		client, err := c.leaderClient()
 		if err == nil {
 			_, err = rpc.Call[LeaveReply](ctx, client, peerService+".Leave", &LeaveRequest{Name: c.name})
@@ -107,6 +107,20 @@
 	}
 }
 
+// staysAsMember reports whether this controller, whose process is stopping, has to wait for its removal.
+func (c *Controller) staysAsMember(leaver *repair.Leaver) bool {
+	status := c.log.Status()
+	voters, learners := 0, 0
+	for _, m := range status.Members {
+		if m.Learner {
+			learners++
+		} else {
+			voters++
+		}
+	}
+	return leaver.Stays(c.isVoter(status) || !status.MembersCommitted, voters, learners)
+}
+
 // repairMembers changes the members while this controller is the leader: it adds controllers that asked to
 // join and replaces lost ones.
 func (c *Controller) repairMembers(ctx context.Context) {
--- a/internal/confstore/membership_test.go
+++ b/internal/confstore/membership_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/greengagelock/greengagelock/internal/repair"
+	"github.com/greengagelock/greengagelock/internal/replica"
 	"github.com/greengagelock/greengagelock/internal/result"
 	"github.com/greengagelock/greengagelock/internal/testkit"
 )
@@ -103,6 +105,26 @@
 	}).WithTimeout(testkit.WaitTimeout).Should(ConsistOf(first[1].name, first[2].name, successor.name))
 }
 
+// Guards against a stopping controller that ends once its successor votes: until its removal is committed the group has one voter
+// more, of which one is gone, and the two losses that it has to bear took the majority for good.
+func TestStoppingControllerStaysUntilItsRemovalIsCommitted(t *testing.T) {
+	g := newTestGroup(t)
+	first := g.found(5, 3)
+	successor := g.add(Config{Seeds: first[0].cfg.Seeds})
+	g.start(successor)
+	g.waitForMembers(6)
+	g.stop(first[4])
+	committed := 0
+	for _, c := range g.running() {
+		status := c.log.Status()
+		removed := !slices.ContainsFunc(status.Members, func(m replica.Member) bool { return m.Name == first[4].name })
+		if removed && status.MembersCommitted && c.isVoter(status) {
+			committed++
+		}
+	}
+	NewWithT(t).Expect(committed).To(BeNumerically(">", 0), "no running voter knows that the removal is committed")
+}
+
 // Guards against members that an operator takes for old builds: a controller that does not lead may never have been called
 // by the others, and showed them as below its protocol level.
 func TestStatusOfAFollowerKnowsTheLevelsOfAllMembers(t *testing.T) {
--- a/internal/repair/joiner.go
+++ b/internal/repair/joiner.go
@@ -61,3 +61,19 @@
 	}
 	return addresses
 }
+
+// Leaver decides how long a controller whose process is stopping stays.
+type Leaver struct {
+	// Losses is the number of controllers that may be lost at once by the settings; zero if not set.
+	Losses    int
+	isAwaited bool
+}
+
+// Stays reports whether the process has to stay. If the group can do without it, because it has a learner or more voters than its
+// size, that is until the controller is no voter any more: the group bears one loss less between the end of the process and
+// its removal.
+func (l *Leaver) Stays(votes bool, voters, learners int) bool {
+	size := (&Group{Losses: l.Losses}).minVoters()
+	l.isAwaited = l.isAwaited || learners > 0 || size > 0 && voters > size
+	return votes && l.isAwaited
+}
--- a/internal/repair/requests.go
+++ b/internal/repair/requests.go
@@ -12,8 +12,11 @@
 	// JoinInterval is the time between two join requests of a controller that is not a voter or has no contact with a
 	// leader.
 	JoinInterval = 300 * time.Millisecond
-	// LeaveLease is the time for which a controller counts as stopping. A process waits no longer for its successor.
+	// LeaveLease is the time for which a controller counts as stopping after its last request.
 	LeaveLease = time.Second
+	// LeaveTimeout bounds the time for which a stopping process waits for its removal. With the transfer of leadership before, it
+	// stays below the 6 s in which a process has to end, and above the time of an election.
+	LeaveTimeout = 3 * time.Second
 )
 
 // Request is a join request.
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -54,6 +54,8 @@
 	QuorumAge time.Duration
 	Contact   bool
 	Members   []Member
+	// MembersCommitted is set if the entry with Members is known to be committed. Until then another leader may undo it.
+	MembersCommitted bool
 }
 
 // Member is a member of the replicated log.
