Let a voter campaign until its removal is committed

A leader sends the entry that removes a voter to all members at the same time. If it loses its disk before the entry is committed, the removed voter may be the only one that has it. It did not campaign, because it is no voter of its own last members, and granted no vote, because its log is longer than those of the others. Those need one vote more than they have: with four voters, as during a replacement in a group of three, two of the three that are left are no majority. The group never had a leader again.

The voter now campaigns while its removal is not known to be committed, with the majority of the members that are left. Once it leads, the removal is committed and it steps down. The new test fails without the change: nothing is committed within 5 s.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -378,6 +378,29 @@
 		Expect(learner.status().Members).To(Equal(consensus.Members{Voters: voters(4), Learners: []consensus.MemberID{}}))
 	})
 
+	// Guards against a group that has a majority and never a leader again: the only one left with the entry of a removal is
+	// the removed voter, which grants the others no vote because its log is longer.
+	It("elect a removed voter until its removal is committed", func() {
+		c := newDefaultCluster(3)
+		l := c.waitForLeader()
+		Expect(l.proposeMemberChange(consensus.MemberChange{AddLearner: 4})).To(Succeed())
+		c.addMember(4, nil)
+		c.run(time.Second, nil)
+		Expect(l.proposeMemberChange(consensus.MemberChange{Promote: 4})).To(Succeed())
+		c.run(settleTime, nil)
+		removed := c.other(l)
+		c.drop = func(m consensus.Message) bool { return m.From == l.id && m.To != removed.id }
+		Expect(l.proposeMemberChange(consensus.MemberChange{Remove: removed.id})).To(Succeed())
+		c.run(settleTime, nil)
+		Expect(removed.status().Members.Contains(removed.id)).To(BeFalse())
+		l.crash()
+		committed := c.lastCommitted
+		c.run(5*time.Second, nil)
+		Expect(c.lastCommitted).To(BeNumerically(">", committed))
+		Expect(c.leader()).NotTo(Or(BeNil(), BeIdenticalTo(removed)))
+		Expect(c.leader().status().Members.Voters).To(HaveLen(3))
+	})
+
 	// Guards against a removed member that requests votes and deposes the leader, whether or not it knows
 	// of its removal.
 	DescribeTable("are not disrupted by a removed member", func(knows bool) {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -44,7 +44,7 @@
 }
 
 func (n *Node) handleElectionTimeout() {
-	if !n.Members().IsVoter(n.cfg.ID) {
+	if !n.mayCampaign() {
 		n.leader = 0
 		n.resetElectionTimer()
 		return
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -32,6 +32,20 @@
 // Members returns the current members, including an uncommitted change.
 func (n *Node) Members() Members { return n.memberships[len(n.memberships)-1].Members }
 
+// membersCommitted reports whether the last change of the members is known to be committed.
+func (n *Node) membersCommitted() bool {
+	return n.memberships[len(n.memberships)-1].index <= n.log.commit
+}
+
+// mayCampaign reports whether the member is a voter, or is one until the commit of its removal. In the latter case it may be the
+// only one with the entry of its removal, if the leader is gone: others get no vote of it, as their logs are shorter.
+func (n *Node) mayCampaign() bool {
+	if n.Members().IsVoter(n.cfg.ID) {
+		return true
+	}
+	return !n.membersCommitted() && len(n.memberships) > 1 && n.memberships[len(n.memberships)-2].IsVoter(n.cfg.ID)
+}
+
 func (n *Node) membersAt(index uint64) Members {
 	for i := len(n.memberships) - 1; i > 0; i-- {
 		if n.memberships[i].index <= index {
