Read metrics with labels in the soak

The lines of the processes' metrics have labels, {component="entry"}, but the soak looked for the name followed by a space. It therefore found no metric at all, and three checks have never seen a value: that a configuration is in force at all entry VMs 5 s after it was accepted, that no entry VM goes back to an older one, and that its list of targets is that of the controllers.

The name may now be followed by labels.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -299,10 +298,19 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
-		if rest, found := bytes.CutPrefix(lines.Bytes(), []byte(name+" ")); found {
-			value, err = strconv.ParseFloat(string(rest), 64)
-			return value, start, err == nil
+		if value, found := parseSample(lines.Text(), name); found {
+			return value, start, true
 		}
 	}
 	return 0, start, false
 }
+
+// parseSample returns the value in a line of the text format, which may have labels, if it is of the named metric.
+func parseSample(line, name string) (value float64, found bool) {
+	rest, found := strings.CutPrefix(line, name)
+	if !found || rest == "" || rest[0] != ' ' && rest[0] != '{' {
+		return 0, false
+	}
+	value, err := strconv.ParseFloat(rest[strings.LastIndexByte(rest, ' ')+1:], 64)
+	return value, err == nil
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -59,6 +59,8 @@
 	Counts Counts   `json:"counts"`
 	// Evacuations are the evacuations that were acknowledged.
 	Evacuations int `json:"evacuations"`
+	// VersionsSeen is the number of times that an entry VM told which configuration it has in force.
+	VersionsSeen int `json:"versions_seen"`
 	// Asked and Served are the requests after the system had time to recover.
 	Asked  int `json:"asked"`
 	Served int `json:"served"`
@@ -76,9 +78,10 @@
 	relays       []*program
 	targets      []*targetSlot
 	router       *router
-	version      atomic.Uint64  // of the newest configuration sent
-	operator     sync.Mutex     // held while a configuration is sent
-	evacuations  atomic.Int64   // that were acknowledged
+	version      atomic.Uint64 // of the newest configuration sent
+	operator     sync.Mutex    // held while a configuration is sent
+	evacuations  atomic.Int64  // that were acknowledged
+	versionsSeen atomic.Int64
 	evacuating   sync.Mutex     // held during an evacuation; one zone at a time keeps targets for the callers
 	lastID       atomic.Uint64  // of requests
 	incarnations atomic.Uint64  // numbers the incarnations of targets
@@ -136,7 +139,10 @@
 		check.violate("%d of %d requests were answered after the last fault and %v", served, asked, settleTime)
 	}
 	violations, notes, counts := check.result()
-	return &Result{Plan: plan, Violations: violations, Notes: notes, Counts: counts, Asked: asked, Served: served, Evacuations: int(r.evacuations.Load())}, ctx.Err()
+	return &Result{
+		Plan: plan, Violations: violations, Notes: notes, Counts: counts, Asked: asked, Served: served,
+		Evacuations: int(r.evacuations.Load()), VersionsSeen: int(r.versionsSeen.Load()),
+	}, ctx.Err()
 }
 
 func (r *run) startAll(ctx context.Context) error {
@@ -435,6 +441,9 @@
 		r.router.poll(ctx)
 		for _, p := range r.entries {
 			inForce, start, ok := p.metric(ctx, "greengagelock_entry_config_version")
+			if ok {
+				r.versionsSeen.Add(1)
+			}
 			id := process{p.name, start}
 			if ok && inForce < newest[id] {
 				r.check.violate("%s went from configuration %v back to %v", p.name, newest[id], inForce)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,6 +83,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(result.Violations).To(BeEmpty())
 	g.Expect(result.Counts.Answered).To(BeNumerically(">", 0))
+	g.Expect(result.VersionsSeen).To(BeNumerically(">", 0), "the checks of the configuration in force have seen one")
+}
+
+// Guards against checks of metrics that find none, because the lines have labels.
+func TestSamplesWithLabelsAreRead(t *testing.T) {
+	g := NewWithT(t)
+	for line, value := range map[string]float64{`m{component="a b"} 3`: 3, "m 2.5": 2.5} {
+		read, found := parseSample(line, "m")
+		g.Expect(found).To(BeTrue(), line)
+		g.Expect(read).To(Equal(value), line)
+	}
+	for _, line := range []string{"m_total 3", "m", "# TYPE m gauge", "n 3"} {
+		_, found := parseSample(line, "m")
+		g.Expect(found).To(BeFalse(), line)
+	}
 }
 
 // Guards against processes of the production build and of this one that do not understand each other: controllers, entry
