Play a deployment of five controllers in the soak, and lost disks at the end

The soak had three controllers, kept their faults 3 to 5 s apart, and never ended with lost disks.

They are told that two may be lost at once. Events of controllers overlap as far as that allows: a controller counts as lost while it is down, and for 6 s after it is back or its successor has started; the run waits where the machine is too slow for the plan. At the end up to two controllers lose their disks right after an acknowledgement, alone or while the other controllers or all other processes are killed. The acknowledged configuration has to be read and in force within 15 s, and another one accepted. In all deployments the operator now reads all the time; no read may return an older version than one acknowledged before it was sent.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: build test format lint unit race demo trial tun-check capacity bench fuzz soak soak-upgrade schedules
+.PHONY: build test format lint unit race demo trial tun-check capacity bench fuzz soak soak-upgrade soak-five schedules
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -52,6 +52,11 @@
 soak-upgrade: build
 	$(BIN)/soak run --upgrade --seed $(SEED) --seeds $(SEEDS)
 
+# Five controllers, two of which may be lost at once: they fail and are replaced in series, and at the end some lose their
+# disks. About 70 s each.
+soak-five: build
+	$(BIN)/soak run --deployment five --length 40 --seed $(SEED) --seeds $(SEEDS)
+
 # Drawn schedules of trouble for groups of controllers in simulated time: SCHEDULES for each size, from FIRST on.
 FIRST ?= 0
 SCHEDULES ?= 5000
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -48,6 +48,7 @@
 	var first uint64
 	var seeds, parallel, length int
 	var upgrade bool
+	var deployment string
 	runCommand := &cobra.Command{
 		Use:   "run",
 		Short: "Play the plans that are drawn from consecutive seeds",
@@ -55,9 +56,9 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			o.out = c.OutOrStdout()
 			var plans []*soak.Plan
-			draw := soak.NewPlan
-			if upgrade {
-				draw = soak.NewUpgradePlan
+			draw, err := drawPlan(soak.Deployment(deployment), upgrade)
+			if err != nil {
+				return err
 			}
 			for i := range seeds {
 				plans = append(plans, draw(first+uint64(i), length*1000))
@@ -69,6 +70,7 @@
 	runCommand.Flags().IntVar(&seeds, "seeds", 1, "number of seeds")
 	runCommand.Flags().IntVar(&parallel, "parallel", 2, "runs at the same time")
 	runCommand.Flags().BoolVar(&upgrade, "upgrade", false, "begin with the production build and replace it, see deploy/system.toml")
+	runCommand.Flags().StringVar(&deployment, "deployment", string(soak.Small), "deployment; \"five\" has five controllers, two of which may be lost at once")
 	runCommand.Flags().IntVar(&length, "length", 20, "seconds with events")
 	replay := &cobra.Command{
 		Use:   "replay FILE",
@@ -87,6 +89,19 @@
 	return root
 }
 
+// drawPlan returns the function that draws plans for a deployment.
+func drawPlan(d soak.Deployment, upgrade bool) (func(seed uint64, lengthMS int) *soak.Plan, error) {
+	switch {
+	case d == soak.Five && !upgrade:
+		return soak.NewFivePlan, nil
+	case d == soak.Small && upgrade:
+		return soak.NewUpgradePlan, nil
+	case d == soak.Small:
+		return soak.NewPlan, nil
+	}
+	return nil, errors.Newf("there are no plans for the deployment %q with upgrade=%t", d, upgrade)
+}
+
 // play plays plans, some at the same time, and fails if any broke a promise or could not be played.
 func (o *options) play(ctx context.Context, plans []*soak.Plan, parallel int) error {
 	binary, err := filepath.Abs(o.binary)
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -78,6 +78,16 @@
 	return c.faults == 0 && time.Since(c.lastFault) >= stableWindow
 }
 
+// calmFor returns the time since the last fault or the start, or zero while a fault is in progress.
+func (c *checker) calmFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults > 0 {
+		return 0
+	}
+	return min(time.Since(c.lastFault), time.Since(c.start))
+}
+
 // recordRun records that a target runs a request, which no target may run again.
 func (c *checker) recordRun(request uint64, target string) {
 	c.mu.Lock()
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/greengagelock/greengagelock/internal/loopback"
+	"github.com/greengagelock/greengagelock/internal/process"
 )
 
 // Groups of addresses in the block of a deployment.
@@ -60,11 +61,13 @@
 	// production is the daemon of the production build; empty if the plan needs none.
 	production string
 	untimed    bool
+	layout     layout
 	block      *loopback.Block
 	check      *checker
 
 	mu        sync.Mutex
 	processes map[string]*program
+	seeds     []string // in the settings of processes that are added
 }
 
 // program is a process of the system and its successors.
@@ -72,6 +75,7 @@
 	d        *deployment
 	name     string
 	role     string
+	number   int // of a controller, in the order in which they were added
 	ip       netip.Addr
 	settings map[string]any
 
@@ -93,26 +97,22 @@
 }
 
 // zoneOf returns the availability zone of process number index of a role.
-func zoneOf(index int) string { return fmt.Sprintf("zone-%d", index%zoneCount) }
+func (d *deployment) zoneOf(index int) string { return fmt.Sprintf("zone-%d", index%d.layout.zones) }
 
 // add adds a process without starting it.
 func (d *deployment) add(role string, group, index int, settings map[string]any) *program {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	ip := d.block.IP(group, index+1)
 	p := &program{d: d, name: fmt.Sprintf("%s-%d", role, index), role: role, ip: ip, settings: map[string]any{
-		"name": fmt.Sprintf("%s-%d", role, index), "role": role, "ip": ip.String(), "zone": zoneOf(index), "port": nodePort, "transport": "plain",
+		"name": fmt.Sprintf("%s-%d", role, index), "role": role, "ip": ip.String(), "zone": d.zoneOf(index), "port": nodePort, "transport": "plain",
 		"log_level": "info", "metrics_port": metricsPort,
+		"controllers": d.seeds,
 	}}
-	var seeds []string
-	for i := range storeCount {
-		seeds = append(seeds, d.address(storeGroup, i, operatorPort).String())
-	}
-	p.settings["controllers"] = seeds
 	for k, v := range settings {
 		p.settings[k] = v
 	}
-	d.mu.Lock()
 	d.processes[p.name] = p
-	d.mu.Unlock()
 	return p
 }
 
@@ -139,6 +139,9 @@
 	}
 	command := exec.Command(binary, "node", "--settings", file)
 	command.Stdout, command.Stderr = logFile, logFile
+	if losses := p.d.layout.losses; losses > 0 && p.role == "store" {
+		command.Env = append(os.Environ(), fmt.Sprintf("%s=%d", process.FaultToleranceVariable, losses))
+	}
 	if err := command.Start(); err != nil {
 		return errors.CombineErrors(errors.Wrapf(err, "start %s", p.name), logFile.Close())
 	}
@@ -188,6 +191,12 @@
 	p.retired = true
 }
 
+func (p *program) hasStarted() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command != nil
+}
+
 func (p *program) isRetired() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/evacuation.go
+++ b/internal/soak/evacuation.go
@@ -22,7 +22,7 @@
 func (r *run) evacuate(ctx context.Context, index int, pause func()) {
 	r.evacuating.Lock()
 	defer r.evacuating.Unlock()
-	zone := zoneOf(index)
+	zone := r.d.zoneOf(index)
 	if !r.orderEvacuation(ctx, zone, true, evacuationOrderTime) {
 		return
 	}
@@ -48,7 +48,7 @@
 // orderEvacuation sends an order to one controller after the other until it is acknowledged or the time is up.
 func (r *run) orderEvacuation(ctx context.Context, zone string, evacuate bool, limit time.Duration) bool {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && ctx.Err() == nil; {
-		to := r.storeAddress(rand.IntN(storeCount))
+		to := r.storeAddress(rand.IntN(r.d.layout.stores))
 		code, err := standin.SetEvacuated(ctx, to, zone, evacuate)
 		switch {
 		case err == nil && code == http.StatusOK:
@@ -78,7 +78,7 @@
 func (r *run) openedIn(zone string) openedFlows {
 	opened := openedFlows{}
 	for i, s := range r.targets {
-		if t, _ := s.current(); t != nil && zoneOf(i) == zone {
+		if t, _ := s.current(); t != nil && r.d.zoneOf(i) == zone {
 			opened[t.ID()] = t.Opened()
 		}
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,6 +54,8 @@
 	Index int  `json:"index,omitempty"` // of the process or target, from 0
 	ForMS int  `json:"for_ms,omitempty"`
 	Count int  `json:"count,omitempty"`
+	// Seeds are the controllers that ExchangeSeeds names in the large deployment.
+	Seeds []int `json:"seeds,omitempty"`
 }
 
 // planned reports whether the event is planned work.
@@ -69,27 +71,33 @@
 	return slices.Contains([]Kind{TermStore, KillStore, WipeStore, PauseStore, UpgradeStore, RevertStore, ReplaceStore, LoseStore}, e.Kind)
 }
 
+// losesDisk reports whether a controller comes back without its disk, or another one takes its place.
+func (e *Event) losesDisk() bool {
+	return e.Kind == WipeStore || e.Kind == ReplaceStore || e.Kind == LoseStore
+}
+
 // end returns the time at which the event is over.
 func (e *Event) end() int { return e.AtMS + e.ForMS }
 
 // Plan is the plan of a run.
 type Plan struct {
-	Seed     uint64 `json:"seed"`
-	LengthMS int    `json:"length_ms"` // of the part with events
+	Seed       uint64     `json:"seed"`
+	Deployment Deployment `json:"deployment,omitempty"`
+	LengthMS   int        `json:"length_ms"` // of the part with events
 	// Production says that all processes start as the production build.
-	Production bool    `json:"production,omitempty"`
-	Events     []Event `json:"events"`
+	Production bool `json:"production,omitempty"`
+	// Seeds are the controllers that the settings name at first in the large deployment.
+	Seeds  []int       `json:"seeds,omitempty"`
+	Events []Event     `json:"events"`
+	Final  *FinalFault `json:"final,omitempty"`
 }
 
-// Sizes of the deployment.
+// Sizes that all deployments share.
 const (
-	storeCount = 3
 	entryCount = 3
 	relayCount = 5
 	// relaysOfX is the number of relays of service x, to which the route leads; the others are of service y.
 	relaysOfX = 3
-	// zoneCount is the number of availability zones, over which the processes are spread in turn.
-	zoneCount = 2
 )
 
 const (
@@ -105,10 +113,11 @@
 	evacuationMS = 8000
 )
 
-// NewPlan draws a plan.
+// NewPlan draws a plan for the small deployment.
 func NewPlan(seed uint64, lengthMS int) *Plan {
 	r := rand.New(rand.NewPCG(seed, 1))
 	p := &Plan{Seed: seed, LengthMS: lengthMS}
+	l := p.layout()
 	kinds := []Kind{
 		TermEntry, TermRelay, TermStore, DrainTarget, ReplaceConfig, ReplaceConfig, KillEntry, KillRelay, KillStore, WipeStore,
 		PauseEntry, PauseRelay, PauseStore, KillStores, KillAll, CrashTarget, LosePackets, EvacuateZone,
@@ -122,13 +131,13 @@
 		case TermRelay, KillRelay, PauseRelay, DrainTarget, CrashTarget:
 			e.Index = r.IntN(relayCount)
 		case TermStore, KillStore, WipeStore, PauseStore, ReplaceStore, LoseStore, ExchangeSeeds:
-			e.Index = r.IntN(storeCount)
+			e.Index = r.IntN(l.stores)
 		case ReplaceConfig:
 			e.Count = 1 + r.IntN(5)
 		case LosePackets:
 			e.Count = 2 + r.IntN(20)
 		case EvacuateZone:
-			e.Index, e.ForMS = r.IntN(zoneCount), evacuationMS
+			e.Index, e.ForMS = r.IntN(l.zones), evacuationMS
 		}
 		p.Events = append(p.Events, e)
 	}
@@ -151,9 +160,10 @@
 func NewUpgradePlan(seed uint64, lengthMS int) *Plan {
 	p := NewPlan(seed, lengthMS)
 	p.Production = true
+	l := p.layout()
 	r := rand.New(rand.NewPCG(seed, 2))
 	var upgrades []Event
-	for kind, count := range map[Kind]int{UpgradeEntry: entryCount, UpgradeRelay: relayCount, UpgradeStore: storeCount} {
+	for kind, count := range map[Kind]int{UpgradeEntry: entryCount, UpgradeRelay: relayCount, UpgradeStore: l.stores} {
 		for i := range count {
 			upgrades = append(upgrades, Event{Kind: kind, Index: i})
 		}
@@ -164,7 +174,7 @@
 	if shape != upgradeAll {
 		upgrades = upgrades[:len(upgrades)/2]
 		// One controller stays, since the log is not taken to a later level before all have been replaced.
-		kept := r.IntN(storeCount)
+		kept := r.IntN(l.stores)
 		upgrades = slices.DeleteFunc(upgrades, func(e Event) bool { return e.Kind == UpgradeStore && e.Index == kept })
 	}
 	if shape == upgradeRevert {
@@ -180,7 +190,7 @@
 	p.order()
 	if shape == upgradeAll {
 		last := p.Events[len(p.Events)-1].AtMS + storeFaultGapMS
-		p.Events = append(p.Events, Event{AtMS: last, Kind: EvacuateZone, Index: r.IntN(zoneCount), ForMS: evacuationMS})
+		p.Events = append(p.Events, Event{AtMS: last, Kind: EvacuateZone, Index: r.IntN(l.zones), ForMS: evacuationMS})
 	}
 	return p
 }
@@ -218,19 +228,7 @@
 	if err := json.Unmarshal(data, p); err != nil {
 		return nil, errors.Wrapf(err, "decode the plan %s", file)
 	}
-	for i, e := range p.Events {
-		limit := map[Kind]int{
-			TermEntry: entryCount, KillEntry: entryCount, PauseEntry: entryCount, TermRelay: relayCount, KillRelay: relayCount,
-			PauseRelay: relayCount, DrainTarget: relayCount, CrashTarget: relayCount, TermStore: storeCount, KillStore: storeCount,
-			WipeStore: storeCount, PauseStore: storeCount, ReplaceStore: storeCount, LoseStore: storeCount, ExchangeSeeds: storeCount, ReplaceConfig: 1, KillStores: 1, KillAll: 1, LosePackets: 1,
-			EvacuateZone: zoneCount, UpgradeEntry: entryCount, RevertEntry: entryCount, UpgradeRelay: relayCount,
-			RevertRelay: relayCount, UpgradeStore: storeCount, RevertStore: storeCount,
-		}[e.Kind]
-		if e.Index < 0 || e.Index >= limit || e.AtMS < 0 || e.ForMS < 0 {
-			return nil, errors.Newf("event %d of %s is invalid: %+v", i, file, e)
-		}
-	}
-	return p, nil
+	return p, errors.Wrapf(p.validate(), "the plan %s", file)
 }
 
 // Save writes the plan to a file.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,8 +23,8 @@
 const (
 	// startTimeout bounds the start of the whole system.
 	startTimeout = 30 * time.Second
-	// settleTime is the time after the last event before recovery is judged, and recoveryWindow the time in which the
-	// requests then count. recoveryShare of them have to be answered.
+	// settleTime is the time after the last event before the recovery of the small deployment is judged, and recoveryWindow
+	// the time in which the requests then count. recoveryShare of them have to be answered.
 	settleTime     = 10 * time.Second
 	recoveryWindow = 4 * time.Second
 	recoveryShare  = 0.9
@@ -37,6 +37,8 @@
 	bindRetryInterval = 5 * time.Millisecond
 	// drainTime is the time between the acknowledgement of a drain and the end of the target.
 	drainTime = 1500 * time.Millisecond
+	// entryVersionMetric is the version of the configuration that an entry VM has in force.
+	entryVersionMetric = "greengagelock_entry_config_version"
 )
 
 // Config configures a run.
@@ -61,6 +63,8 @@
 	Evacuations int `json:"evacuations"`
 	// VersionsSeen is the number of times that an entry VM told which configuration it has in force.
 	VersionsSeen int `json:"versions_seen"`
+	// Restored says that the newest acknowledged configuration was in force and another one accepted after the last fault.
+	Restored bool `json:"restored,omitempty"`
 	// Asked and Served are the requests after the system had time to recover.
 	Asked  int `json:"asked"`
 	Served int `json:"served"`
@@ -68,24 +72,33 @@
 
 // run is a run in progress.
 type run struct {
-	plan         *Plan
-	d            *deployment
-	check        *checker
-	membership   sync.Mutex // held while stores changes
-	stores       []*program // by index of events; a successor takes the place of the controller that it replaces
-	storesAdded  int
-	entries      []*program
-	relays       []*program
-	targets      []*targetSlot
-	router       *router
-	version      atomic.Uint64 // of the newest configuration sent
-	operator     sync.Mutex    // held while a configuration is sent
-	evacuations  atomic.Int64  // that were acknowledged
-	versionsSeen atomic.Int64
-	evacuating   sync.Mutex     // held during an evacuation; one zone at a time keeps targets for the callers
-	lastID       atomic.Uint64  // of requests
-	incarnations atomic.Uint64  // numbers the incarnations of targets
-	background   sync.WaitGroup // callers, the observer, and checks of configurations
+	plan           *Plan
+	d              *deployment
+	check          *checker
+	membership     sync.Mutex // held while the following fields change
+	stores         []*program // by index of events; a successor takes the place of the controller that it replaces
+	storesAdded    int
+	named          []netip.Addr // by index of events: the controllers as the settings name them
+	seeds          []int        // the controllers that the settings name
+	seedWriting    sync.Mutex   // held while settings are written
+	losses         *lossBudget
+	killing        sync.Mutex // held while processes are killed at the same time
+	entries        []*program
+	relays         []*program
+	targets        []*targetSlot
+	router         *router
+	version        atomic.Uint64 // of the newest configuration sent
+	accepted       acceptedVersions
+	operator       sync.Mutex   // held while a configuration is sent
+	unavailable    bool         // a configuration was not accepted in time
+	evacuations    atomic.Int64 // that were acknowledged
+	versionsSeen   atomic.Int64
+	evacuating     sync.Mutex // held during an evacuation; one zone at a time keeps targets for the callers
+	restored       bool
+	evacuatedAtEnd string         // the zone that is evacuated before the final fault
+	lastID         atomic.Uint64  // of requests
+	incarnations   atomic.Uint64  // numbers the incarnations of targets
+	background     sync.WaitGroup // callers, the observer, and checks of configurations
 }
 
 // targetSlot is the VM of a target.
@@ -125,8 +138,9 @@
 	}
 	defer func() { _ = block.Close() }()
 	check := newChecker()
-	r := &run{plan: plan, check: check, d: &deployment{
-		binary: cfg.Binary, production: cfg.Production, dir: cfg.Dir, untimed: cfg.Untimed, block: block, check: check, processes: map[string]*program{},
+	r := &run{plan: plan, check: check, losses: newLossBudget(plan.layout()), d: &deployment{
+		binary: cfg.Binary, production: cfg.Production, dir: cfg.Dir, untimed: cfg.Untimed, layout: plan.layout(), block: block, check: check,
+		processes: map[string]*program{},
 	}}
 	r.router = &router{run: r}
 	defer r.stopAll()
@@ -136,22 +150,18 @@
 	r.play(ctx)
 	asked, served := r.awaitRecovery(ctx)
 	if !cfg.Untimed && (float64(served) < recoveryShare*float64(asked) || asked == 0) {
-		check.violate("%d of %d requests were answered after the last fault and %v", served, asked, settleTime)
+		check.violate("%d of %d requests were answered after the last fault and %v", served, asked, r.d.layout.recoveryBound)
 	}
 	violations, notes, counts := check.result()
 	return &Result{
 		Plan: plan, Violations: violations, Notes: notes, Counts: counts, Asked: asked, Served: served,
-		Evacuations: int(r.evacuations.Load()), VersionsSeen: int(r.versionsSeen.Load()),
+		Evacuations: int(r.evacuations.Load()), VersionsSeen: int(r.versionsSeen.Load()), Restored: r.restored,
 	}, ctx.Err()
 }
 
 func (r *run) startAll(ctx context.Context) error {
-	for range storeCount {
-		p, err := r.addStore()
-		if err != nil {
-			return err
-		}
-		r.stores = append(r.stores, p)
+	if err := r.addFirstStores(); err != nil {
+		return err
 	}
 	for i := range entryCount {
 		r.entries = append(r.entries, r.d.add("entry", entryGroup, i, map[string]any{
@@ -252,6 +262,7 @@
 		r.background.Go(func() { r.runCaller(ctx, i) })
 	}
 	r.background.Go(func() { r.observe(ctx) })
+	r.background.Go(func() { r.observeReads(ctx) })
 	start := time.Now()
 	var work sync.WaitGroup
 	for _, e := range r.plan.Events {
@@ -260,13 +271,23 @@
 	}
 	ctxtime.Sleep(ctx, time.Until(start.Add(time.Duration(r.plan.LengthMS)*time.Millisecond)))
 	work.Wait()
+	if r.plan.Final != nil {
+		r.playFinal(ctx)
+	}
 }
 
 // awaitRecovery waits until the system has had time to recover, and returns the requests that began then.
 func (r *run) awaitRecovery(ctx context.Context) (asked, served int) {
-	ctxtime.Sleep(ctx, settleTime)
+	var restored sync.WaitGroup
+	if r.plan.Deployment == Five {
+		restored.Go(func() { r.checkRestored(ctx) })
+	}
+	ctxtime.Sleep(ctx, r.d.layout.recoveryBound)
 	from := time.Now()
+	opened := r.openedIn(r.evacuatedAtEnd)
 	ctxtime.Sleep(ctx, recoveryWindow)
+	r.checkEvacuationKept(opened)
+	restored.Wait()
 	r.router.stop.Store(true)
 	r.background.Wait()
 	return r.check.servedSince(from)
@@ -274,6 +295,9 @@
 
 // playEvent plays one event. It returns when it is over.
 func (r *run) playEvent(ctx context.Context, e Event) {
+	if e.ofStore() {
+		r.losses.begin(ctx, e.Index, e.losesDisk())
+	}
 	if !e.planned() {
 		r.check.beginFault()
 		defer r.check.endFault()
@@ -284,43 +308,31 @@
 		r.restart(r.entries[e.Index], (*program).terminate, func() {})
 	case TermRelay:
 		r.restart(r.relays[e.Index], (*program).terminate, func() {})
-	case TermStore:
-		r.restart(r.store(e.Index), (*program).terminate, func() {})
+	case TermStore, KillStore, WipeStore, PauseStore, UpgradeStore, RevertStore, ReplaceStore, LoseStore:
+		r.playStoreEvent(e, pause)
 	case UpgradeEntry, RevertEntry:
 		r.changeBuild(r.entries[e.Index], e.Kind == RevertEntry)
 	case UpgradeRelay, RevertRelay:
 		r.changeBuild(r.relays[e.Index], e.Kind == RevertRelay)
-	case UpgradeStore, RevertStore:
-		r.changeBuild(r.store(e.Index), e.Kind == RevertStore)
 	case EvacuateZone:
 		r.evacuate(ctx, e.Index, pause)
 	case KillEntry:
 		r.restart(r.entries[e.Index], (*program).kill, pause)
 	case KillRelay:
 		r.restart(r.relays[e.Index], (*program).kill, pause)
-	case KillStore:
-		r.restart(r.store(e.Index), (*program).kill, pause)
-	case WipeStore:
-		r.restart(r.store(e.Index), (*program).kill, func() {
-			folder := r.store(e.Index).settings["data_dir"].(string)
-			if err := errors.CombineErrors(os.RemoveAll(folder), os.MkdirAll(folder, 0o700)); err != nil {
-				r.check.violate("cannot empty %s: %v", folder, err)
-			}
-			pause()
-		})
-	case PauseEntry, PauseRelay, PauseStore:
-		p := map[Kind][]*program{PauseEntry: r.entries, PauseRelay: r.relays, PauseStore: r.allStores()}[e.Kind][e.Index]
+	case PauseEntry, PauseRelay:
+		p := map[Kind][]*program{PauseEntry: r.entries, PauseRelay: r.relays}[e.Kind][e.Index]
 		p.signal(syscall.SIGSTOP)
 		pause()
 		p.signal(syscall.SIGCONT)
-	case ReplaceStore, LoseStore:
-		r.replaceStore(e.Index, e.Kind == ReplaceStore, pause)
 	case ExchangeSeeds:
-		r.exchangeSeeds(e.Index)
+		r.exchangeSeeds(e)
 	case KillStores:
-		r.restartMany(r.allStores(), pause)
+		r.restartMany(r.runningStores(), pause)
+		r.losses.restartSync()
 	case KillAll:
-		r.restartMany(append(append(r.allStores(), r.entries...), r.relays...), pause)
+		r.restartMany(slices.Concat(r.runningStores(), r.entries, r.relays), pause)
+		r.losses.restartSync()
 	case DrainTarget:
 		r.drainTarget(ctx, e.Index)
 	case CrashTarget:
@@ -360,6 +372,8 @@
 
 // restartMany kills processes at the same time and starts others in their place.
 func (r *run) restartMany(programs []*program, between func()) {
+	r.killing.Lock()
+	defer r.killing.Unlock()
 	var all, ended sync.WaitGroup
 	ended.Add(len(programs))
 	for _, p := range programs {
@@ -391,45 +405,6 @@
 	}
 }
 
-// replaceConfig sends the next configuration to one controller after the other until it is accepted.
-func (r *run) replaceConfig(ctx context.Context) {
-	r.operator.Lock()
-	defer r.operator.Unlock()
-	version := r.version.Add(1)
-	for try := 0; ctx.Err() == nil; try++ {
-		to := r.storeAddress(rand.IntN(storeCount))
-		code, err := standin.ReplaceConfig(ctx, to, version, "x")
-		if err == nil && code == 200 {
-			r.background.Go(func() { r.checkInForce(ctx, version) })
-			return
-		}
-		if err == nil && code >= 400 && code < 500 {
-			r.check.violate("the valid configuration %d was refused with %d", version, code)
-			return
-		}
-		ctxtime.Sleep(ctx, pollInterval)
-	}
-}
-
-// checkInForce checks that an accepted configuration is read by all controllers at once, and in force at all entry VMs
-// after the bound.
-func (r *run) checkInForce(ctx context.Context, version uint64) {
-	for i := range storeCount {
-		if read := standin.ReadConfig(ctx, r.storeAddress(i)); read != 0 && read < version {
-			r.check.violate("controller %d returned configuration %d after %d had been accepted", i, read, version)
-		}
-	}
-	if r.d.untimed || !ctxtime.Sleep(ctx, configBound) || !r.check.isStable() {
-		return
-	}
-	for _, p := range r.entries {
-		inForce, start, ok := p.metric(ctx, "greengagelock_entry_config_version")
-		if p.runsLongerThan(stableWindow, start) && ok && uint64(inForce) < version && r.check.isStable() {
-			r.check.violate("%s has configuration %v in force %v after %d was accepted", p.name, inForce, configBound, version)
-		}
-	}
-}
-
 // observe polls readiness, checks that no process goes back to an older configuration, and checks their resources.
 func (r *run) observe(ctx context.Context) {
 	type process struct {
@@ -440,7 +415,7 @@
 	for ctxtime.Sleep(ctx, pollInterval) && !r.router.stop.Load() {
 		r.router.poll(ctx)
 		for _, p := range r.entries {
-			inForce, start, ok := p.metric(ctx, "greengagelock_entry_config_version")
+			inForce, start, ok := p.metric(ctx, entryVersionMetric)
 			if ok {
 				r.versionsSeen.Add(1)
 			}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -19,14 +20,15 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		g := NewWithT(rt)
 		seed := rapid.Uint64().Draw(rt, "seed")
-		draw := NewPlan
-		if rapid.Bool().Draw(rt, "upgrade") {
-			draw = NewUpgradePlan
-		}
+		draw := rapid.SampledFrom([]func(uint64, int) *Plan{NewPlan, NewUpgradePlan, NewFivePlan}).Draw(rt, "draw")
 		p := draw(seed, 60_000)
 		g.Expect(draw(seed, 60_000)).To(Equal(p))
 		g.Expect(p.Save(file)).To(Succeed())
 		g.Expect(Load(file)).To(Equal(p))
+		if p.Deployment == Five {
+			expectLossesBorne(g, p)
+			return
+		}
 		free := 0
 		for _, e := range p.Events {
 			if e.ofStore() {
@@ -37,11 +39,40 @@
 	})
 }
 
+// expectLossesBorne checks that no more controllers are lost at any time than the deployment bears.
+func expectLossesBorne(g *WithT, p *Plan) {
+	l := p.layout()
+	for i := range p.Events {
+		at, lost := p.Events[i].AtMS, map[int]bool{}
+		for _, e := range p.Events[:i+1] {
+			if e.ofStore() && (e.end()+int(l.syncTime.Milliseconds()) > at && e.Kind != ReplaceStore ||
+				e.Kind == ReplaceStore && max(e.end(), e.AtMS+int(l.syncTime.Milliseconds())) > at) {
+				lost[e.Index] = true
+			}
+		}
+		g.Expect(len(lost)).To(BeNumerically("<=", l.losses), "at %d ms", at)
+	}
+}
+
+// Guards against runs on a slow machine that lose more controllers at once than the deployment has to bear.
+func TestLossesStayWithinTheBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := newLossBudget(layout{losses: 2, syncTime: time.Hour})
+	g.Expect(b.tryBegin(0, true)).To(BeTrue())
+	g.Expect(b.tryBegin(0, false)).To(BeFalse(), "it is down")
+	b.end(0, time.Now())
+	g.Expect(b.tryBegin(1, false)).To(BeTrue())
+	g.Expect(b.tryBegin(2, false)).To(BeFalse(), "the first has not caught up yet")
+	g.Expect(b.lostDisks()).To(Equal(map[int]bool{0: true}))
+	b.end(0, time.Now().Add(-2*time.Hour))
+	g.Expect(b.tryBegin(2, false)).To(BeTrue())
+}
+
 // Guards against a plan edited by hand that names a process which does not exist.
 func TestInvalidPlanIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	file := filepath.Join(t.TempDir(), "plan.json")
-	for _, e := range []Event{{Kind: KillEntry, Index: entryCount}, {Kind: "unknown"}, {Kind: KillAll, AtMS: -1}} {
+	for _, e := range []Event{{Kind: KillEntry, Index: entryCount}, {Kind: "unknown"}, {Kind: KillAll, AtMS: -1}, {Kind: KillStore, Index: 3}} {
 		g.Expect((&Plan{Events: []Event{e}}).Save(file)).To(Succeed())
 		_, err := Load(file)
 		g.Expect(err).To(MatchError(ContainSubstring("event 0")))
@@ -64,13 +95,20 @@
 	g.Expect(c.isStable()).To(BeFalse(), "the fault has just ended")
 }
 
+// buildDaemon builds the daemon of this checkout.
+func buildDaemon(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "greengagelockd")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/greengagelock/greengagelock/cmd/greengagelockd").CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
+	return binary
+}
+
 // Guards against broken promises of the real processes under a short series of faults, without bounds of time: no
 // request runs twice or at another service, no configuration reverts, no process ends by itself.
 func TestShortSoak(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
-	binary := filepath.Join(t.TempDir(), "greengagelockd")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/greengagelock/greengagelock/cmd/greengagelockd").CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	binary := buildDaemon(t)
 	plan := &Plan{Seed: 1, LengthMS: 5000, Events: []Event{
 		{AtMS: 300, Kind: ReplaceConfig, Count: 3},
 		{AtMS: 500, Kind: TermEntry, Index: 1},
@@ -104,10 +142,9 @@
 // VMs and relays are replaced one after the other, one controller goes back, and a zone is evacuated once all controllers
 // are of this build.
 func TestShortUpgrade(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
-	binary := filepath.Join(t.TempDir(), "greengagelockd")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/greengagelock/greengagelock/cmd/greengagelockd").CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	binary := buildDaemon(t)
 	production, err := BuildProduction(context.Background(), filepath.Join("..", ".."), t.TempDir())
 	g.Expect(err).NotTo(HaveOccurred())
 	plan := &Plan{Seed: 1, LengthMS: 16000, Production: true, Events: []Event{
@@ -130,6 +167,17 @@
 	g.Expect(result.Evacuations).To(Equal(1), "the order is accepted after the last controller was replaced")
 }
 
+// Guards against acknowledged configurations and evacuations that are lost with disks after controllers were replaced in
+// series, on the real processes and with a drawn plan, without bounds of time.
+func TestShortSoakOfFiveControllers(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	result, err := Run(context.Background(), Config{Binary: buildDaemon(t), Dir: t.TempDir(), Untimed: true}, NewFivePlan(1, 6000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Violations).To(BeEmpty())
+	g.Expect(result.Restored).To(BeTrue())
+}
+
 // Guards against saved plans of runs that failed once and cannot be played again.
 func TestSavedPlansCanBePlayed(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/soak/stores.go
+++ b/internal/soak/stores.go
@@ -12,20 +12,71 @@
 	"github.com/cockroachdb/errors"
 )
 
-// seedLag is the time after which the settings no longer name a controller that is gone.
-const seedLag = time.Second
+// addFirstStores adds the controllers that are started together with the whole system.
+func (r *run) addFirstStores() error {
+	l := r.d.layout
+	r.seeds = r.plan.Seeds
+	if len(r.seeds) == 0 {
+		r.seeds = []int{0, 1, 2}
+	}
+	for i := range l.stores {
+		r.named = append(r.named, r.d.address(storeGroup, i, operatorPort).Addr())
+	}
+	r.d.seeds = r.seedAddresses()
+	for i := range l.stores {
+		p, err := r.addStore(i)
+		if err != nil {
+			return err
+		}
+		r.stores = append(r.stores, p)
+	}
+	return nil
+}
+
+// playStoreEvent plays an event of one controller.
+func (r *run) playStoreEvent(e Event, pause func()) {
+	p := r.store(e.Index)
+	switch e.Kind {
+	case TermStore:
+		r.restart(p, (*program).terminate, func() {})
+	case UpgradeStore, RevertStore:
+		r.changeBuild(p, e.Kind == RevertStore)
+	case KillStore:
+		r.restart(p, (*program).kill, pause)
+	case WipeStore:
+		r.restart(p, (*program).kill, func() { r.emptyDisk(p); pause() })
+	case PauseStore:
+		p.signal(syscall.SIGSTOP)
+		pause()
+		p.signal(syscall.SIGCONT)
+	case ReplaceStore, LoseStore:
+		r.replaceStore(e.Index, e.Kind == ReplaceStore, pause)
+		return
+	}
+	r.losses.end(e.Index, time.Now())
+}
+
+// emptyDisk empties the data folder of a controller that does not run.
+func (r *run) emptyDisk(p *program) {
+	folder := p.settings["data_dir"].(string)
+	if err := errors.CombineErrors(os.RemoveAll(folder), os.MkdirAll(folder, 0o700)); err != nil {
+		r.check.violate("cannot empty %s: %v", folder, err)
+	}
+}
 
-// addStore adds a controller at an address of its own, without starting it.
-func (r *run) addStore() (*program, error) {
+// addStore adds a controller at an address of its own in the zone of a place, without starting it.
+func (r *run) addStore(place int) (*program, error) {
 	i := r.storesAdded
 	r.storesAdded++
 	folder := filepath.Join(r.d.dir, fmt.Sprintf("data-%d", i))
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, errors.Wrap(err, "create a data folder")
 	}
-	return r.d.add("store", storeGroup, i, map[string]any{
-		"operators": r.d.address(storeGroup, i, operatorPort), "data_dir": folder,
-	}), nil
+	p := r.d.add("store", storeGroup, i, map[string]any{
+		"operators": r.d.address(storeGroup, i, operatorPort), "data_dir": folder, "zone": r.d.zoneOf(place),
+	})
+	p.number = i
+	return p, nil
 }
 
 // store returns the controller that has the place with the given index now.
@@ -44,14 +95,16 @@
 
 // storeAddress returns the address for operators of the controller with the given index.
 func (r *run) storeAddress(i int) netip.AddrPort {
-	return netip.AddrPortFrom(r.store(i).ip, operatorPort)
+	return operatorAddress(r.store(i))
 }
 
+func operatorAddress(p *program) netip.AddrPort { return netip.AddrPortFrom(p.ip, operatorPort) }
+
 // replaceStore replaces a controller for good by an empty one at another address. As planned, the successor starts first.
 func (r *run) replaceStore(i int, planned bool, pause func()) {
 	replaced := r.store(i)
 	r.membership.Lock()
-	successor, err := r.addStore()
+	successor, err := r.addStore(i)
 	r.membership.Unlock()
 	if err != nil {
 		r.check.violate("%v", err)
@@ -59,8 +112,9 @@
 	}
 	successor.joins = true
 	successor.setOld(replaced.isOld())
-	successor.settings["controllers"] = r.seeds(-1)
+	var started time.Time
 	start := func() {
+		started = time.Now()
 		if err := successor.start(); err != nil {
 			r.check.violate("%v", err)
 		}
@@ -85,26 +139,52 @@
 	r.membership.Lock()
 	r.stores[i] = successor
 	r.membership.Unlock()
-	time.Sleep(seedLag)
-	r.writeSeeds(r.seeds(-1))
+	r.losses.end(i, started)
+	r.background.Go(func() {
+		time.Sleep(r.d.layout.seedLag)
+		r.membership.Lock()
+		r.named[i] = successor.ip
+		r.membership.Unlock()
+		r.writeSeeds()
+	})
 }
 
-// exchangeSeeds names other controllers in all settings, without one of them.
-func (r *run) exchangeSeeds(without int) { r.writeSeeds(r.seeds(without)) }
+// exchangeSeeds names other controllers in all settings. In the small deployment these are all but one.
+func (r *run) exchangeSeeds(e Event) {
+	seeds := e.Seeds
+	if len(seeds) == 0 {
+		for i := range r.d.layout.stores {
+			if i != e.Index {
+				seeds = append(seeds, i)
+			}
+		}
+		slices.Reverse(seeds)
+	}
+	r.membership.Lock()
+	r.seeds = seeds
+	r.membership.Unlock()
+	r.writeSeeds()
+}
 
-// seeds returns the addresses of the controllers, without the one with the given index.
-func (r *run) seeds(without int) []string {
+// seedAddresses returns the addresses of the controllers that the settings name.
+func (r *run) seedAddresses() []string {
+	r.membership.Lock()
+	defer r.membership.Unlock()
 	var seeds []string
-	for i, p := range r.allStores() {
-		if i != without {
-			seeds = append(seeds, netip.AddrPortFrom(p.ip, operatorPort).String())
-		}
+	for _, i := range r.seeds {
+		seeds = append(seeds, netip.AddrPortFrom(r.named[i], operatorPort).String())
 	}
-	slices.Reverse(seeds)
 	return seeds
 }
 
-func (r *run) writeSeeds(seeds []string) {
+// writeSeeds writes the seeds into the settings of all processes, and of those that are added later.
+func (r *run) writeSeeds() {
+	r.seedWriting.Lock()
+	defer r.seedWriting.Unlock()
+	seeds := r.seedAddresses()
+	r.d.mu.Lock()
+	r.d.seeds = seeds
+	r.d.mu.Unlock()
 	for _, p := range r.d.list() {
 		if err := p.setSeeds(seeds); err != nil {
 			r.check.violate("%v", err)
