Show the losses that the controllers bear

A group of controllers that has lost one, or was left with an even number by an operator, looked like a complete one: "status" said current, "members" showed no time of the last contact, and no metric told it. The next loss took the majority.

The leader's status now has "losses borne" (now, of those wanted) and the controllers that it does not hear, "members" has LAST HEARD, the gauges greengagelock_controller_losses_borne and _wanted are the same for alerts (-1 on others), and the leader logs once when the group begins to bear fewer losses than it should and once when that is over. Wanted are the losses that the number of voters or of controller.members in the leader's settings allows, whichever is more.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,6 +65,8 @@
 	directory    *replica.Directory
 	transport    *replica.Transport
 	members      *members
+	lossReport   *lossReport
+	groupSize    int // number of controllers in the settings
 	editSlots    chan struct{}
 	reportWakeup chan struct{} // triggers the next session report
 }
@@ -109,7 +111,7 @@
 	}
 	c := &Controller{
 		cfg: cfg, tel: t, state: newState(), sessions: newSessions(cfg.MaxSessions),
-		peers: newPeers(credentials, cfg.Dial), directory: replica.NewDirectory(cfg.Members),
+		lossReport: &lossReport{tel: t, name: cfg.Name}, groupSize: len(cfg.Members), peers: newPeers(credentials, cfg.Dial), directory: replica.NewDirectory(cfg.Members),
 		editSlots: make(chan struct{}, maxConcurrentEdits), reportWakeup: make(chan struct{}, 1),
 	}
 	c.reads = newReadBatcher(c.waitForReadIndex)
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -82,8 +82,10 @@
 		status := c.log.Status()
 		c.members.updateDirectory()
 		if c.leader.withTable(func(*membership.SessionTable, time.Time) {}) != nil {
+			c.lossReport.clear()
 			continue
 		}
+		c.lossReport.observe(lossesOf(status.Members, c.groupSize))
 		if readyTerm != status.Term {
 			if err := c.reads.wait(ctx); err != nil {
 				continue
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/greengagelock/greengagelock/internal/catalog"
+	"github.com/greengagelock/greengagelock/internal/operator"
 )
 
 // Metrics are the counters of a controller.
@@ -40,6 +41,12 @@
 			c.state.read(func(cat *catalog.Catalog) { generation = float64(cat.View().Generation) })
 			return generation
 		}),
+		gauge("losses_borne", "Controllers that may be lost now without the loss of the majority, on the leader; -1 on others.", func() float64 {
+			return c.lossGauge(func(l *operator.Losses) int { return l.Borne })
+		}),
+		gauge("losses_wanted", "Controllers that the group should be able to lose at once, on the leader; -1 on others.", func() float64 {
+			return c.lossGauge(func(l *operator.Losses) int { return l.Wanted })
+		}),
 		gauge("leader", "1 if this controller is the leader.", func() float64 {
 			if c.log.Status().IsLeader {
 				return 1
--- a/internal/controller/operatorservice.go
+++ b/internal/controller/operatorservice.go
@@ -208,6 +208,7 @@
 		reply.Lagging, reply.Nodes = t.Lagging(now, reply.Revision)
 		reply.InForce = reply.Nodes - len(reply.Lagging)
 	})
+	reply.Losses = c.losses()
 }
 
 // Targets returns all targets with the evidence of their agents, and all quarantined announcements.
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -90,7 +91,7 @@
 }
 
 func printMembers(t *table, members []operator.Member) {
-	t.row("CONTROLLER", "ADDRESS", "ROLE", "LOG INDEX")
+	t.row("CONTROLLER", "ADDRESS", "ROLE", "LOG INDEX", "LAST HEARD")
 	for _, m := range members {
 		role := "voter"
 		switch {
@@ -99,6 +100,14 @@
 		case m.Leader:
 			role = "leader"
 		}
-		t.row(m.Name, m.Address, role, m.Match)
+		t.row(m.Name, m.Address, role, m.Match, lastHeard(m))
 	}
 }
+
+// lastHeard returns the time since the leader heard a controller. A controller that does not lead does not know it.
+func lastHeard(m operator.Member) string {
+	if !m.Heard && !m.Leader {
+		return "-"
+	}
+	return m.ContactAge.Round(100 * time.Millisecond).String()
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -189,6 +189,8 @@
 			Expect(l.out).To(ContainSubstring(want), args)
 		}
 		Expect(l.run(ctx, "explain", "198.51.100.7:4000", "192.0.2.99:1")).To(Equal(10))
+		// The losses that the group bears are known to its leader alone, which may still be elected.
+		Eventually(func() string { l.run(ctx, "status"); return l.out }).WithContext(ctx).Should(MatchRegexp("losses borne +1 of 1"))
 	}, SpecTimeout(specTimeout))
 })
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -106,6 +106,12 @@
 	t.row("controller", s.Controller)
 	t.row("leader", orDash(s.Leader))
 	t.row("state", describeContact(s.StatusReply))
+	if l := s.Losses; l != nil {
+		t.row("losses borne", fmt.Sprintf("%d of %d", l.Borne, l.Wanted))
+		for _, lost := range l.Lost {
+			t.row("not heard", fmt.Sprintf("%s for %v", lost.Name, lost.For.Round(time.Second)))
+		}
+	}
 	t.row("revision", s.Revision)
 	t.row("generation", s.Generation)
 	if s.Settled {
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -107,6 +107,21 @@
 	Targets map[string]int // by state
 	// Quarantined is the number of announcements that did not become targets.
 	Quarantined int
+	Losses      *Losses // set only by the leader
+}
+
+// Losses is what the leader knows of the controllers that the group can lose.
+type Losses struct {
+	// Borne is the number of controllers that may be lost now without the loss of the majority, Wanted the number that
+	// should be.
+	Borne, Wanted int
+	Lost          []LostController
+}
+
+// LostController is a controller that the leader does not hear.
+type LostController struct {
+	Name string
+	For  time.Duration // since the last contact
 }
 
 // TargetInfo is a target with the latest evidence of its agent.
