Form one log only, and let no first member with an emptied folder vote

Controllers that are removed have their folders deleted, as docs/OPERATIONS.md says; once a majority of the first members was replaced and their processes started again, after a loss of power for example, they elected a leader of a second, empty log, and served it to nodes and operators as current: the accepted configuration was gone there. And a first member whose disk was lost right after the first start, before the list of controllers was committed everywhere, voted again under its name, so that two such disks of five took an acknowledged configuration.

A first member with a new folder now asks the other first members (Peer.Found). It votes once all of them say that their folders are new too, or once one that has formed the log knows its folder; it is refused, and logs why, if another folder is on record. Each writes the folders of all first members to founders.json before its first vote and checks messages against them. The first start of a group therefore needs all first members, not a majority of them. Folders of earlier builds, and of controllers that joined, have no such file and go on as before; an earlier build does not read it. A controller of an earlier build does not answer the question, so a group is formed by controllers of one build.

With the check taken out, TestRemovedControllersFormNoSecondLog fails (a removed controller claims contact with a majority 32 ms ago), and so does TestFirstControllersWithEmptiedFoldersDoNotVote (two controllers accept messages of one whose folder was emptied). Both pass with it, also with the race detector, as do the tests of the packages controller, capacity, daemon, ctl and cmd/demo.

Open: if the folders of all first members are emptied and all of them start again, they form a new log, which cannot be told from a first start.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,6 +65,7 @@
 	directory    *replica.Directory
 	transport    *replica.Transport
 	members      *members
+	founders     *founders
 	lossReport   *lossReport
 	groupSize    int // number of controllers in the settings
 	editSlots    chan struct{}
@@ -91,6 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.founders, err = loadFounders(&cfg); err != nil {
+		return nil, err
+	}
 	r, err := replica.New(replica.Config{
 		Name: cfg.Name, Folder: cfg.DataDir, Members: replica.InitialMembers(cfg.Name, cfg.Members),
 		Directory: c.directory, FS: cfg.FS,
@@ -99,6 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.founders.folder = r.FolderID()
 	c.transport = newTransport(r.FolderID(), credentials, cfg.Dial, c.directory, c.metrics.Dropped)
 	c.setLog(r, r.FolderID())
 	return c, nil
@@ -111,7 +116,8 @@
 	}
 	c := &Controller{
 		cfg: cfg, tel: t, state: newState(), sessions: newSessions(cfg.MaxSessions),
-		lossReport: &lossReport{tel: t, name: cfg.Name}, groupSize: len(cfg.Members), peers: newPeers(credentials, cfg.Dial), directory: replica.NewDirectory(cfg.Members),
+		lossReport: &lossReport{tel: t, name: cfg.Name}, groupSize: len(cfg.Members), founders: &founders{},
+		peers: newPeers(credentials, cfg.Dial), directory: replica.NewDirectory(cfg.Members),
 		editSlots: make(chan struct{}, maxConcurrentEdits), reportWakeup: make(chan struct{}, 1),
 	}
 	c.reads = newReadBatcher(c.waitForReadIndex)
@@ -158,7 +164,7 @@
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(serveCtx)
-	group.Go(func() error { return c.log.Run(groupCtx, c.state) })
+	group.Go(func() error { return c.runLog(groupCtx) })
 	group.Go(func() error { return c.server.Serve(groupCtx, listener) })
 	group.Go(func() error { c.transport.Run(groupCtx); return nil })
 	group.Go(func() error { c.reads.run(groupCtx); return nil })
@@ -177,6 +183,14 @@
 	return err
 }
 
+// runLog runs the replicated log as soon as this controller may vote.
+func (c *Controller) runLog(ctx context.Context) error {
+	if err := c.waitUntilFounded(ctx); err != nil || ctx.Err() != nil {
+		return err
+	}
+	return c.log.Run(ctx, c.state)
+}
+
 // transferLeadership transfers leadership to another controller if this controller is the leader.
 func (c *Controller) transferLeadership(ctx context.Context) {
 	if !c.log.Status().IsLeader {
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -31,10 +31,10 @@
 // checkFolder returns an error if the data folder of a controller is not the registered one. Such a
 // controller has lost its votes and could vote a second time in a term, which may elect two leaders.
 func (m *members) checkFolder(name, folder string) error {
-	known, ok := m.registeredMember(name)
+	known := m.folderOf(name)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if ok && known.Folder != "" && known.Folder != folder {
+	if known != "" && known != folder {
 		if m.folders[name] != folder {
 			m.c.tel.Logger.Error().Str("controller", m.c.cfg.Name).Str("peer", name).
 				Msg("the data folder of a controller has changed; the controller has to join under a new name")
@@ -46,6 +46,14 @@
 	return nil
 }
 
+// folderOf returns the ID of the data folder that a controller had first, or "" if it is not known.
+func (m *members) folderOf(name string) string {
+	if known, _ := m.registeredMember(name); known.Folder != "" {
+		return known.Folder
+	}
+	return m.c.founders.folderOf(name)
+}
+
 func (m *members) registeredMember(name string) (member catalog.Member, ok bool) {
 	m.c.state.read(func(cat *catalog.Catalog) { member, ok = cat.Member(name) })
 	return member, ok
@@ -71,6 +79,9 @@
 		m.mu.Lock()
 		folder := m.folders[member.Name]
 		m.mu.Unlock()
+		if first := m.c.founders.folderOf(member.Name); first != "" {
+			folder = first
+		}
 		known, ok := m.registeredMember(member.Name)
 		if member.Address != "" && (!ok || (known.Folder == "" && folder != "")) {
 			m.register(ctx, catalog.Member{Name: member.Name, Address: member.Address, Folder: folder})
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -47,6 +47,9 @@
 
 // Step handles messages of the replicated log. The peer may send messages in its own name only.
 func (p *Peer) Step(request *StepRequest, reply *StepReply) error {
+	if !p.c.founders.ready.Load() {
+		return result.New(result.NoQuorum, "controller %s has a new data folder and does not know yet whether it may vote", p.c.cfg.Name)
+	}
 	if err := p.c.members.checkFolder(p.peer.Name, request.Folder); err != nil {
 		return err
 	}
