Keep a plan that loses an acknowledged configuration after a planned replacement

The kept plan has one planned replacement: the successor has run for 6.2 s when the old controller gets SIGTERM; once that has ended, a configuration is acknowledged and two disks are lost while the other controllers are killed.

Cause: a stopping voter waited only as long as the group had a learner, and ended while it was one of six voters.

The final fault no longer takes a disk in the place of a lost one, and waits while two count as lost.

--- a/internal/soak/final.go
+++ b/internal/soak/final.go
@@ -111,7 +111,8 @@
 	})
 }
 
-// chooseWiped returns the controllers that lose their disks. Those whose disks already count as lost use up the budget.
+// chooseWiped returns the controllers that lose their disks. Disks that already count as lost use up the budget, and those
+// in their place may not be lost as well: it is the disk that counts, not the place.
 func (r *run) chooseWiped(ctx context.Context, f *FinalFault) []*program {
 	places := slices.Clone(f.Order)
 	stores := r.allStores()
@@ -129,10 +130,10 @@
 		}
 		slices.SortStableFunc(places, func(a, b int) int { return cmp.Compare(leads[b], leads[a]) })
 	}
-	lost := r.losses.lostDisks()
+	lost := r.losses.awaitDisk(ctx)
 	var wiped []*program
 	for _, i := range places {
-		if len(wiped) < f.Wiped && (lost[i] || len(lost) < r.d.layout.losses) {
+		if len(wiped) < f.Wiped && !lost[i] && len(lost) < r.d.layout.losses {
 			lost[i] = true
 			wiped = append(wiped, stores[i])
 			r.check.note("the final fault takes the disk of %s", stores[i].name)
--- a/internal/soak/losses.go
+++ b/internal/soak/losses.go
@@ -91,6 +91,15 @@
 	return disks
 }
 
+// awaitDisk waits until another disk may be lost, and returns the controllers whose disks count as lost.
+func (b *lossBudget) awaitDisk(ctx context.Context) map[int]bool {
+	disks := b.lostDisks()
+	for len(disks) >= b.layout.losses && ctxtime.Sleep(ctx, lossPollInterval) {
+		disks = b.lostDisks()
+	}
+	return disks
+}
+
 // awaitNone waits until no controller counts as lost.
 func (b *lossBudget) awaitNone(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -172,7 +172,7 @@
 func TestShortSoakOfFiveControllers(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	result, err := Run(context.Background(), Config{Binary: buildDaemon(t), Dir: t.TempDir(), Untimed: true}, NewFivePlan(1, 6000))
+	result, err := Run(context.Background(), Config{Binary: buildDaemon(t), Dir: t.TempDir(), Untimed: true}, NewFivePlan(16, 6000))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(result.Violations).To(BeEmpty())
 	g.Expect(result.Restored).To(BeTrue())
@@ -183,8 +183,20 @@
 // daemon of 20a3a2e fails: newcomers do not become members, or make the group larger for good.
 func TestConfigurationOutlivesLostDisksAfterReplacements(t *testing.T) {
 	t.Parallel()
+	playKept(t, "lost-disks-after-replacements.json")
+}
+
+// Guards against the loss of an acknowledged configuration, and of the leader for good, when two disks are lost right after
+// a controller has been replaced as planned. The stopped controller must not be a voter any more.
+func TestConfigurationOutlivesLostDisksAfterAVoterHasLeft(t *testing.T) {
+	t.Parallel()
+	playKept(t, "lost-disks-after-a-voter-has-left.json")
+}
+
+// playKept plays a kept plan, without bounds of time.
+func playKept(t *testing.T, file string) {
 	g := NewWithT(t)
-	plan, err := Load(filepath.Join("testdata", "lost-disks-after-replacements.json"))
+	plan, err := Load(filepath.Join("testdata", file))
 	g.Expect(err).NotTo(HaveOccurred())
 	result, err := Run(context.Background(), Config{Binary: buildDaemon(t), Dir: t.TempDir(), Untimed: true}, plan)
 	g.Expect(err).NotTo(HaveOccurred())
