Remove a replaced voter right after its successor is promoted

Cause: the leader made one change of the members in each 100 ms, so that the group kept six voters, with a majority of four, for 0.13 s of a replacement. A lost disk counts twice in that time.

Change: after a change that succeeded the next one is decided at once. Requests to join are taken in the order of their names, not in that of a map, so that a simulation of the same decisions repeats.

--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -124,7 +124,8 @@
 // repairMembers changes the members while this controller is the leader: it adds controllers that asked to
 // join and replaces lost ones.
 func (c *Controller) repairMembers(ctx context.Context) {
-	for ctxtime.Sleep(ctx, repairInterval) {
+	for wait := repairInterval; ctxtime.Sleep(ctx, wait); {
+		wait = repairInterval
 		status := c.log.Status()
 		if !status.IsLeader {
 			c.repairs.clear()
@@ -134,7 +135,11 @@
 		change := repair.Decide(g)
 		c.repairs.observe(&g, &change)
 		if change.Kind != repair.None {
-			c.repairs.finish(&change, c.applyChange(ctx, change, status))
+			err := c.applyChange(ctx, change, status)
+			c.repairs.finish(&change, err)
+			if err == nil {
+				wait = 0 // the voter that a learner replaces is removed at once
+			}
 		}
 	}
 }
--- a/internal/repair/requests.go
+++ b/internal/repair/requests.go
@@ -1,6 +1,8 @@
 package repair
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
@@ -70,6 +72,7 @@
 		g.Losses = max(g.Losses, request.Losses)
 		g.Joining = append(g.Joining, Member{ID: request.ID, Name: name})
 	}
+	slices.SortFunc(g.Joining, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	for i := range g.Members {
 		m := &g.Members[i]
 		_, m.Leaving = r.leaving[m.Name]
