Revert "Signal a process of the soak only once its program is loaded"

The handlers that the kernel shows are installed by the runtime of Go before the program takes the signal, so that a process could still end.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -48,10 +48,8 @@
 	// stopTimeout is the time in which a process has to end after SIGTERM.
 	stopTimeout = 6 * time.Second
 	// execTime is the time after the start of a process in which no program can handle a signal yet, on a busy machine. The
-	// process then reads the new settings, or sees the change of the file. Beside more load, loading the program takes up to
-	// maxExecTime; until then only a process that handles the signal gets it.
-	execTime    = 200 * time.Millisecond
-	maxExecTime = 2 * time.Second
+	// process then reads the new settings, or sees the change of the file.
+	execTime = 200 * time.Millisecond
 	// maxResidentBytes and maxFiles bound a process.
 	maxResidentBytes = 88 << 20
 	maxFiles         = 1024
@@ -178,7 +176,7 @@
 	p.mu.Lock()
 	p.settings["controllers"] = seeds
 	_, err := p.writeSettings()
-	runs := p.command != nil && !p.ending && p.isLoaded()
+	runs := p.command != nil && !p.ending && time.Since(p.since) > execTime
 	p.mu.Unlock()
 	if runs {
 		p.signal(syscall.SIGHUP)
@@ -186,27 +184,6 @@
 	return err
 }
 
-// isLoaded reports whether the process can handle a SIGHUP. mu is held.
-func (p *program) isLoaded() bool {
-	age := time.Since(p.since)
-	return age > maxExecTime || age > execTime && handlesHangup(p.command.Process.Pid)
-}
-
-// handlesHangup reports whether a process has installed a handler for SIGHUP.
-func handlesHangup(pid int) bool {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return false
-	}
-	for line := range strings.Lines(string(status)) {
-		if mask, ok := strings.CutPrefix(line, "SigCgt:"); ok {
-			caught, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64)
-			return err == nil && caught&(1<<(syscall.SIGHUP-1)) != 0
-		}
-	}
-	return false
-}
-
 // retire marks the VM as gone for good.
 func (p *program) retire() {
 	p.mu.Lock()
