Signal a process in the soak only once it has had processor time

Cause: after a change of the seeds the soak signals all processes that were started more than 200 ms ago, since a process can handle no signal before it runs its own program. On an overloaded machine it may not have got a core for that long, and SIGHUP ends it.

The daemon needs about 10 ms of processor time to its first own lines. The process now must have used 20 ms besides. One that has used less reads the new settings, or sees the change of the file.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -50,6 +50,9 @@
 	// execTime is the time after the start of a process in which no program can handle a signal yet, on a busy machine. The
 	// process then reads the new settings, or sees the change of the file.
 	execTime = 200 * time.Millisecond
+	// startupProcessorTime is the same as processor time, since a process may wait longer for a core. The daemon handles
+	// signals after about 10 ms of it.
+	startupProcessorTime = 20 * time.Millisecond
 	// maxResidentBytes and maxFiles bound a process.
 	maxResidentBytes = 88 << 20
 	maxFiles         = 1024
@@ -176,7 +179,7 @@
 	p.mu.Lock()
 	p.settings["controllers"] = seeds
 	_, err := p.writeSettings()
-	runs := p.command != nil && !p.ending && time.Since(p.since) > execTime
+	runs := p.command != nil && !p.ending && time.Since(p.since) > execTime && processorTime(p.command.Process.Pid) >= startupProcessorTime
 	p.mu.Unlock()
 	if runs {
 		p.signal(syscall.SIGHUP)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -138,6 +139,13 @@
 	}
 }
 
+// Guards against signals to a process that has not got a core yet, and so cannot handle them.
+func TestProcessorTimeIsMeasured(t *testing.T) {
+	g := NewWithT(t)
+	g.Eventually(func() time.Duration { return processorTime(os.Getpid()) }, time.Minute, time.Nanosecond).Should(BeNumerically(">=", startupProcessorTime))
+	g.Expect(processorTime(-1)).To(BeZero())
+}
+
 // Guards against processes of the production build and of this one that do not understand each other: controllers, entry
 // VMs and relays are replaced one after the other, one controller goes back, and a zone is evacuated once all controllers
 // are of this build.
