Give the question of a first member as long as a forwarded call

A question that timed out after 1 s had to connect again, so on a machine on which a TLS handshake takes longer a first member could not get its answers. The tests of the package controller pass.

--- a/internal/controller/founders.go
+++ b/internal/controller/founders.go
@@ -29,8 +29,9 @@
 	memberFile = "member.json"
 	// foundingRetryDelay is the time between two rounds of questions to the other first members.
 	foundingRetryDelay = 50 * time.Millisecond
-	// foundingCallTimeout limits one question.
-	foundingCallTimeout = time.Second
+	// foundingCallTimeout limits one question. It is far above the time of a TLS handshake on a busy VM, because a call that
+	// times out has to connect again.
+	foundingCallTimeout = forwardTimeout
 )
 
 // founders makes sure that first members with empty data folders form one log only. A controller whose folder was emptied
