Check the losses that a group bears at every moment of a simulation

At every moment every combination of losses that is left is checked against the simulated disks: those that are left can elect a leader, and it has every committed entry. A last fault takes the losses that are left at a drawn moment.

--- a/internal/repair/joiner.go
+++ b/internal/repair/joiner.go
@@ -70,8 +70,8 @@
 }
 
 // Stays reports whether the process has to stay. If the group can do without it, because it has a learner or more voters than its
-// size, that is until the controller is no voter any more: the group bears one loss less between the end of the process and
-// its removal.
+// size, that is until its removal is committed: between the end of the process and that, the group bears one loss less. votes is
+// set for a voter, and while the last change of the members is not committed.
 func (l *Leaver) Stays(votes bool, voters, learners int) bool {
 	size := (&Group{Losses: l.Losses}).minVoters()
 	l.isAwaited = l.isAwaited || learners > 0 || size > 0 && voters > size
--- a/internal/repair/schedule_test.go
+++ b/internal/repair/schedule_test.go
@@ -49,10 +49,20 @@
 	kinds
 )
 
+// Kinds of trouble that only a budget plays.
+const (
+	replaceKilled  kind = kinds + iota // the successor first, then killed for good
+	replaceStopped                     // SIGTERM, then the successor
+	slow                               // late messages
+	split                              // the controllers are cut into two halves
+	killSpare                          // a successor that has not taken over is killed, and back
+	allKinds
+)
+
 func (k kind) String() string {
 	return [...]string{
 		"replacePlanned", "replaceUnplanned", "loseDisk", "kill", "killAll", "restart", "pause", "isolate", "isolateOut", "isolateIn",
-		"exchangeSeeds", "returnReplaced",
+		"exchangeSeeds", "returnReplaced", "replaceKilled", "replaceStopped", "slow", "split", "killSpare",
 	}[k]
 }
 
@@ -160,10 +170,10 @@
 	case isolate, isolateOut, isolateIn:
 		for _, other := range p.vms {
 			if t.kind != isolateIn {
-				p.cut[[2]*vm{v, other}] = true
+				p.cut[[2]*vm{v, other}] = 1
 			}
 			if t.kind != isolateOut {
-				p.cut[[2]*vm{other, v}] = true
+				p.cut[[2]*vm{other, v}] = 1
 			}
 		}
 		later(func() {
--- a/internal/repair/world_test.go
+++ b/internal/repair/world_test.go
@@ -19,19 +19,6 @@
 	commitInterval = 200 * time.Millisecond
 )
 
-// fault is a fault of earlier builds that a world puts back.
-type fault int
-
-const (
-	noFault fault = iota
-	// growOnPlannedReplacement lets every learner become a voter, also in a complete group.
-	growOnPlannedReplacement
-	// askSeedsOnly keeps a controller from asking those that a reply names, and others from forwarding requests.
-	askSeedsOnly
-	// forgetFirstNames loses the names of the first members with the process, and removes members by their names.
-	forgetFirstNames
-)
-
 // world runs the decisions of membership of some controllers with the real log, on simulated disks, clocks and network.
 type world struct {
 	testkit.Timeline
@@ -40,11 +27,14 @@
 	losses int // that the controllers know of; zero if it is not set
 	vms    []*vm
 	seeds  []string
-	// cut holds the pairs of VMs, from and to, between which nothing passes.
-	cut       map[[2]*vm]bool
+	// cut counts what keeps messages from passing between a pair of VMs, from and to.
+	cut map[[2]*vm]int
+	// stuck holds until when the transport between a pair of VMs waits for a call that gets no answer, or pauses after it.
+	stuck     map[[2]*vm]time.Duration
 	lossRate  float64           // share of messages that get lost
 	jitter    time.Duration     // largest random part of the delay of a message
 	committed []consensus.Entry // by index, from 1
+	onMembers func()            // called after a change of the members on a disk; may be nil
 	leaders   map[uint64]string // by term
 	proposed  uint64            // last number that was proposed
 	problems  []string
@@ -55,16 +45,11 @@
 	w       *world
 	address string
 	disk    *disk
-	proc    *proc // nil while no process runs
-	first   bool  // the process starts with the whole system
-	gone    bool  // for good
-}
-
-// disk holds what a controller has synced.
-type disk struct {
-	name     string
-	founders []string
-	state    consensus.Restored
+	proc    *proc         // nil while no process runs
+	first   bool          // the process starts with the whole system
+	gone    bool          // for good
+	old     bool          // the process is of the production build
+	delay   time.Duration // of the messages of a slow VM
 }
 
 // proc is a running process.
@@ -78,6 +63,9 @@
 	requests  *repair.Requests
 	directory map[consensus.MemberID]string // names
 	names     []string                      // committed
+	// applied counts the entries since the last snapshot.
+	applied  int
+	joinedAt time.Duration // time at which the last round of join requests ends
 }
 
 func (w *world) run(d time.Duration) {
@@ -105,8 +93,15 @@
 
 // newWorld starts a number of controllers, of which the first three are the seeds, and lets them form a group.
 func newWorld(seed uint64, size, losses int, f fault) *world {
+	w := createWorld(seed, size, losses, f)
+	w.run(5 * time.Second)
+	return w
+}
+
+// createWorld returns the world of newWorld before its controllers start.
+func createWorld(seed uint64, size, losses int, f fault) *world {
 	w := &world{
-		rand: rand.New(rand.NewPCG(seed, 1)), fault: f, losses: losses, cut: map[[2]*vm]bool{}, leaders: map[uint64]string{},
+		rand: rand.New(rand.NewPCG(seed, 1)), fault: f, losses: losses, cut: map[[2]*vm]int{}, stuck: map[[2]*vm]time.Duration{}, leaders: map[uint64]string{},
 		committed: make([]consensus.Entry, 1),
 	}
 	for range size {
@@ -119,7 +114,6 @@
 		w.After(time.Duration(w.rand.Int64N(int64(300*time.Millisecond))), v.start)
 	}
 	w.proposeEntries()
-	w.run(5 * time.Second)
 	return w
 }
 
@@ -142,6 +136,7 @@
 				v.disk.founders = append(v.disk.founders, s+"/first")
 			}
 		}
+		v.disk.members = v.disk.findMembers()
 	}
 	p := &proc{
 		vm: v, startedAt: v.w.Now, joiner: repair.NewJoiner(v.address, v.w.seeds, v.first), requests: repair.NewRequests(),
@@ -150,10 +145,11 @@
 	var founders []consensus.MemberID
 	for _, name := range v.disk.founders {
 		founders = append(founders, memberID(name))
-		if v.first || v.w.fault != forgetFirstNames {
+		if v.first || !p.has(forgetFirstNames) {
 			p.directory[memberID(name)] = name
 		}
 	}
+	p.takeNames(string(v.disk.state.Snapshot.Data))
 	v.first = false
 	var err error
 	p.node, err = consensus.New(consensus.Config{
@@ -205,10 +201,10 @@
 	_ = p.node.TransferLeadership(0)
 	p.afterInput()
 	deadline := v.w.Now + 2*time.Second
+	leaver := repair.Leaver{Losses: v.w.losses}
 	var leave func()
 	leave = func() {
-		learners := len(p.node.Members().Learners) > 0
-		if v.proc == p && v.w.Now < deadline && p.isVoter() && learners && p.pausedTo <= v.w.Now {
+		if v.proc == p && v.w.Now < deadline && p.pausedTo <= v.w.Now && p.stays(&leaver) {
 			if leader := p.directory[p.leader()]; leader != "" {
 				v.w.send(v, addressOf(leader), func(to *proc) { to.requests.Leave(to.clock(), v.disk.name) })
 			}
@@ -233,10 +229,10 @@
 // send runs f at the process at an address, unless the network or the process are down.
 func (w *world) send(from *vm, address string, f func(to *proc)) {
 	to := w.at(address)
-	if to == nil || w.cut[[2]*vm{from, to}] || w.rand.Float64() < w.lossRate {
+	if to == nil || w.cut[[2]*vm{from, to}] > 0 || w.rand.Float64() < w.lossRate {
 		return
 	}
-	w.After(messageDelay+time.Duration(w.rand.Int64N(int64(w.jitter)+1)), func() {
+	w.After(messageDelay+from.delay+to.delay+time.Duration(w.rand.Int64N(int64(w.jitter)+1)), func() {
 		if p := to.proc; p != nil {
 			p.when(func() { f(p) })
 		}
@@ -273,18 +269,18 @@
 		p.persist(ready)
 		for _, m := range ready.Messages {
 			name := p.disk.name
-			if to := p.directory[m.To]; to != "" {
+			if to := p.directory[m.To]; to != "" && p.w.connects(p.vm, addressOf(to)) {
 				p.w.send(p.vm, addressOf(to), func(q *proc) {
+					delete(p.w.stuck, [2]*vm{q.vm, p.vm})
 					q.addPeer(name)
 					_ = q.node.Step(m, q.clock()) // a message to an earlier controller of the VM is refused
 					q.afterInput()
 				})
 			}
 		}
-		for _, e := range ready.Committed {
-			p.apply(e)
-		}
+		p.applyAll(ready)
 		p.node.Advance(ready)
+		p.compact()
 		p.checkLeader(ready.SoftState)
 	}
 	due := p.node.Deadline()
@@ -302,14 +298,6 @@
 	}
 }
 
-func (p *proc) persist(r consensus.Ready) {
-	s := &p.disk.state
-	if len(r.Entries) > 0 {
-		s.Entries = append(slices.DeleteFunc(slices.Clone(s.Entries), func(e consensus.Entry) bool { return e.Index >= r.Entries[0].Index }), r.Entries...)
-	}
-	s.HardState = r.HardState
-}
-
 func (p *proc) checkLeader(s consensus.SoftState) {
 	if s.Role != consensus.Leader {
 		return
@@ -330,11 +318,20 @@
 	case p.w.committed[e.Index].Term != e.Term:
 		p.w.problem("%s applies another entry %d", p.disk.name, e.Index)
 	}
-	if names, ok := strings.CutPrefix(string(e.Data), "names "); ok && e.Kind == consensus.EntryCommand {
-		p.names = strings.Fields(names)
-		for _, name := range p.names {
-			p.directory[memberID(name)] = name
-		}
+	if e.Kind == consensus.EntryCommand {
+		p.takeNames(string(e.Data))
+	}
+}
+
+// takeNames takes the names of the members from an entry or a snapshot, if that has some.
+func (p *proc) takeNames(data string) {
+	names, ok := strings.CutPrefix(data, namesPrefix)
+	if !ok {
+		return
+	}
+	p.names = strings.Fields(names)
+	for _, name := range p.names {
+		p.directory[memberID(name)] = name
 	}
 }
 
@@ -350,11 +347,20 @@
 			v.Members = append(v.Members, addressOf(name))
 		}
 	}
+	if p.w.Now < p.joinedAt {
+		return
+	}
 	addresses := p.joiner.Next(v)
+	if slices.ContainsFunc(addresses, func(a string) bool { return !p.w.reaches(p.vm, p.w.at(a)) }) {
+		p.joinedAt = p.w.Now + repair.JoinInterval + stepTimeout
+	}
 	request := repair.Request{ID: memberID(p.disk.name), Name: p.disk.name, Founding: p.joiner.Founding(), Losses: p.w.losses}
 	if p.w.fault == growOnPlannedReplacement {
 		request.Founding = true
 	}
+	if p.old {
+		request.Founding, request.Losses = false, 0
+	}
 	for _, address := range addresses {
 		p.w.send(p.vm, address, func(q *proc) { q.receiveJoin(p, request, false) })
 	}
@@ -365,7 +371,7 @@
 	p.addPeer(request.Name)
 	p.requests.Join(p.clock(), request)
 	leader := p.directory[p.leader()]
-	if leader != "" && leader != p.disk.name && !forwarded && p.w.fault != askSeedsOnly {
+	if leader != "" && leader != p.disk.name && !forwarded && !p.has(askSeedsOnly) {
 		p.w.send(p.vm, addressOf(leader), func(q *proc) { q.receiveJoin(from, request, true) })
 	}
 	members := p.node.Members()
@@ -373,7 +379,7 @@
 	for _, id := range slices.Concat(members.Voters, members.Learners) {
 		names = append(names, p.directory[id])
 	}
-	if forwarded || p.w.fault == askSeedsOnly {
+	if forwarded || p.has(askSeedsOnly) {
 		return
 	}
 	p.w.send(p.vm, from.address, func(q *proc) {
@@ -410,8 +416,11 @@
 		return
 	}
 	g := p.group()
-	change := repair.Decide(g)
-	if p.w.fault == forgetFirstNames {
+	change := p.decide(g)
+	if change.Kind != repair.None {
+		p.w.tracef("leader %s: %v %s: %s", p.disk.name, change.Kind, change.Name, change.Reason)
+	}
+	if p.has(forgetFirstNames) {
 		change.ID = memberID(change.Name)
 	}
 	switch change.Kind {
@@ -424,7 +433,7 @@
 		}
 		slices.Sort(names)
 		if !slices.Equal(names, p.names) {
-			_, _ = p.node.Propose([]byte("names " + strings.Join(names, " ")))
+			_, _ = p.node.Propose([]byte(namesPrefix + strings.Join(names, " ")))
 			break
 		}
 		_, _ = p.node.ProposeMemberChange(consensus.MemberChange{AddLearner: change.ID})
