--- a/internal/repair/disk_test.go
+++ b/internal/repair/disk_test.go
@@ -61,16 +61,20 @@
 		return
 	}
 	s := &p.disk.state
+	changes := r.Snapshot != nil
 	if r.Snapshot != nil {
 		s.Snapshot, s.Entries = *r.Snapshot, nil
 	}
-	if len(r.Entries) > 0 {
-		kept := slices.DeleteFunc(slices.Clone(s.Entries), func(e consensus.Entry) bool { return e.Index >= r.Entries[0].Index })
-		s.Entries = append(kept, r.Entries...)
+	for _, e := range r.Entries {
+		if n := len(s.Entries); n > 0 && e.Index <= s.Entries[n-1].Index {
+			s.Entries, changes = s.Entries[:e.Index-s.Entries[0].Index], true
+		}
+		s.Entries = append(s.Entries, e)
+		changes = changes || e.Kind == consensus.EntryMembers
 	}
 	s.HardState = r.HardState
-	if members := p.disk.findMembers(); !slices.Equal(members.Voters, p.disk.members.Voters) {
-		p.disk.members = members
+	if changes {
+		p.disk.members = p.disk.findMembers()
 		if p.w.onMembers != nil {
 			p.w.onMembers()
 		}
