Do not add a stopping controller as a learner again

Cause: a join request counts for 2 s. A controller that had joined less than 2 s before it got SIGTERM was removed and, as the next change now follows at once, added again as a learner before its process ended. The learner took one of two places until it counted as lost.

Change: the request to leave ends the request to join.

--- a/internal/repair/faults_test.go
+++ b/internal/repair/faults_test.go
@@ -43,7 +43,7 @@
 	if p.has(leaveOnPromotion) {
 		return p.isVoter() && learners > 0
 	}
-	return l.Stays(p.isVoter() || !status.MembersCommitted, len(status.Members.Voters), learners)
+	return l.Stays(p.isVoter() || !(status.MembersIndex <= status.Commit), len(status.Members.Voters), learners)
 }
 
 // decide returns the change that is due by the rules of the build.
--- a/internal/repair/requests.go
+++ b/internal/repair/requests.go
@@ -52,8 +52,11 @@
 	r.joining[request.Name] = receivedRequest{Request: request, at: now}
 }
 
-// Leave records that the process of a member is stopping.
-func (r *Requests) Leave(now time.Duration, name string) { r.leaving[name] = now }
+// Leave records that the process of a member is stopping. An earlier join request of it no longer counts.
+func (r *Requests) Leave(now time.Duration, name string) {
+	r.leaving[name] = now
+	delete(r.joining, name)
+}
 
 // Group returns the input of Decide: the members with what they have requested, and the controllers that request to
 // join. It drops requests that are too old. losses is the number of losses by the settings of this controller.
