Keep the data folder of a controller outside its settings in the soak

The folder was read from the map of the settings without its lock, while a change of the seeds may write to the map.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -78,7 +78,8 @@
 	d        *deployment
 	name     string
 	role     string
-	number   int // of a controller, in the order in which they were added
+	number   int    // of a controller, in the order in which they were added
+	folder   string // of a controller's data
 	ip       netip.Addr
 	settings map[string]any
 
--- a/internal/soak/stores.go
+++ b/internal/soak/stores.go
@@ -58,9 +58,8 @@
 
 // emptyDisk empties the data folder of a controller that does not run.
 func (r *run) emptyDisk(p *program) {
-	folder := p.settings["data_dir"].(string)
-	if err := errors.CombineErrors(os.RemoveAll(folder), os.MkdirAll(folder, 0o700)); err != nil {
-		r.check.violate("cannot empty %s: %v", folder, err)
+	if err := errors.CombineErrors(os.RemoveAll(p.folder), os.MkdirAll(p.folder, 0o700)); err != nil {
+		r.check.violate("cannot empty %s: %v", p.folder, err)
 	}
 }
 
@@ -75,7 +74,7 @@
 	p := r.d.add("store", storeGroup, i, map[string]any{
 		"operators": r.d.address(storeGroup, i, operatorPort), "data_dir": folder, "zone": r.d.zoneOf(place),
 	})
-	p.number = i
+	p.number, p.folder = i, folder
 	return p, nil
 }
 
