--- a/internal/soak/five.go
+++ b/internal/soak/five.go
@@ -89,7 +89,7 @@
 	finalTriggers = []weighted[Trigger]{{AfterConfig, 6}, {AfterEvacuation, 2}, {AfterSending, 2}}
 )
 
-// NewFivePlan draws a plan for the large deployment: controllers fail and are replaced in series that overlap, and at the
+// NewFivePlan draws a plan for the deployment of five: controllers fail and are replaced in series that overlap, and at the
 // end some lose their disks.
 func NewFivePlan(seed uint64, lengthMS int) *Plan {
 	r := rand.New(rand.NewPCG(seed, 3))
--- a/internal/soak/layout.go
+++ b/internal/soak/layout.go
@@ -43,7 +43,7 @@
 	return layout{stores: 3, zones: 2, seedLag: time.Second, recoveryBound: settleTime, ackBound: startTimeout}
 }
 
-// seedCount is the number of controllers that the settings name in the large deployment.
+// seedCount is the number of controllers that the settings name in the deployment of five.
 const seedCount = 3
 
 // validate checks a plan that may have been edited by hand.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -55,7 +55,7 @@
 	Index int  `json:"index,omitempty"` // of the process or target, from 0
 	ForMS int  `json:"for_ms,omitempty"`
 	Count int  `json:"count,omitempty"`
-	// Seeds are the controllers that ExchangeSeeds names in the large deployment.
+	// Seeds are the controllers that ExchangeSeeds names in the deployment of five.
 	Seeds []int `json:"seeds,omitempty"`
 }
 
@@ -87,7 +87,7 @@
 	LengthMS   int        `json:"length_ms"` // of the part with events
 	// Production says that all processes start as the production build.
 	Production bool `json:"production,omitempty"`
-	// Seeds are the controllers that the settings name at first in the large deployment.
+	// Seeds are the controllers that the settings name at first in the deployment of five.
 	Seeds  []int       `json:"seeds,omitempty"`
 	Events []Event     `json:"events"`
 	Final  *FinalFault `json:"final,omitempty"`
@@ -114,7 +114,7 @@
 	evacuationMS = 8000
 )
 
-// NewPlan draws a plan for the small deployment.
+// NewPlan draws a plan for the deployment of three.
 func NewPlan(seed uint64, lengthMS int) *Plan {
 	r := rand.New(rand.NewPCG(seed, 1))
 	p := &Plan{Seed: seed, LengthMS: lengthMS}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,7 +23,7 @@
 const (
 	// startTimeout bounds the start of the whole system.
 	startTimeout = 30 * time.Second
-	// settleTime is the time after the last event before the recovery of the small deployment is judged, and recoveryWindow
+	// settleTime is the time after the last event before the recovery of the deployment of three is judged, and recoveryWindow
 	// the time in which the requests then count. recoveryShare of them have to be answered.
 	settleTime     = 10 * time.Second
 	recoveryWindow = 4 * time.Second
--- a/internal/soak/stores.go
+++ b/internal/soak/stores.go
@@ -153,7 +153,7 @@
 	})
 }
 
-// exchangeSeeds names other controllers in all settings. In the small deployment these are all but one.
+// exchangeSeeds names other controllers in all settings. In the deployment of three these are all but one.
 func (r *run) exchangeSeeds(e Event) {
 	seeds := e.Seeds
 	if len(seeds) == 0 {
