Spread the voters over availability zones

Cause: of five voters in four zones (2, 1, 1, 1) one was frozen, and a learner of the zone with two replaced it. The voter that came back stayed a learner, so that the loss of the zone left two of five voters.

Change: controllers announce their zone with their calls (a new field, which older builds pass over). The leader prefers a learner whose zone has fewer voters than may be lost; and if a zone has more, a learner of another zone is promoted and a voter of the crowded zone goes.

--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -75,6 +75,8 @@
 	// FaultTolerance is the number of controllers that may be lost at once; zero if it is not known. It is at most
 	// MaxFaultTolerance.
 	FaultTolerance int
+	// Zone is the availability zone of the VM; empty if it is not known.
+	Zone string
 	// Zones are the availability zones that operators may evacuate; any if empty.
 	Zones []string
 	// Check validates a configuration body and returns its version.
@@ -98,8 +100,8 @@
 	mu           sync.Mutex
 	joiner       *repair.Joiner
 	requests     *repair.Requests
-	joinOutcomes map[string]string // result code or leader of the last join request, by address
-	levels       map[string]uint8  // protocol level that a controller announced with its last call, by member name
+	joinOutcomes map[string]string   // result code or leader of the last join request, by address
+	peers        map[string]peerInfo // what a controller announced with its last call, by member name
 	registry     *roster.Registry
 
 	repairs      repairReport
@@ -111,7 +113,7 @@
 // New opens the files and sockets of a controller. Run starts it.
 func New(cfg Config, t telemetry.Handle) (*Controller, error) {
 	c := &Controller{
-		cfg: cfg, tel: t, state: newStateMachine(), requests: repair.NewRequests(), repairs: repairReport{logger: t.Logger}, levels: map[string]uint8{}, joinOutcomes: map[string]string{},
+		cfg: cfg, tel: t, state: newStateMachine(), requests: repair.NewRequests(), repairs: repairReport{logger: t.Logger}, peers: map[string]peerInfo{}, joinOutcomes: map[string]string{},
 		registry: roster.NewRegistry(roster.NewInstanceID()), start: time.Now(),
 		directory: replica.NewDirectory(nil), listDirty: make(chan struct{}, 1),
 		incarnations: loadIncarnations(cfg.DataDir, t.Logger), flows: checkpoint.NewStore(),
@@ -131,7 +133,7 @@
 	c.state.onMembers = func(names []string) { c.addToDirectory(names...) }
 	c.state.onContent = c.notifyCommit
 	c.state.onEvacuations = c.putEvacuationsInForce
-	c.transport = newTransport(c.name, c.directory, t.Logger)
+	c.transport = newTransport(c.name, cfg.Zone, c.directory, t.Logger)
 	c.log, err = replica.New(replica.Config{
 		Name: c.name, Folder: cfg.DataDir, Members: bootstrapNames, Directory: c.directory, Send: c.transport.Send,
 		Contact: c.transport.Contact, CompactEvery: compactEvery, KeptEntries: keptEntries,
--- a/internal/confstore/level.go
+++ b/internal/confstore/level.go
@@ -52,11 +52,17 @@
 	return level, nil
 }
 
-// recordLevel records the protocol level that a controller has announced with a call.
-func (c *Controller) recordLevel(name string, level uint8) {
+// peerInfo is what a controller announces with its calls.
+type peerInfo struct {
+	level uint8  // protocol level
+	zone  string // availability zone; empty in builds that do not announce it
+}
+
+// recordPeer records what a controller has announced with a call.
+func (c *Controller) recordPeer(name string, info peerInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.levels[name] = level
+	c.peers[name] = info
 }
 
 // membersBelow returns the names of the members that have not announced a protocol level to this process, sorted.
@@ -66,7 +72,7 @@
 	defer c.mu.Unlock()
 	var names []string
 	for _, m := range members {
-		if m.Name != c.name && c.levels[m.Name] < level {
+		if m.Name != c.name && c.peers[m.Name].level < level {
 			names = append(names, m.Name)
 		}
 	}
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -20,7 +20,7 @@
 		view := c.membershipView()
 		c.mu.Lock()
 		addresses := c.joiner.Next(view)
-		request := JoinRequest{Name: c.name, Level: roster.Level, Founding: c.joiner.Founding(), Losses: uint8(c.cfg.FaultTolerance)}
+		request := JoinRequest{Name: c.name, Level: roster.Level, Zone: c.cfg.Zone, Founding: c.joiner.Founding(), Losses: uint8(c.cfg.FaultTolerance)}
 		c.mu.Unlock()
 		var wg sync.WaitGroup
 		for _, address := range addresses {
@@ -158,6 +158,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for i := range members {
+		members[i].Zone = c.peers[members[i].Name].zone
+		if members[i].Self {
+			members[i].Zone = c.cfg.Zone
+		}
+	}
 	return c.requests.Group(c.now(), members, status.Commit, c.cfg.FaultTolerance)
 }
 
--- a/internal/confstore/membership_test.go
+++ b/internal/confstore/membership_test.go
@@ -125,6 +125,41 @@
 	NewWithT(t).Expect(committed).To(BeNumerically(">", 0), "no running voter knows that the removal is committed")
 }
 
+// Guards against a zone with three of five voters for good: a controller of a zone with two is added, and takes the place of one of
+// another zone that is off for a while.
+func TestReturningControllerRelievesACrowdedZone(t *testing.T) {
+	g := newTestGroup(t)
+	zones := []string{"a", "a", "b", "c", "d"}
+	var first []*testController
+	for _, zone := range zones {
+		first = append(first, g.add(Config{Bootstrap: true, Zone: zone, FaultTolerance: 2}))
+	}
+	for _, c := range first {
+		for _, s := range first[:3] {
+			c.cfg.Seeds = append(c.cfg.Seeds, s.cfg.IP)
+		}
+		g.start(c)
+	}
+	g.waitForVoters(first...)
+	added := g.add(Config{Seeds: first[0].cfg.Seeds, Zone: "a", FaultTolerance: 2})
+	g.start(added)
+	g.waitForMembers(6)
+	g.stop(first[4])
+	g.waitForVoters(first[0], first[1], first[2], first[3], added)
+	g.restart(first[4])
+	NewWithT(t).Eventually(func() map[string]int {
+		voters := map[string]int{}
+		for _, name := range g.voters() {
+			for _, c := range g.all {
+				if c.name == name {
+					voters[c.cfg.Zone]++
+				}
+			}
+		}
+		return voters
+	}).WithTimeout(testkit.WaitTimeout).Should(Equal(map[string]int{"a": 2, "b": 1, "c": 1, "d": 1}))
+}
+
 // Guards against members that an operator takes for old builds: a controller that does not lead may never have been called
 // by the others, and showed them as below its protocol level.
 func TestStatusOfAFollowerKnowsTheLevelsOfAllMembers(t *testing.T) {
@@ -135,7 +170,7 @@
 			continue
 		}
 		c.mu.Lock()
-		clear(c.levels)
+		clear(c.peers)
 		c.mu.Unlock()
 		NewWithT(t).Eventually(func() ([]string, error) {
 			status, err := FetchStatus(context.Background(), netip.AddrPortFrom(c.cfg.IP, groupPort))
--- a/internal/confstore/peers.go
+++ b/internal/confstore/peers.go
@@ -31,7 +31,8 @@
 type StepRequest struct {
 	Name     string // member name of the sender
 	Messages []consensus.Message
-	Level    uint8 // protocol level of the sender
+	Level    uint8  // protocol level of the sender
+	Zone     string // availability zone of the sender; empty in builds that do not send it
 }
 
 // StepReply is the answer to a StepRequest.
@@ -73,7 +74,8 @@
 // JoinRequest asks for membership of the controller with the given name.
 type JoinRequest struct {
 	Name  string
-	Level uint8 // protocol level of the sender
+	Level uint8  // protocol level of the sender
+	Zone  string // availability zone of the controller that is named; empty in builds that do not send it
 	// Founding is set if the controller was started together with the whole system and has not been a voter yet.
 	Founding bool
 	// Losses is the number of controllers that may be lost at once by the settings of the sender; zero if not set.
@@ -148,7 +150,7 @@
 		}
 	}
 	p.c.addPeer(request.Name)
-	p.c.recordLevel(request.Name, request.Level)
+	p.c.recordPeer(request.Name, peerInfo{level: request.Level, zone: request.Zone})
 	p.c.transport.Reached(from)
 	return p.c.log.Step(p.peer.Context, request.Messages)
 }
@@ -193,7 +195,7 @@
 		return result.New(result.BuildTooOld, "the log requires protocol level %d, controller %s has %d", required, request.Name, request.Level)
 	}
 	c.addPeer(request.Name)
-	c.recordLevel(request.Name, request.Level)
+	c.recordPeer(request.Name, peerInfo{level: request.Level, zone: request.Zone})
 	c.mu.Lock()
 	c.requests.Join(c.now(), repair.Request{
 		ID: replica.MemberID(request.Name), Name: request.Name, Founding: request.Founding, Losses: int(request.Losses),
--- a/internal/confstore/transport.go
+++ b/internal/confstore/transport.go
@@ -24,12 +24,12 @@
 	clients map[string]*rpc.Client // for single calls, by address
 }
 
-func newTransport(name string, d *replica.Directory, logger *log.Logger) *transport {
+func newTransport(name, zone string, d *replica.Directory, logger *log.Logger) *transport {
 	return &transport{directory: d, clients: map[string]*rpc.Client{}, Transport: replica.NewTransport(replica.TransportConfig{
 		Directory: d,
 		Dial:      func(_, address string) *rpc.Client { return newClient(address, stepTimeout) },
 		Step: func(ctx context.Context, client *rpc.Client, messages []consensus.Message) error {
-			reply, err := rpc.Call[StepReply](ctx, client, peerService+".Step", &StepRequest{Name: name, Messages: messages, Level: roster.Level})
+			reply, err := rpc.Call[StepReply](ctx, client, peerService+".Step", &StepRequest{Name: name, Messages: messages, Level: roster.Level, Zone: zone})
 			if err != nil {
 				return err
 			}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -201,7 +201,7 @@
 	s := p.settings
 	c, err := confstore.New(confstore.Config{
 		IP: s.IP, Port: s.Port, DataDir: s.DataDir, Seeds: s.ControllerIPs(), Bootstrap: s.FirstStart,
-		FaultTolerance: s.FaultTolerance, Check: protocol.CheckConfig, Zones: s.Zones,
+		FaultTolerance: s.FaultTolerance, Check: protocol.CheckConfig, Zone: s.Zone, Zones: s.Zones,
 	}, p.tel)
 	if err != nil {
 		return err
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -5,6 +5,9 @@
 // The number of voters stays at the intended size of the group. A controller that is added to a complete group
 // remains a learner until a voter is lost or leaves. If it became a voter at once, the successor of a controller
 // that is still running would leave the group larger for good, with a majority that counts the stopped one.
+//
+// No availability zone keeps more voters than the group can lose, if there are learners elsewhere: the loss of the zone would
+// take the majority.
 package repair
 
 import (
@@ -26,6 +29,7 @@
 	ID         consensus.MemberID // of a joining controller: the ID that it gets
 	Name       string
 	Address    string // of its VM; empty if unknown
+	Zone       string // availability zone of its VM; empty if unknown
 	Voter      bool
 	Match      uint64 // index of the last entry that it is known to have
 	ContactAge time.Duration
@@ -122,30 +126,81 @@
 	return Change{}
 }
 
-// promoteLearner promotes a learner that has caught up, if the group has too few voters or the learner replaces one. The
-// voters that are alive and the learner must be a majority afterwards.
+// promoteLearner promotes a learner that has caught up, if the group has too few voters, the learner replaces one, or its
+// availability zone should have a voter of another one. The voters that are alive and the learner must be a majority
+// afterwards.
 func (g *Group) promoteLearner() Change {
 	voters, alive := g.countVoters("")
 	if alive+1 < majority(voters+1) || voters > consensus.MaxVoters {
 		return Change{}
 	}
 	replaced := g.goneVoter()
+	learner := g.bestLearner(replaced)
+	switch {
+	case learner == nil:
+	case replaced != nil:
+		return learner.change(Promote, "it replaces "+replaced.Name)
+	case voters >= consensus.MaxVoters:
+	case learner.Founding:
+		return learner.change(Promote, "it belongs to the first members")
+	case voters < g.minVoters():
+		return learner.change(Promote, "the group has too few voters for the losses that it has to bear")
+	case g.crowdedVoter() != nil && g.hasRoom(learner.Zone, nil):
+		return learner.change(Promote, "the zone of "+g.crowdedVoter().Name+" has more voters than may be lost")
+	}
+	return Change{}
+}
+
+// bestLearner returns a learner that may become a voter in place of replaced, which may be nil; nil if there is none. First
+// members come first, then those whose availability zone has room for a voter.
+func (g *Group) bestLearner(replaced *Member) *Member {
+	var best *Member
+	score := func(m *Member) int {
+		switch {
+		case replaced == nil && m.Founding:
+			return 2
+		case g.hasRoom(m.Zone, replaced):
+			return 1
+		}
+		return 0
+	}
 	for i := range g.Members {
-		learner := &g.Members[i]
-		if learner.Voter || !learner.isAlive() || learner.Leaving || learner.Match < g.Commit {
+		m := &g.Members[i]
+		if m.Voter || !m.isAlive() || m.Leaving || m.Match < g.Commit {
 			continue
 		}
-		switch {
-		case replaced != nil:
-			return learner.change(Promote, "it replaces "+replaced.Name)
-		case voters >= consensus.MaxVoters:
-		case learner.Founding:
-			return learner.change(Promote, "it belongs to the first members")
-		case voters < g.minVoters():
-			return learner.change(Promote, "the group has too few voters for the losses that it has to bear")
+		if best == nil || score(m) > score(best) {
+			best = m
 		}
 	}
-	return Change{}
+	return best
+}
+
+// hasRoom reports whether the group bears the loss of an availability zone that has one voter more. The voter without, which
+// may be nil, does not count.
+func (g *Group) hasRoom(zone string, without *Member) bool {
+	return zone != "" && g.Losses > 0 && g.votersIn(zone, without) < g.Losses
+}
+
+func (g *Group) votersIn(zone string, without *Member) int {
+	voters := 0
+	for i := range g.Members {
+		if m := &g.Members[i]; m.Voter && m != without && m.Zone == zone {
+			voters++
+		}
+	}
+	return voters
+}
+
+// crowdedVoter returns a voter, other than the leader, of an availability zone with more voters than the group can lose, or nil.
+func (g *Group) crowdedVoter() *Member {
+	for i := range g.Members {
+		m := &g.Members[i]
+		if m.Voter && !m.Self && m.Zone != "" && g.Losses > 0 && g.votersIn(m.Zone, nil) > g.Losses {
+			return m
+		}
+	}
+	return nil
 }
 
 // goneVoter returns a voter that is lost, whose VM has another member now because its disk was lost, or whose process is
@@ -179,8 +234,8 @@
 	return nil
 }
 
-// removeSurplus removes a voter that is gone, if the group does not need it. That is so if its disk was lost and another
-// voter has taken its place on the VM, and above the known size of the group.
+// removeSurplus removes a voter that is gone, or whose availability zone has too many, if the group does not need it. That is
+// so if its disk was lost and another voter has taken its place on the VM, and above the known size of the group.
 // If the size is not known, it is so from an even number of voters on: an odd number that is one less has a smaller majority
 // and tolerates as many failures. A group that kept fewer voters than its size would commit entries on so few disks that
 // the losses it has to bear could take them all.
@@ -199,6 +254,9 @@
 	if m := g.goneVoter(); m != nil && g.hasQuorumWithout(m.Name) {
 		return m.change(Remove, "it is gone and the group has enough other voters")
 	}
+	if m := g.crowdedVoter(); m != nil && g.hasQuorumWithout(m.Name) {
+		return m.change(Remove, "its zone has more voters than may be lost")
+	}
 	return Change{}
 }
 
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -40,6 +40,41 @@
 	return m
 }
 
+func in(zone string, m Member) Member {
+	m.Zone = zone
+	return m
+}
+
+// Guards against an availability zone that has three of five voters, because a learner of it has replaced a voter that was only
+// frozen: the loss of the zone, which the group has to bear, takes the majority.
+func TestNoZoneKeepsMoreVotersThanMayBeLost(t *testing.T) {
+	g := NewWithT(t)
+	leader := in("a", voter("a/1", 0))
+	leader.Self = true
+	spread := []Member{leader, in("a", voter("b/1", 0)), in("b", voter("c/1", 0)), in("c", voter("d/1", 0)), in("d", voter("e/1", 0))}
+	frozen := slices.Clone(spread)
+	frozen[4].ContactAge = LostAfter + 1
+	crowded := slices.Clone(spread)
+	crowded[4].Zone = "a"
+	for name, c := range map[string]struct {
+		members []Member
+		want    Change
+	}{
+		"a learner of another zone is preferred":       {append(slices.Clone(frozen), in("a", learner("f/1", 10)), in("b", learner("g/1", 10))), Change{Kind: Promote, Name: "g/1"}},
+		"one of the same zone is better than none":     {append(slices.Clone(frozen), in("a", learner("f/1", 10))), Change{Kind: Promote, Name: "f/1"}},
+		"a learner relieves a crowded zone":            {append(slices.Clone(crowded), in("d", learner("f/1", 10))), Change{Kind: Promote, Name: "f/1"}},
+		"then a voter of the zone goes":                {append(slices.Clone(crowded), in("d", voter("f/1", 0))), Change{Kind: Remove, Name: "b/1"}},
+		"and stays a learner":                          {append(slices.Clone(spread), in("a", learner("f/1", 10))), Change{}},
+		"a learner of the crowded zone is of no use":   {append(slices.Clone(crowded), in("a", learner("f/1", 10))), Change{}},
+		"a learner whose zone is not known is not one": {append(slices.Clone(crowded), learner("f/1", 10)), Change{}},
+	} {
+		got := Decide(Group{Members: c.members, Commit: 10, Losses: 2})
+		g.Expect(Change{Kind: got.Kind, Name: got.Name}).To(Equal(c.want), name)
+	}
+	three := []Member{leader, in("a", voter("b/1", 0)), in("b", voter("c/1", 0)), in("b", learner("d/1", 10))}
+	g.Expect(Decide(Group{Members: three, Commit: 10, Losses: 1}).Kind).To(Equal(None), "two zones cannot be relieved")
+}
+
 // Guards against a disk loss that permanently reduces fault tolerance: the controller must rejoin as a new
 // member and catch up before the old member is removed.
 func TestDecide(t *testing.T) {
