Number the queries of each process differently

Cause: entry VMs and relays numbered their queries about the owners of flows from 1 on in each process. A late reply to an earlier process of the VM, which says that no target has some other flows, was taken for the reply to one of the first queries of the new process. If all relays were asked, the open flow was reset.

Change: the numbers begin at a random number in each process, and a reply with another number of answers than the query had flows is dropped.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,9 @@
 	Zone  string // availability zone
 	// LinkBytesPerSecond is the bandwidth of the VM; zero for no limit.
 	LinkBytesPerSecond float64
+	// FirstQuery numbers the owner queries. It is random in each process, so that a late reply to an earlier process of the VM is
+	// not taken for one to another query.
+	FirstQuery uint32
 	// Decisions logs the decisions on flows; nil to log none.
 	Decisions *decision.Log
 	// OnAdmission is called with the time from the first packet of a flow to its admission; may be nil.
@@ -183,7 +186,7 @@
 	return &Entry{
 		cfg: cfg, ports: ports, picker: picker, View: roster.NewView(cfg.Self),
 		flows: map[packet.Key]*flow{}, nextDue: -1, firstTargetsAt: -1,
-		reach: reach{zones: map[string]*zoneReach{}}, offerRetries: retryPolicy{retryBudget: retryBurst}, queries: newQueryBatcher(cfg.LinkBytesPerSecond),
+		reach: reach{zones: map[string]*zoneReach{}}, offerRetries: retryPolicy{retryBudget: retryBurst}, queries: newQueryBatcher(cfg.LinkBytesPerSecond, cfg.FirstQuery),
 	}
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	p.entry = New(Config{
-		Codec: cfg.Codec, Self: cfg.IP.As4(), Zone: cfg.Zone, LinkBytesPerSecond: cfg.LinkBytesPerSecond, Decisions: p.decisions,
+		Codec: cfg.Codec, Self: cfg.IP.As4(), Zone: cfg.Zone, LinkBytesPerSecond: cfg.LinkBytesPerSecond, FirstQuery: uint32(p.instance), Decisions: p.decisions,
 		OnAdmission: func(took time.Duration) { metrics.admission.Observe(took.Seconds()) },
 	}, picker, p)
 	p.timer = time.AfterFunc(time.Hour, p.tick)
--- a/internal/entry/queries.go
+++ b/internal/entry/queries.go
@@ -30,10 +30,11 @@
 	pendingBatches map[uint32][]packet.Key
 }
 
-func newQueryBatcher(linkBytesPerSecond float64) queryBatcher {
+func newQueryBatcher(linkBytesPerSecond float64, first uint32) queryBatcher {
 	rate := linkBytesPerSecond * queryLinkShare
 	return queryBatcher{
 		byRelay: map[hop.IP][]packet.Key{}, bytesPerSecond: rate, tokenBytes: rate * queryBurst.Seconds(), pendingBatches: map[uint32][]packet.Key{},
+		lastBatch: first,
 	}
 }
 
@@ -239,8 +240,10 @@
 
 func (e *Entry) handleOwnerReply(now time.Duration, from hop.IP, m *hop.Message) {
 	keys := e.queries.pendingBatches[m.Batch]
-	answers := m.Answers[:min(len(m.Answers), len(keys))]
-	for i, answer := range answers {
+	if len(m.Answers) != len(keys) {
+		return // the batch is too old
+	}
+	for i, answer := range m.Answers {
 		f := e.flows[keys[i]]
 		if f != nil && (f.state == queryingLikely || (f.state == probing && answer == hop.Owned)) {
 			e.handleAnswer(now, keys[i], f, from, answer)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -86,7 +86,7 @@
 func NewProcess(cfg ProcessConfig, t telemetry.Handle) (*Process, error) {
 	p := &Process{cfg: cfg, tel: t, start: time.Now(), incarnation: roster.NewInstanceID(), decisions: decision.New(t.Logger), confirmedTargets: map[hop.IP]uint64{}}
 	p.relay = New(Config{
-		Codec: cfg.Codec, Service: routing.ServiceIDOf(cfg.Service), Self: cfg.IP.As4(), Decisions: p.decisions,
+		Codec: cfg.Codec, Service: routing.ServiceIDOf(cfg.Service), Self: cfg.IP.As4(), FirstFanout: uint32(p.incarnation), Decisions: p.decisions,
 	}, p)
 	p.reporter = checkpoint.NewReporter(p.incarnation)
 	if err := errors.CombineErrors(stats.Register(t.Metrics, "greengagelock_relay", p.StatsNow), telemetry.RegisterBuild(t.Metrics, roster.Level)); err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,9 @@
 	Codec   packet.Codec
 	Service routing.ServiceID // of the target beside the relay
 	Self    hop.IP
+	// FirstFanout numbers the lookups at other relays. It is random in each process, so that a late answer to an earlier process
+	// is not taken for one to another lookup.
+	FirstFanout uint32
 	// Decisions receives the log lines of flows; nil for none.
 	Decisions *decision.Log
 }
@@ -174,7 +177,7 @@
 // New returns a relay without any knowledge of its target.
 func New(cfg Config, ports Ports) *Relay {
 	return &Relay{
-		cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, superseded: map[string]bool{}, previousTargets: map[hop.IP]string{}, fanouts: map[uint32]*fanout{},
+		cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, superseded: map[string]bool{}, previousTargets: map[hop.IP]string{}, fanouts: map[uint32]*fanout{}, lastFanout: cfg.FirstFanout,
 		probes: map[packet.Key]hop.IP{}, returnedFlows: map[packet.Key]struct{}{},
 		earlier: earlierFlows{
 			received: map[hop.IP]*receivedParts{}, flows: map[earlierFlow]*confirmation{}, settled: map[earlierFlow]struct{}{},
