Learn the members also from a call of a controller

A controller that has restarted calls the processes on its record and names the members in an answer without a list. The client of an entry VM took them, so that no later answer named them again; the view of the lists did not take them and never knew a majority: no relay was ever found to be gone.

Change: the view takes the members from every answer of a controller in contact with a majority.

Result: TestMembersOfACallAreTaken fails before and passes.

--- a/internal/roster/fleet_test.go
+++ b/internal/roster/fleet_test.go
@@ -17,7 +17,8 @@
 	late        func() bool  // whether the next answer is delivered at the next call of deliverLate
 	lateAnswers []lateAnswer
 	fresh       bool
-	bytes       int // sent to the entry VM
+	members     bool // the entry VM announces that it knows the members
+	bytes       int  // sent to the entry VM
 }
 
 type lateAnswer struct {
@@ -127,6 +128,9 @@
 			Role: RoleEntry, Position: position, Digest: digest, Answers: answers, Push: f.view.WantsPush(f.now, ip),
 			Loads: f.view.WantsPush(f.now, ip),
 		}
+		if f.members {
+			a.MembersDigest = MembersDigest(f.answer().Controllers)
+		}
 		c.registry.RecordAnnouncement(f.now, f.view.self, &a)
 		pending = append(pending, f.deliver(c, c.registry.AnswersFor(f.now, f.answer(), f.view.self, &a))...)
 		f.now += time.Millisecond
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -322,6 +322,24 @@
 	g.Expect(f.view.Lost(relayIP(1))).To(BeFalse())
 }
 
+// An entry VM never learned the members: a controller that had restarted named them in a call, which says nothing of its list,
+// and no answer named them again.
+func TestMembersOfACallAreTaken(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	f.set(1, testTarget("a", Ready))
+	call := f.answer()
+	call.Call = true
+	f.deliver(f.controllers[2], []Answer{call})
+	f.members = true
+	for range 8 {
+		f.now += AnnounceInterval
+		f.askAll()
+	}
+	f.expectLists(t)
+	g.Expect(f.view.KnowsAllRelays(f.now)).To(BeTrue(), "the lists of all members have arrived")
+}
+
 // A controller that had been paused for longer than a lease dropped all relays before it read their announcements, so that entry
 // VMs took open flows for lost.
 func TestPausedControllerKeepsItsRelays(t *testing.T) {
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -68,6 +68,9 @@
 // more changes or is to send them as they occur from now on, and those whose lists may be equal to one that has just
 // arrived.
 func (v *View) HandleAnswer(now time.Duration, from hop.IP, a *Answer) (announceTo []hop.IP) {
+	if a.Current && len(a.Controllers) > 0 {
+		v.members = a.Controllers // also in an answer without a list; later ones may leave them out
+	}
 	if a.Run == 0 {
 		return nil
 	}
@@ -77,9 +80,6 @@
 		v.lists[from] = l
 	}
 	l.lastHeard, l.fresh = now, a.Fresh
-	if a.Current && len(a.Controllers) > 0 {
-		v.members = a.Controllers
-	}
 	before := l.established
 	v.follow(now, from, l, a)
 	if l.established && l.position.Seq == a.Head {
