Let a stopping controller wait for the next leader

Cause: any error of the call but "no leader" ended the wait.

Change: only the answer of an older build, which does not know the call, ends it. Requests to join of a controller that leaves are not heeded, as one that was forwarded may arrive later than the request to leave.

--- a/internal/confstore/controller.go
+++ b/internal/confstore/controller.go
@@ -258,8 +258,11 @@
 }
 
 // Run serves until ctx is done, and transfers leadership before it stops.
-func (c *Controller) Run(ctx context.Context) error {
-	return lifecycle.Run(ctx, c.beforeStop,
+func (c *Controller) Run(ctx context.Context) error { return c.serve(ctx, c.beforeStop) }
+
+// serve serves until ctx is done and beforeStop has returned.
+func (c *Controller) serve(ctx context.Context, beforeStop func(ctx context.Context)) error {
+	return lifecycle.Run(ctx, beforeStop,
 		func(ctx context.Context) error { return c.log.Run(ctx, c.state) },
 		lifecycle.WithoutError(c.transport.run),
 		func(ctx context.Context) error { return c.server.Serve(ctx, c.tcp) },
--- a/internal/confstore/group_test.go
+++ b/internal/confstore/group_test.go
@@ -34,6 +34,7 @@
 	cfg  Config
 	logs *gbytes.Buffer // of all its processes
 	stop func()         // ends the process and waits for its end; nil while it does not run
+	kill func()         // the same without handing over its duties
 }
 
 func newTestGroup(t testing.TB) *testGroup {
@@ -86,10 +87,16 @@
 	testkit.Check(g.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- c.Run(ctx) }()
-	c.stop = func() {
+	go func() { ended <- c.serve(ctx, func(context.Context) {}) }()
+	end := func() {
 		cancel()
 		testkit.Check(g.t, <-ended)
+		c.stop = nil
+	}
+	c.kill = end
+	c.stop = func() {
+		c.beforeStop(context.Background())
+		end()
 	}
 }
 
--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/repair"
@@ -97,7 +99,8 @@
 		if err == nil {
 			_, err = rpc.Call[LeaveReply](ctx, client, peerService+".Leave", &LeaveRequest{Name: c.name})
 		}
-		if err != nil && result.CodeOf(err) != result.NoQuorum && result.CodeOf(err) != result.NotLeader {
+		// An older build does not know the call. Any other error may be over with the next leader.
+		if result.CodeOf(err) == result.Internal && !errors.Is(err, rpc.ErrUnreachable) {
 			c.tel.Logger.Warn().Str("member", c.name).Err(err).Msg("the leader was not told that this controller stops")
 			return
 		}
--- a/internal/confstore/membership_test.go
+++ b/internal/confstore/membership_test.go
@@ -113,6 +113,7 @@
 	successor := g.add(Config{Seeds: first[0].cfg.Seeds})
 	g.start(successor)
 	g.waitForMembers(6)
+	NewWithT(t).Eventually(first[4].Members).WithTimeout(testkit.WaitTimeout).Should(HaveLen(6))
 	g.stop(first[4])
 	committed := 0
 	for _, c := range g.running() {
@@ -125,6 +126,30 @@
 	NewWithT(t).Expect(committed).To(BeNumerically(">", 0), "no running voter knows that the removal is committed")
 }
 
+// Guards against a stopping controller that ends as a voter because the leader ends at the same moment and cannot be told.
+func TestStoppingControllerIsReplacedAlthoughTheLeaderEnds(t *testing.T) {
+	g := newTestGroup(t)
+	first := g.found(5, 3)
+	successor := g.add(Config{Seeds: first[0].cfg.Seeds})
+	g.start(successor)
+	g.waitForMembers(6)
+	leader := g.leader()
+	stopped := first[0]
+	if stopped == leader {
+		stopped = first[1]
+	}
+	NewWithT(t).Eventually(stopped.Members).WithTimeout(testkit.WaitTimeout).Should(HaveLen(6))
+	leader.kill()
+	g.stop(stopped)
+	voters := 0
+	for _, c := range g.running() {
+		if slices.ContainsFunc(c.Members(), func(m replica.Member) bool { return m.Name == stopped.name && !m.Learner }) {
+			voters++
+		}
+	}
+	NewWithT(t).Expect(voters).To(BeNumerically("<=", 1), "one member may not know yet that it has been removed")
+}
+
 // Guards against a zone with three of five voters for good: a controller of a zone with two is added, and takes the place of one of
 // another zone that is off for a while.
 func TestReturningControllerRelievesACrowdedZone(t *testing.T) {
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -40,6 +40,18 @@
 	return m
 }
 
+// Guards against a stopping controller that ends while it still is a voter, once its successor votes as well.
+func TestLeaverStaysUntilItIsNoVoter(t *testing.T) {
+	g := NewWithT(t)
+	l := Leaver{Losses: 2}
+	g.Expect(l.Stays(true, 5, 1)).To(BeTrue(), "a learner can replace it")
+	g.Expect(l.Stays(true, 6, 0)).To(BeTrue(), "the learner was promoted")
+	g.Expect(l.Stays(true, 5, 0)).To(BeTrue(), "another voter was removed")
+	g.Expect(l.Stays(false, 5, 0)).To(BeFalse())
+	g.Expect((&Leaver{Losses: 2}).Stays(true, 6, 0)).To(BeTrue(), "the group has more voters than its size")
+	g.Expect((&Leaver{Losses: 2}).Stays(true, 5, 0)).To(BeFalse(), "nothing can replace it")
+}
+
 func in(zone string, m Member) Member {
 	m.Zone = zone
 	return m
--- a/internal/repair/requests.go
+++ b/internal/repair/requests.go
@@ -72,6 +72,9 @@
 			delete(r.joining, name)
 			continue
 		}
+		if _, isLeaving := r.leaving[name]; isLeaving {
+			continue // a request that was forwarded may arrive later than the one to leave
+		}
 		g.Losses = max(g.Losses, request.Losses)
 		g.Joining = append(g.Joining, Member{ID: request.ID, Name: name})
 	}
