--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -165,14 +165,18 @@
 	return nil
 }
 
-// writeSettings writes the settings file and returns its path.
+// writeSettings writes the settings file and returns its path. The file is replaced as a whole, as a process may start at the
+// same time.
 func (p *program) writeSettings() (string, error) {
 	data, err := json.Marshal(p.settings)
 	if err != nil {
 		return "", errors.Wrap(err, "encode settings")
 	}
 	file := filepath.Join(p.d.dir, p.name+".json")
-	return file, errors.Wrap(os.WriteFile(file, data, 0o600), "write settings")
+	if err := os.WriteFile(file+".tmp", data, 0o600); err != nil {
+		return "", errors.Wrap(err, "write settings")
+	}
+	return file, errors.Wrap(os.Rename(file+".tmp", file), "replace the settings")
 }
 
 // setSeeds names other controllers in the settings, and tells the process.
