--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -37,8 +37,9 @@
 	return n.memberships[len(n.memberships)-1].index <= n.log.commit
 }
 
-// mayCampaign reports whether the member is a voter, or is one until the commit of its removal. In the latter case it may be the
-// only one with the entry of its removal, if the leader is gone: others get no vote of it, as their logs are shorter.
+// mayCampaign reports whether the member may be a candidate: a voter, or one whose removal is not known to be committed. If the
+// leader is gone, the latter may be the only one with the entry of its removal. It grants no votes then, because the logs of
+// the others are shorter.
 func (n *Node) mayCampaign() bool {
 	if n.Members().IsVoter(n.cfg.ID) {
 		return true
--- a/internal/repair/joiner.go
+++ b/internal/repair/joiner.go
@@ -65,15 +65,15 @@
 // Leaver decides how long a controller whose process is stopping stays.
 type Leaver struct {
 	// Losses is the number of controllers that may be lost at once by the settings; zero if not set.
-	Losses    int
-	isAwaited bool
+	Losses   int
+	mustWait bool
 }
 
 // Stays reports whether the process has to stay. If the group can do without it, because it has a learner or more voters than its
-// size, that is until its removal is committed: between the end of the process and that, the group bears one loss less. votes is
-// set for a voter, and while the last change of the members is not committed.
-func (l *Leaver) Stays(votes bool, voters, learners int) bool {
+// size, that is until its removal is committed: between the end of the process and that, the group bears one loss less. mayVote
+// is set for a voter, and while the last change of the members is not committed.
+func (l *Leaver) Stays(mayVote bool, voters, learners int) bool {
 	size := (&Group{Losses: l.Losses}).minVoters()
-	l.isAwaited = l.isAwaited || learners > 0 || size > 0 && voters > size
-	return votes && l.isAwaited
+	l.mustWait = l.mustWait || learners > 0 || size > 0 && voters > size
+	return mayVote && l.mustWait
 }
--- a/internal/repair/requests.go
+++ b/internal/repair/requests.go
@@ -16,8 +16,8 @@
 	JoinInterval = 300 * time.Millisecond
 	// LeaveLease is the time for which a controller counts as stopping after its last request.
 	LeaveLease = time.Second
-	// LeaveTimeout bounds the time for which a stopping process waits for its removal. With the transfer of leadership before, it
-	// stays below the 6 s in which a process has to end, and above the time of an election.
+	// LeaveTimeout bounds the time for which a stopping process waits for its removal. It exceeds an election and two changes of
+	// the members; with the transfer of leadership before, it stays below the 6 s in which a process has to end.
 	LeaveTimeout = 3 * time.Second
 )
 
