review: case 5, flows opened before the first heartbeat are reset after a restart of the relay

A relay that receives the first heartbeat of an incarnation concludes that it has seen all of its flows; an earlier process of it may have offered some.

--- a/review/standin-2/case_restart.go
+++ b/review/standin-2/case_restart.go
@@ -33,7 +33,6 @@
 }
 
 func (d *deployment) restartRound(c *clients, host int, trouble bool) (broke bool, err error) {
-	w := d.w
 	if trouble {
 		d.endpoints[host].crash()
 		time.Sleep(600 * time.Millisecond)
@@ -41,9 +40,25 @@
 			return false, err
 		}
 	}
+	<-d.endpoints[host].beats
+	flows, err := d.openFlows(c, host)
+	if err != nil {
+		return false, err
+	}
+	if trouble {
+		side := d.sides[host]
+		side.kill()
+		time.Sleep(300 * time.Millisecond)
+		if err := side.start(); err != nil {
+			return false, err
+		}
+	}
+	return d.useFlows(flows, host)
+}
+
+// openFlows connects until some flows are open at the endpoint beside a relay.
+func (d *deployment) openFlows(c *clients, host int) ([]*flow, error) {
 	e := d.endpoints[host]
-	<-e.beats
-	// Clients connect until some flows are open at the new incarnation.
 	var flows []*flow
 	for n := 0; n < 200 && len(flows) < 3; n++ {
 		f := c.newFlow(d.route, func() int { return 1 })
@@ -55,23 +70,21 @@
 		}
 	}
 	if len(flows) == 0 {
-		return false, fmt.Errorf("no flow is open at %s", e.id)
-	}
-	if trouble {
-		side := d.sides[host]
-		side.kill()
-		time.Sleep(300 * time.Millisecond)
-		if err := side.start(); err != nil {
-			return false, err
-		}
+		return nil, fmt.Errorf("no flow is open at %s", e.id)
 	}
+	return flows, nil
+}
+
+// useFlows sends a request on each flow once all machines are in touch again, and judges the resets.
+func (d *deployment) useFlows(flows []*flow, host int) (broke bool, err error) {
+	e := d.endpoints[host]
 	time.Sleep(stableWindow + time.Second)
 	for n, f := range flows {
 		if !e.isAlive() || !e.holds(f.self) || time.Since(e.startedAt) < stableWindow || !d.sides[host].inTouch(time.Now()) || !d.fronts[0].inTouch(time.Now()) {
 			return false, fmt.Errorf("flow %d does not count", f.self.port)
 		}
 		if outcome, _ := f.request(fmt.Sprintf("second request %d-%d", host, n), 3*time.Second); outcome == "reset" && e.holds(f.self) {
-			w.rec.printf("FLOW: flow %d was reset, and endpoint %s, which has it open, did not send that", f.self.port, e.id)
+			d.w.rec.printf("FLOW: flow %d was reset, and endpoint %s, which has it open, did not send that", f.self.port, e.id)
 			broke = true
 		}
 	}
--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -55,7 +55,10 @@
 	w.rec.printf("endpoint %s starts beside side-%d", id, host)
 	go http.Serve(e.health, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) }))
 	go e.serve()
-	go e.heartbeats(zone)
+	go func() {
+		time.Sleep(w.firstBeat)
+		e.heartbeats(zone)
+	}()
 	return e, nil
 }
 
@@ -79,7 +82,7 @@
 }
 
 func (e *endpoint) heartbeats(zone string) {
-	for {
+	for e.isAlive() {
 		e.mu.Lock()
 		e.seqNo++
 		state := "ready"
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -63,6 +63,8 @@
 	rec     *record
 	seeds   []string
 	losses  int // core machines that may be lost at once
+	// firstBeat is the time from the start of an endpoint to its first heartbeat.
+	firstBeat time.Duration
 
 	mu        sync.Mutex
 	processes []*process
