--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -26,25 +28,20 @@
 	routePort = 443
 )
 
+// serviceNames are the services of the configuration. Only the first two have endpoints.
+var serviceNames = []string{"alpha", "beta"}
+
 // configuration returns a configuration whose routes lead to the services given by port.
 func configuration(version int, routes map[int]string) string {
-	var list []string
-	ports := []int{}
-	for p := range routes {
-		ports = append(ports, p)
-	}
-	for i := range ports {
-		for j := i + 1; j < len(ports); j++ {
-			if ports[j] < ports[i] {
-				ports[i], ports[j] = ports[j], ports[i]
-			}
-		}
+	var list, services []string
+	for _, name := range serviceNames {
+		services = append(services, fmt.Sprintf(`{"name":%q,"healthPath":"/health","maxConnections":2000,"protocol":"h1","tls":false}`, name))
 	}
-	for _, p := range ports {
+	for _, p := range slices.Sorted(maps.Keys(routes)) {
 		list = append(list, fmt.Sprintf(`{"name":"r-%d","host":%q,"pathPrefix":"/%d/","routeType":"safe","timeoutMs":2000,"targetLatencyMs":200,"priority":2,"service":%q,"maxAttempts":2}`, p, routeIP, p, routes[p]))
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"alpha","healthPath":"/health","maxConnections":2000,"protocol":"h1","tls":false},{"name":"beta","healthPath":"/health","maxConnections":2000,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
-		version, strings.Join(list, ","))
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
+		version, strings.Join(list, ","), strings.Join(services, ","))
 }
 
 // startDeployment starts everything and waits until the entry VMs are ready.
