--- a/review/standin-2/case_evacuate.go
+++ b/review/standin-2/case_evacuate.go
@@ -31,9 +31,8 @@
 		if err := p.start(); err != nil {
 			return cannotRun, err
 		}
-		time.Sleep(stableWindow)
+		time.Sleep(syncTime + 500*time.Millisecond) // it counts as lost until then
 	}
-	time.Sleep(2 * time.Second)
 	if !d.replace(map[int]string{routePort: "alpha", 444: "beta"}, ackLimit) {
 		return cannotRun, fmt.Errorf("the core acknowledges no configuration")
 	}
