--- a/review/standin-2/case_evacuate.go
+++ b/review/standin-2/case_evacuate.go
@@ -15,7 +15,7 @@
 // evacuate leaves one of five core machines down, stops and starts the others in turn, and orders the evacuation of an
 // availability zone once the core is stable.
 func evacuate(w *world, trouble bool) (int, error) {
-	d, err := startDeployment(w, 5, 4, 1)
+	d, err := startDeployment(w, 5, 2, 4, 1)
 	if err != nil {
 		return cannotRun, err
 	}
--- a/review/standin-2/case_firstbeat.go
+++ b/review/standin-2/case_firstbeat.go
@@ -10,7 +10,7 @@
 // firstHeartbeat crashes an endpoint and starts its next incarnation, which takes flows before it sends its first heartbeat.
 // The relay is killed in that time. It does so in three rounds, with one endpoint each. Without the trouble neither ends.
 func firstHeartbeat(w *world, trouble bool) (int, error) {
-	d, err := startDeployment(w, 3, 4, 1)
+	d, err := startDeployment(w, 3, 2, 7, 4)
 	if err != nil {
 		return cannotRun, err
 	}
--- a/review/standin-2/case_groups.go
+++ b/review/standin-2/case_groups.go
@@ -15,7 +15,7 @@
 // that they go to one that does not know them. Three relays stand still for a moment meanwhile.
 func groups(w *world, trouble bool) (int, error) {
 	serviceNames = []string{"alpha", "beta", "gamma", "delta"}
-	d, err := startDeployment(w, 3, sides-2, 2)
+	d, err := startDeployment(w, 3, 3, sides-2, 2)
 	if err != nil {
 		return cannotRun, err
 	}
--- a/review/standin-2/case_restart.go
+++ b/review/standin-2/case_restart.go
@@ -11,7 +11,7 @@
 // a second request on each flow once all machines are in touch again. It does so in three rounds, with one endpoint each.
 // Without the trouble neither the endpoint nor the relay ends.
 func relayRestart(w *world, trouble bool) (int, error) {
-	d, err := startDeployment(w, 3, 4, 1)
+	d, err := startDeployment(w, 3, 2, 7, 4)
 	if err != nil {
 		return cannotRun, err
 	}
--- a/review/standin-2/case_successor.go
+++ b/review/standin-2/case_successor.go
@@ -60,7 +60,7 @@
 // successor replaces one core machine as planned while another one stands still, and lets two lose their disks just as that one
 // takes the place of the first.
 func successor(w *world, trouble bool) (int, error) {
-	d, err := startDeployment(w, 5, 2, 1)
+	d, err := startDeployment(w, 5, 2, 2, 1)
 	if err != nil {
 		return cannotRun, err
 	}
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// deployment is a running small system: core machines, two entry VMs, and endpoints beside relays.
+// deployment is a running small system: core machines, entry VMs, and endpoints beside relays.
 type deployment struct {
 	w         *world
 	cores     []*process
@@ -24,7 +24,7 @@
 
 // route is the address of the only route that clients use.
 const (
-	routeIP   = "198.18.0.1"
+	routeIP   = "127.18.0.1"
 	routePort = 443
 )
 
@@ -45,7 +45,7 @@
 }
 
 // startDeployment starts everything and waits until the entry VMs are ready.
-func startDeployment(w *world, cores, alpha, beta int) (*deployment, error) {
+func startDeployment(w *world, cores, fronts, alpha, beta int) (*deployment, error) {
 	zones := []string{"z-a", "z-b", "z-c", "z-d"}
 	w.losses = (cores - 1) / 2
 	d := &deployment{w: w, sides: map[int]*process{}, endpoints: map[int]*endpoint{}, services: map[int]string{}, zonesOf: map[int]string{}, route: endOf(routeIP, routePort)}
@@ -55,8 +55,8 @@
 	for i := 1; i <= cores; i++ {
 		d.cores = append(d.cores, w.core(i, zones[(i-1)%len(zones)]))
 	}
-	for i := 1; i <= 2; i++ {
-		d.fronts = append(d.fronts, w.front(i, zones[i-1]))
+	for i := 1; i <= fronts; i++ {
+		d.fronts = append(d.fronts, w.front(i, zones[(i-1)%len(zones)]))
 	}
 	for i := 1; i <= alpha+beta; i++ {
 		d.services[i], d.zonesOf[i] = "alpha", zones[(i-1)%len(zones)]
@@ -78,9 +78,11 @@
 			return nil, err
 		}
 	}
-	for limit := time.Now().Add(10 * time.Second); !w.ready(1) || !w.ready(2); time.Sleep(100 * time.Millisecond) {
-		if time.Now().After(limit) {
-			return nil, fmt.Errorf("the entry VMs are not ready")
+	for i := 1; i <= fronts; i++ {
+		for limit := time.Now().Add(10 * time.Second); !w.ready(i); time.Sleep(100 * time.Millisecond) {
+			if time.Now().After(limit) {
+				return nil, fmt.Errorf("the entry VMs are not ready")
+			}
 		}
 	}
 	time.Sleep(stableWindow + 500*time.Millisecond)
