consensus, repair: change two voters of the store in one step

A voter that is gone was replaced by two changes of one member. Between them a group of five counts six voters, one of which is gone for good, and bears one loss instead of two: that of the successor just promoted counts against a larger majority.

Change: a transition. A learner takes the place of a voter, or two learners become voters, in one entry of the log; until it is finished a majority of the old voters and one of the new ones are needed. Growth and the relief of a zone use it too: no voter is added to an odd number alone.

--- a/internal/confstore/membership.go
+++ b/internal/confstore/membership.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/greengagelock/greengagelock/internal/consensus"
 	"github.com/greengagelock/greengagelock/internal/ctxtime"
 	"github.com/greengagelock/greengagelock/internal/repair"
 	"github.com/greengagelock/greengagelock/internal/replica"
@@ -141,7 +140,7 @@
 			err := c.applyChange(ctx, change, status)
 			c.repairs.finish(&change, err)
 			if err == nil {
-				wait = 0 // the voter that a learner replaces is removed at once
+				wait = 0 // a step of two voters is finished at once
 			}
 		}
 	}
@@ -167,24 +166,21 @@
 			members[i].Zone = c.cfg.Zone
 		}
 	}
-	return c.requests.Group(c.now(), members, status.Commit, c.cfg.FaultTolerance)
+	g := c.requests.Group(c.now(), members, status.Commit, c.cfg.FaultTolerance)
+	g.Transition = status.Transition
+	return g
 }
 
-// applyChange runs one change of the members through the log.
+// applyChange runs a change of the members through the log.
 func (c *Controller) applyChange(ctx context.Context, change repair.Change, status replica.Status) error {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
-	switch change.Kind {
-	case repair.AddLearner:
+	if change.Kind == repair.AddLearner {
 		if err := c.commitMemberNames(ctx, change.Name, status); err != nil {
 			return err
 		}
-		return c.log.ChangeMember(ctx, consensus.MemberChange{AddLearner: change.ID})
-	case repair.Promote:
-		return c.log.ChangeMember(ctx, consensus.MemberChange{Promote: change.ID})
-	default:
-		return c.log.ChangeMember(ctx, consensus.MemberChange{Remove: change.ID})
 	}
+	return c.log.ChangeMember(ctx, change.ForLog())
 }
 
 // commitMemberNames commits the names of all members and of a new one before the new one is added, so
--- a/internal/consensus/check_test.go
+++ b/internal/consensus/check_test.go
@@ -123,15 +123,17 @@
 		return
 	}
 	m.checkedCommit = s.Commit
-	holders := 0
-	for _, id := range s.Members.Voters {
+	var holders []consensus.MemberID
+	holds := func(id consensus.MemberID) bool {
 		stored, found, known := entryAt(m.c.members[id].durable, s.Commit)
 		if !known || found && stored.Term == s.Term {
-			holders++
+			holders = append(holders, id)
+			return true
 		}
+		return false
 	}
-	if holders < s.Members.Quorum() {
-		m.c.t.Fatalf("durability: entry %d is committed but synced by only %d of %d voters", s.Commit, holders, len(s.Members.Voters))
+	if groups := consensus.VoterGroups(s.Members, s.Transition); !consensus.HasMajorities(groups, holds) {
+		m.c.t.Fatalf("durability: entry %d is committed but synced by %d only, of %d", s.Commit, holders, groups)
 	}
 }
 
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -70,7 +70,7 @@
 		n.term = term
 		n.vote = n.cfg.ID
 	}
-	for _, id := range n.Members().Voters {
+	for _, id := range n.electorate() {
 		if id == n.cfg.ID {
 			continue
 		}
@@ -111,14 +111,7 @@
 		return
 	}
 	n.votes[m.From] = true
-	members := n.Members()
-	granted := 0
-	for _, id := range members.Voters {
-		if n.votes[id] {
-			granted++
-		}
-	}
-	if granted < members.Quorum() {
+	if !HasMajorities(n.voterGroups(), func(id MemberID) bool { return n.votes[id] }) {
 		return
 	}
 	if n.role == PreCandidate {
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -39,10 +39,19 @@
 		n.leadership.uncommittedBytes += len(e.Data)
 	}
 	n.leadership.quorumDeadline = n.now + n.cfg.ElectionTimeout
-	n.leadership.termStartIndex = n.appendEntry(EntryNoOp, nil).Index
+	n.leadership.termStartIndex = n.appendTermStart().Index
 	n.scheduleHeartbeat()
 }
 
+// appendTermStart appends the first entry of the leader's term. It restates a transition, which would no longer be in effect
+// otherwise.
+func (n *Node) appendTermStart() Position {
+	if t := n.transition(); t != nil {
+		return n.appendMembers(n.Members().Clone(), t)
+	}
+	return n.appendEntry(EntryNoOp, nil)
+}
+
 // updatePeers adds and removes tracked peers according to the current members.
 func (n *Node) updatePeers() {
 	members := n.Members()
@@ -55,7 +64,7 @@
 	}
 	for id, p := range n.leadership.peers {
 		if !members.Contains(id) && p.removalIndex == 0 {
-			p.removalIndex = n.memberships[len(n.memberships)-1].index
+			p.removalIndex = n.memberships[len(n.memberships)-1].Index
 			p.removalDeadline = n.now + removalNoticeTimeouts*n.cfg.ElectionTimeout
 		}
 	}
@@ -103,16 +112,12 @@
 // quorumContact returns the latest time T such that a quorum of voters, the leader included, has
 // answered messages sent at T or later.
 func (n *Node) quorumContact() time.Duration {
-	members := n.Members()
-	times := make([]time.Duration, 0, len(members.Voters))
-	for _, id := range members.Voters {
+	return majorityValue(n.voterGroups(), func(id MemberID) time.Duration {
 		if id == n.cfg.ID {
-			times = append(times, n.now)
-		} else {
-			times = append(times, n.leadership.peers[id].contactAt)
+			return n.now
 		}
-	}
-	return quorumValue(times, members.Quorum())
+		return n.leadership.peers[id].contactAt
+	})
 }
 
 // Propose appends a command to the leader's log. The command is executed if and when the entry at the
@@ -245,16 +250,12 @@
 // advanceCommit commits the entries that a quorum of voters has synced. Only an entry of the current
 // term can be committed by counting: an entry of an older term may be overwritten even if a quorum has it.
 func (n *Node) advanceCommit() {
-	members := n.Members()
-	matches := make([]uint64, 0, len(members.Voters))
-	for _, id := range members.Voters {
+	index := majorityValue(n.voterGroups(), func(id MemberID) uint64 {
 		if id == n.cfg.ID {
-			matches = append(matches, n.log.stable)
-		} else {
-			matches = append(matches, n.leadership.peers[id].match)
+			return n.log.stable
 		}
-	}
-	index := quorumValue(matches, members.Quorum())
+		return n.leadership.peers[id].match
+	})
 	if term, ok := n.log.term(index); index <= n.log.commit || !ok || term != n.term {
 		return
 	}
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -15,18 +15,26 @@
 // membership is the set of members that is effective from the entry at index on. A change takes effect
 // when its entry is appended to the log, not when it is committed.
 type membership struct {
-	index uint64
+	Position
 	Members
+	transition *Transition
 }
 
-// MemberChange is a change of one member. Exactly one field is set.
+// MemberChange is a change of the members. One field is set, or Promote and one of PromoteToo and Remove: those two members
+// change in one step, which has to be followed by Finish or Revert. See Transition.
 type MemberChange struct {
 	// AddLearner adds a member that receives the log and does not vote.
 	AddLearner MemberID
 	// Promote turns a learner that has caught up into a voter.
 	Promote MemberID
+	// PromoteToo is a second learner that becomes a voter.
+	PromoteToo MemberID
 	// Remove removes a voter or a learner.
 	Remove MemberID
+	// Finish ends the transition that is in effect: the group has its new voters only.
+	Finish bool
+	// Revert ends the transition that is in effect: the group has its old voters only, and the new ones are learners.
+	Revert bool
 }
 
 // Members returns the current members, including an uncommitted change.
@@ -34,7 +42,7 @@
 
 // membersCommitted reports whether the last change of the members is known to be committed.
 func (n *Node) membersCommitted() bool {
-	return n.memberships[len(n.memberships)-1].index <= n.log.commit
+	return n.memberships[len(n.memberships)-1].Index <= n.log.commit
 }
 
 // mayCampaign reports whether the member may be a candidate: a voter, or one whose removal is not known to be committed. If the
@@ -49,7 +57,7 @@
 
 func (n *Node) membersAt(index uint64) Members {
 	for i := len(n.memberships) - 1; i > 0; i-- {
-		if n.memberships[i].index <= index {
+		if n.memberships[i].Index <= index {
 			return n.memberships[i].Members
 		}
 	}
@@ -60,52 +68,65 @@
 	if e.Kind != EntryMembers {
 		return nil
 	}
-	m, err := DecodeMembers(e.Data)
-	if err != nil || len(m.Voters) == 0 {
+	m, t, err := DecodeMembers(e.Data)
+	if err != nil || len(m.Voters) == 0 || t != nil && !t.isWithin(m) {
 		return errors.Wrapf(result.New(result.StorageCorrupt, "entry %d does not contain a valid member list", e.Index), "%v", err)
 	}
-	n.memberships = append(n.memberships, membership{index: e.Index, Members: m})
+	n.memberships = append(n.memberships, membership{Position: Position{Index: e.Index, Term: e.Term}, Members: m, transition: t})
 	return nil
 }
 
 // truncateMemberships discards the changes in entries from the given index on, which were overwritten.
 func (n *Node) truncateMemberships(from uint64) {
-	n.memberships = slices.DeleteFunc(n.memberships, func(m membership) bool { return m.index >= from && m.index > 0 })
+	n.memberships = slices.DeleteFunc(n.memberships, func(m membership) bool { return m.Index >= from && m.Index > 0 })
 }
 
-// ProposeMemberChange appends a change of one member to the leader's log. It is rejected while another
-// change is uncommitted.
+// ProposeMemberChange appends a change of the members to the leader's log. It is rejected while another
+// change is uncommitted, and any but the end of a transition while that is in effect.
 func (n *Node) ProposeMemberChange(c MemberChange) (Position, error) {
 	if err := n.requireLeader(); err != nil {
 		return Position{}, err
 	}
 	// The leader must have committed an entry of its term. Otherwise it may not know of a change that
 	// was committed before, and the quorums of both changes may not overlap.
-	if n.memberships[len(n.memberships)-1].index > n.log.commit || n.log.commit < n.leadership.termStartIndex {
+	if !n.membersCommitted() || n.log.commit < n.leadership.termStartIndex {
 		return Position{}, result.New(result.MemberChangeBusy, "another membership change is not committed yet")
 	}
-	members, err := n.applyChange(c)
+	members, transition, err := n.applyChange(c)
 	if err != nil {
 		return Position{}, err
 	}
-	position := n.appendEntry(EntryMembers, encodeMembers(members))
-	n.memberships = append(n.memberships, membership{index: position.Index, Members: members})
+	return n.appendMembers(members, transition), nil
+}
+
+func (n *Node) appendMembers(members Members, transition *Transition) Position {
+	position := n.appendEntry(EntryMembers, encodeMembers(members, transition))
+	n.memberships = append(n.memberships, membership{Position: position, Members: members, transition: transition})
 	n.updatePeers()
-	return position, nil
+	return position
 }
 
-func (n *Node) applyChange(c MemberChange) (Members, error) {
-	m := n.Members().Clone()
+func (n *Node) applyChange(c MemberChange) (m Members, t *Transition, err error) {
+	m, t = n.Members().Clone(), n.transition()
 	switch {
-	case c.AddLearner != 0 && c.Promote == 0 && c.Remove == 0:
-		return n.withLearner(m, c.AddLearner)
-	case c.Promote != 0 && c.AddLearner == 0 && c.Remove == 0:
-		return n.withPromoted(m, c.Promote)
-	case c.Remove != 0 && c.AddLearner == 0 && c.Promote == 0:
-		return withoutMember(m, c.Remove)
-	}
-	return m, result.New(result.ConfigInvalid, "a member change names %d, %d and %d, want one member",
-		c.AddLearner, c.Promote, c.Remove)
+	case c == MemberChange{Finish: true} && t != nil:
+		return t.end(m, t.New), nil, nil
+	case c == MemberChange{Revert: true} && t != nil:
+		return t.end(m, t.Old), nil, nil
+	case t != nil:
+		return m, nil, result.New(result.MemberChangeBusy, "the last change of the members has not been finished")
+	case c.Promote != 0 && c == MemberChange{Promote: c.Promote, PromoteToo: c.PromoteToo, Remove: c.Remove} && (c.PromoteToo == 0) != (c.Remove == 0):
+		return n.withTransition(m, c)
+	case c.AddLearner != 0 && c == MemberChange{AddLearner: c.AddLearner}:
+		m, err = n.withLearner(m, c.AddLearner)
+	case c.Promote != 0 && c == MemberChange{Promote: c.Promote}:
+		m, err = n.withPromoted(m, c.Promote)
+	case c.Remove != 0 && c == MemberChange{Remove: c.Remove}:
+		m, err = withoutMember(m, c.Remove)
+	default:
+		err = result.New(result.ConfigInvalid, "the member change %+v is not supported", c)
+	}
+	return m, nil, err
 }
 
 func (n *Node) withLearner(m Members, id MemberID) (Members, error) {
@@ -154,7 +175,7 @@
 // stepDownIfRemoved makes a leader transfer its leadership and step down once its removal is committed.
 func (n *Node) stepDownIfRemoved() {
 	current := n.memberships[len(n.memberships)-1]
-	if current.index > n.log.commit || current.IsVoter(n.cfg.ID) {
+	if current.Index > n.log.commit || current.IsVoter(n.cfg.ID) {
 		return
 	}
 	n.transferAndStepDown()
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -69,7 +69,7 @@
 	}
 	n.memberships = []membership{{Members: Members{Voters: cfg.Members, Learners: cfg.Learners}}}
 	if r.Snapshot.Index > 0 {
-		n.memberships = []membership{{index: r.Snapshot.Index, Members: r.Snapshot.Members}}
+		n.memberships = []membership{snapshotMembership(&r.Snapshot)}
 	}
 	for _, e := range log.entries {
 		if e.Index <= r.Snapshot.Index {
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -75,16 +75,12 @@
 }
 
 func (n *Node) quorumRound() uint64 {
-	members := n.Members()
-	rounds := make([]uint64, 0, len(members.Voters))
-	for _, id := range members.Voters {
+	return majorityValue(n.voterGroups(), func(id MemberID) uint64 {
 		if id == n.cfg.ID {
-			rounds = append(rounds, n.leadership.heartbeatRound)
-		} else {
-			rounds = append(rounds, n.leadership.peers[id].answeredRound)
+			return n.leadership.heartbeatRound
 		}
-	}
-	return quorumValue(rounds, members.Quorum())
+		return n.leadership.peers[id].answeredRound
+	})
 }
 
 func (n *Node) answerRead(r pendingRead, failed bool) {
--- a/internal/consensus/sim_property_test.go
+++ b/internal/consensus/sim_property_test.go
@@ -94,7 +94,21 @@
 			_, _ = l.node.ProposeMemberChange(consensus.MemberChange{AddLearner: m.nextID})
 			l.processReady()
 		},
-		"promote": func(*rapid.T) { m.promoteLearners() },
+		"promote":           func(*rapid.T) { m.promoteLearners() },
+		"change two voters": func(t *rapid.T) { m.changeTwo(t) },
+		"end the change": func(t *rapid.T) {
+			if l := m.leader(); l != nil {
+				finish := rapid.Bool().Draw(t, "finish")
+				_, _ = l.node.ProposeMemberChange(consensus.MemberChange{Finish: finish, Revert: !finish})
+				l.processReady()
+			}
+		},
+		"restart with another build": func(t *rapid.T) {
+			v := m.any(t)
+			v.isOld = rapid.Bool().Draw(t, "old")
+			v.crash()
+			v.restart()
+		},
 		"remove": func(t *rapid.T) {
 			if l := m.leader(); l != nil {
 				_, _ = l.node.ProposeMemberChange(consensus.MemberChange{Remove: m.any(t).id})
@@ -121,6 +135,23 @@
 	l.processReady()
 }
 
+// changeTwo replaces a voter, or adds two.
+func (m *simulation) changeTwo(t *rapid.T) {
+	l := m.leader()
+	if l == nil || l.isOld {
+		return
+	}
+	learners := l.node.Members().Learners
+	for i, id := range learners {
+		c := consensus.MemberChange{Promote: id, Remove: m.any(t).id}
+		if i > 0 && rapid.Bool().Draw(t, "two learners") {
+			c = consensus.MemberChange{Promote: id, PromoteToo: learners[i-1]}
+		}
+		_, _ = l.node.ProposeMemberChange(c)
+	}
+	l.processReady()
+}
+
 // checkRecovery repairs all faults and checks that a command reaches every voter within maxRecoveryTime.
 func (m *simulation) checkRecovery() {
 	m.heal()
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -60,6 +60,7 @@
 	c              *cluster
 	id             consensus.MemberID
 	initialMembers []consensus.MemberID
+	isOld          bool // of a build that does not know transitions
 	fs             *memfs.FS
 	log            *wal.Log
 	node           *consensus.Node
@@ -155,6 +156,7 @@
 			}
 			c.delivered++
 			m.requireNoError(m.node.Step(msg, m.clock()))
+			m.limitToBuild()
 			m.processReady()
 		})
 	}
@@ -180,6 +182,15 @@
 	return c.leader()
 }
 
+// addCaughtUpLearner adds a learner and waits until it has the log.
+func (c *cluster) addCaughtUpLearner(l *member, id consensus.MemberID) {
+	c.addMember(id, nil)
+	_, err := l.node.ProposeMemberChange(consensus.MemberChange{AddLearner: id})
+	l.requireNoError(err)
+	l.processReady()
+	c.run(time.Second, nil)
+}
+
 // isolate partitions members from the rest. They can still reach each other.
 func (c *cluster) isolate(isolated ...consensus.MemberID) {
 	for _, id := range isolated {
@@ -235,9 +246,17 @@
 	settings.Rand = rand.New(rand.NewPCG(m.c.rng.Uint64(), 3))
 	m.node, err = consensus.New(settings, restored)
 	m.requireNoError(err)
+	m.limitToBuild()
 	m.schedule()
 }
 
+// limitToBuild hides from a member of an older build what that does not know.
+func (m *member) limitToBuild() {
+	if m.isOld {
+		m.node.ForgetTransitions()
+	}
+}
+
 // restartWithState persists r as if the member had done so before, and restarts the member.
 func (m *member) restartWithState(r consensus.Ready) {
 	r.MustSync = true
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -32,6 +32,7 @@
 	if !ok || index == 0 {
 		return Snapshot{}, result.New(result.Internal, "cannot take a snapshot at index %d: the log has no such entry", index)
 	}
+	// A snapshot has the member lists alone, also during a transition. Their majorities overlap with those of the transition.
 	meta := SnapshotMeta{Index: index, Term: term, Members: n.membersAt(index).Clone()}
 	return Snapshot{SnapshotMeta: meta, Data: data}, nil
 }
@@ -46,7 +47,7 @@
 	}
 	n.snapshot = s
 	n.log.compact(keep)
-	for len(n.memberships) > 1 && n.memberships[1].index <= keep {
+	for len(n.memberships) > 1 && n.memberships[1].Index <= keep {
 		n.memberships = n.memberships[1:]
 	}
 	return nil
@@ -118,6 +119,10 @@
 	return nil
 }
 
+func snapshotMembership(s *Snapshot) membership {
+	return membership{Position: Position{Index: s.Index, Term: s.Term}, Members: s.Members}
+}
+
 func (in *incomingSnapshot) matches(c *SnapshotChunk) bool {
 	return in != nil && in.meta.Index == c.Meta.Index && in.meta.Term == c.Meta.Term &&
 		in.size == c.Size && in.checksum == c.Checksum
@@ -130,7 +135,7 @@
 		return
 	}
 	n.log.reset(Position{Index: s.Index, Term: s.Term})
-	n.memberships = []membership{{index: s.Index, Members: s.Members}}
+	n.memberships = []membership{snapshotMembership(&s)}
 	n.snapshot = s
 	n.pendingInstall = &s
 	n.counters.SnapshotsInstalled++
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -1,9 +1,6 @@
 package consensus
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Status is the state of a member for operators and metrics.
 type Status struct {
@@ -20,6 +17,8 @@
 	// MembersIndex is the index of the entry that contains Members, zero for the initial ones. It is above Commit until the
 	// change is committed.
 	MembersIndex uint64
+	// Transition is the change of two voters that is in effect, or nil.
+	Transition *Transition
 	// Peers is set only on the leader.
 	Peers    []PeerStatus
 	Counters Counters
@@ -59,7 +58,8 @@
 	s := Status{
 		ID: n.cfg.ID, SoftState: n.softState(), Vote: n.vote, Halted: n.halted,
 		First: n.log.base.Index + 1, Last: n.log.last().Index, Commit: n.log.commit, Applied: n.log.applied,
-		SnapshotIndex: n.snapshot.Index, Members: n.Members().Clone(), MembersIndex: n.memberships[len(n.memberships)-1].index, Counters: n.counters,
+		SnapshotIndex: n.snapshot.Index, Members: n.Members().Clone(), MembersIndex: n.memberships[len(n.memberships)-1].Index,
+		Transition: n.transition(), Counters: n.counters,
 	}
 	for _, id := range n.peerIDs() {
 		p := n.leadership.peers[id]
@@ -86,9 +86,3 @@
 	}
 	return n.now - at, true
 }
-
-// quorumValue returns the largest value that at least quorum of the values reach. It sorts values.
-func quorumValue[T uint64 | time.Duration](values []T, quorum int) T {
-	slices.Sort(values)
-	return values[len(values)-quorum]
-}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -81,9 +81,6 @@
 // Contains reports whether id is a voter or a learner.
 func (m Members) Contains(id MemberID) bool { return m.IsVoter(id) || m.IsLearner(id) }
 
-// Quorum returns the number of voters that form a majority.
-func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
-
 // Clone returns a deep copy.
 func (m Members) Clone() Members {
 	return Members{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
@@ -95,19 +92,26 @@
 	return ids
 }
 
-func encodeMembers(m Members) []byte {
-	data, err := json.Marshal(m)
+// memberEntry is the content of an entry of kind EntryMembers. Builds that do not know Transition pass over it.
+type memberEntry struct {
+	Members
+	Transition *Transition `json:",omitempty"`
+}
+
+func encodeMembers(m Members, t *Transition) []byte {
+	data, err := json.Marshal(memberEntry{Members: m, Transition: t})
 	if err != nil {
 		panic(err) // lists of integers always encode
 	}
 	return data
 }
 
-// DecodeMembers decodes the data of an entry of kind EntryMembers.
-func DecodeMembers(data []byte) (Members, error) {
-	var m Members
-	err := json.Unmarshal(data, &m)
-	return m, err
+// DecodeMembers decodes the data of an entry of kind EntryMembers: the members, and the transition that the entry begins or
+// restates, or nil.
+func DecodeMembers(data []byte) (Members, *Transition, error) {
+	var e memberEntry
+	err := json.Unmarshal(data, &e)
+	return e.Members, e.Transition, err
 }
 
 // SnapshotMeta is the position of the last entry that a snapshot covers, and the members at that point.
--- a/internal/repair/budget_test.go
+++ b/internal/repair/budget_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/greengagelock/greengagelock/internal/consensus"
 )
 
 var (
@@ -379,14 +381,13 @@
 		}
 	}
 	for _, d := range disks {
-		votes, last := 0, d.last()
+		last := d.last()
+		votes := map[consensus.MemberID]bool{}
 		for _, o := range disks {
 			theirs := o.last()
-			if d.members.IsVoter(memberID(o.name)) && (theirs.Term < last.Term || theirs.Term == last.Term && theirs.Index <= last.Index) {
-				votes++
-			}
+			votes[memberID(o.name)] = theirs.Term < last.Term || theirs.Term == last.Term && theirs.Index <= last.Index
 		}
-		if d.members.IsVoter(memberID(d.name)) && votes >= d.members.Quorum() {
+		if d.members.IsVoter(memberID(d.name)) && consensus.HasMajorities(d.groups, func(id consensus.MemberID) bool { return votes[id] }) {
 			if last.Index < uint64(len(b.committed)-1) {
 				b.problem("%s can lead without entry %d", d.name, len(b.committed)-1)
 			}
--- a/internal/repair/disk_test.go
+++ b/internal/repair/disk_test.go
@@ -1,6 +1,7 @@
 package repair_test
 
 import (
+	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +28,8 @@
 	founders []string
 	state    consensus.Restored
 	members  consensus.Members // of the last entry
+	// groups are the groups of voters of each of which a majority is needed. A controller of an earlier build has one.
+	groups [][]consensus.MemberID
 }
 
 // last returns the position of the last entry.
@@ -37,22 +40,32 @@
 	return consensus.Position{Index: d.state.Snapshot.Index, Term: d.state.Snapshot.Term}
 }
 
-// findMembers returns the members after the last entry.
-func (d *disk) findMembers() consensus.Members {
+// readMembers takes the members from the last entry that has them.
+func (d *disk) readMembers() {
+	var transition *consensus.Transition
+	d.members, transition = d.findMembers()
+	d.groups = consensus.VoterGroups(d.members, transition)
+}
+
+// findMembers returns the members after the last entry, and the transition that is in effect.
+func (d *disk) findMembers() (consensus.Members, *consensus.Transition) {
 	for _, e := range slices.Backward(d.state.Entries) {
 		if e.Kind == consensus.EntryMembers {
-			m, _ := consensus.DecodeMembers(e.Data)
-			return m
+			m, t, _ := consensus.DecodeMembers(e.Data)
+			if e.Term != d.last().Term {
+				t = nil
+			}
+			return m, t
 		}
 	}
 	if d.state.Snapshot.Index > 0 {
-		return d.state.Snapshot.Members
+		return d.state.Snapshot.Members, nil
 	}
 	var m consensus.Members
 	for _, name := range d.founders {
 		m.Voters = append(m.Voters, memberID(name))
 	}
-	return m
+	return m, nil
 }
 
 // persist stores what the write-ahead log does: the commit index only together with something else.
@@ -70,11 +83,12 @@
 			s.Entries, changes = s.Entries[:e.Index-s.Entries[0].Index], true
 		}
 		s.Entries = append(s.Entries, e)
-		changes = changes || e.Kind == consensus.EntryMembers
+		// An entry of another term ends a transition.
+		changes = changes || e.Kind == consensus.EntryMembers || len(p.disk.groups) > 1
 	}
 	s.HardState = r.HardState
 	if changes {
-		p.disk.members = p.disk.findMembers()
+		p.disk.readMembers()
 		if p.w.onMembers != nil {
 			p.w.onMembers()
 		}
@@ -143,3 +157,33 @@
 	}
 	return true
 }
+
+// entriesFor returns entries as a build reads them: those before transitions pass over them.
+func (w *world) entriesFor(old bool, entries []consensus.Entry) []consensus.Entry {
+	converted := slices.Clone(entries)
+	for i, e := range converted {
+		if e.Kind != consensus.EntryMembers {
+			continue
+		}
+		at := consensus.Position{Index: e.Index, Term: e.Term}
+		if m, t, _ := consensus.DecodeMembers(e.Data); t != nil {
+			w.transitions[at] = e.Data
+			if old {
+				converted[i].Data, _ = json.Marshal(m)
+			}
+		} else if data := w.transitions[at]; data != nil && !old {
+			converted[i].Data = data
+		}
+	}
+	return converted
+}
+
+// messageFor returns a message as a build reads it.
+func (w *world) messageFor(old bool, m consensus.Message) consensus.Message {
+	if m.Append != nil {
+		a := *m.Append
+		a.Entries = w.entriesFor(old, a.Entries)
+		m.Append = &a
+	}
+	return m
+}
--- a/internal/repair/faults_test.go
+++ b/internal/repair/faults_test.go
@@ -27,6 +27,8 @@
 	pauseAfterChange
 	// removeFirst removes the voter that a learner replaces before the learner is promoted.
 	removeFirst
+	// singleChanges promotes the learner that replaces a voter, or one of two, and looks for the next change after that.
+	singleChanges
 	// replaceTwo does so with every voter that is lost, also if there is one learner for two of them.
 	replaceTwo
 )
@@ -56,7 +58,19 @@
 	case p.w.fault == replaceTwo:
 		return removeBeforePromotion(&g, repair.Decide(g), 2)
 	}
-	return repair.Decide(g)
+	c := repair.Decide(g)
+	if p.has(singleChanges) || p.has(leaveOnPromotion) || p.has(pauseAfterChange) {
+		return asSingleChange(c)
+	}
+	return c
+}
+
+// asSingleChange turns a change of two voters into the promotion of a learner.
+func asSingleChange(c repair.Change) repair.Change {
+	if c.Kind == repair.Replace || c.Kind == repair.PromoteTwo {
+		c.Kind, c.Other = repair.Promote, 0
+	}
+	return c
 }
 
 // removeBeforePromotion turns the promotion of a learner into the removal of the voter that it replaces, as long as a number of
--- a/internal/repair/losses_test.go
+++ b/internal/repair/losses_test.go
@@ -106,6 +106,8 @@
 			{11454 * ms, split, 1, 3376 * ms},
 			{12349 * ms, replaceUnplanned, 13, 137 * ms},
 		}},
+		// A learner is promoted before the voter that it replaces is removed.
+		"two single changes":                  {singleChanges, 204, 5, []trouble{{175 * ms, replacePlanned, 18, 3745 * ms}, {9590 * ms, isolateOut, 13, 3980 * ms}}},
 		"seeds that do not lead":              {askSeedsOnly, 44, 5, []trouble{{11258 * ms, replaceStopped, 12, 3745 * ms}}},
 		"names of the first members are lost": {forgetFirstNames, 1, 3, nil},
 	} {
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -6,12 +6,17 @@
 // remains a learner until a voter is lost or leaves. If it became a voter at once, the successor of a controller
 // that is still running would leave the group larger for good, with a majority that counts the stopped one.
 //
+// Two members change in one step wherever a group would bear less between two single changes: a learner takes the place of a
+// voter, or two learners become voters of a group with an odd number. A single voter is added to or removed from an even
+// number only, which changes none of the losses that the group bears, or removed for good when it is gone or above the size.
+//
 // No availability zone keeps more voters than the group can lose, if there are learners elsewhere: the loss of the zone would
 // take the majority.
 package repair
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/consensus"
@@ -56,6 +61,8 @@
 	Joining []Member
 	// Losses is the number of voters that the group has to be able to lose at once; zero if it is not known.
 	Losses int
+	// Transition is the change of two voters that is in effect, or nil.
+	Transition *consensus.Transition
 }
 
 // minVoters returns the number of voters that the group needs to bear its losses, or zero if that is not known.
@@ -75,26 +82,50 @@
 	AddLearner      // add as a learner
 	Promote         // turn a learner into a voter
 	Remove
+	Replace    // turn a learner into a voter and remove another one, in one step
+	PromoteTwo // turn two learners into voters, in one step
+	Finish     // end the step for good
+	Revert     // undo the step
 )
 
 // String returns what is done.
-func (k Kind) String() string { return [...]string{"none", "add", "promote", "remove"}[k] }
+func (k Kind) String() string {
+	return [...]string{"none", "add", "promote", "remove", "replace with", "promote two", "finish", "revert"}[k]
+}
 
-// Change is a membership change of one member.
+// Change is a membership change.
 type Change struct {
 	Kind Kind
 	ID   consensus.MemberID
 	Name string
+	// Other is the voter that is replaced, or the second learner that is promoted; zero for other kinds.
+	Other consensus.MemberID
 	// Reason is a short explanation for the log.
 	Reason string
 }
 
+// ForLog returns the change as the replicated log takes it.
+func (c *Change) ForLog() consensus.MemberChange {
+	switch c.Kind {
+	case AddLearner:
+		return consensus.MemberChange{AddLearner: c.ID}
+	case Promote:
+		return consensus.MemberChange{Promote: c.ID}
+	case Remove:
+		return consensus.MemberChange{Remove: c.ID}
+	case Replace:
+		return consensus.MemberChange{Promote: c.ID, Remove: c.Other}
+	case PromoteTwo:
+		return consensus.MemberChange{Promote: c.ID, PromoteToo: c.Other}
+	}
+	return consensus.MemberChange{Finish: c.Kind == Finish, Revert: c.Kind == Revert}
+}
+
 // Decide returns the next change, or a change of kind None if there is nothing to do.
-//
-// A learner that replaces a voter is promoted before that is removed. In the other order an entry would be committed on
-// fewer disks in between, and a group that loses one of these for good while the removed voter was only cut off would never
-// have a majority again.
 func Decide(g Group) Change {
+	if g.Transition != nil {
+		return g.endTransition()
+	}
 	for i := range g.Members {
 		if m := &g.Members[i]; !m.Voter && m.isLost() {
 			return m.change(Remove, "the learner is unreachable")
@@ -126,34 +157,98 @@
 	return Change{}
 }
 
+// endTransition finishes the change of two voters that is in effect, unless a voter that it brings is gone already and the
+// group can keep all of its old ones.
+func (g *Group) endTransition() Change {
+	var first *Member
+	kind, keepsOld := Finish, true
+	for i := range g.Members {
+		m := &g.Members[i]
+		isGone := m.isLost() || m.Leaving
+		switch isOld, isNew := slices.Contains(g.Transition.Old, m.ID), slices.Contains(g.Transition.New, m.ID); {
+		case isNew && !isOld:
+			if first == nil {
+				first = m
+			}
+			if isGone {
+				kind = Revert
+			}
+		case isOld && !isNew:
+			keepsOld = keepsOld && !isGone
+		}
+	}
+	if !keepsOld {
+		kind = Finish
+	}
+	if first == nil {
+		return Change{Kind: kind, Reason: "two voters change in one step"}
+	}
+	return first.change(kind, "two voters change in one step")
+}
+
 // promoteLearner promotes a learner that has caught up, if the group has too few voters, the learner replaces one, or its
-// availability zone should have a voter of another one. The voters that are alive and the learner must be a majority
-// afterwards.
+// availability zone should have a voter of another one.
 func (g *Group) promoteLearner() Change {
-	voters, alive := g.countVoters("")
-	if alive+1 < majority(voters+1) || voters > consensus.MaxVoters {
+	voters, _ := g.countVoters("")
+	if voters > consensus.MaxVoters {
 		return Change{}
 	}
 	replaced := g.goneVoter()
-	learner := g.bestLearner(replaced)
+	learner := g.bestLearner(replaced, nil)
 	switch {
 	case learner == nil:
 	case replaced != nil:
-		return learner.change(Promote, "it replaces "+replaced.Name)
+		return g.replace(learner, replaced, "it replaces "+replaced.Name)
 	case voters >= consensus.MaxVoters:
 	case learner.Founding:
-		return learner.change(Promote, "it belongs to the first members")
+		return g.grow(learner, "it belongs to the first members")
 	case voters < g.minVoters():
-		return learner.change(Promote, "the group has too few voters for the losses that it has to bear")
+		return g.grow(learner, "the group has too few voters for the losses that it has to bear")
 	case g.crowdedVoter() != nil && g.hasRoom(learner.Zone, nil):
-		return learner.change(Promote, "the zone of "+g.crowdedVoter().Name+" has more voters than may be lost")
+		return g.replace(learner, g.crowdedVoter(), "the zone of "+g.crowdedVoter().Name+" has more voters than may be lost")
+	}
+	return Change{}
+}
+
+// replace lets a learner take the place of a voter. The voters that are alive must be a majority before and after. An even
+// number of voters bears as much with the learner besides; the voter is removed then.
+func (g *Group) replace(learner, replaced *Member, reason string) Change {
+	voters, alive := g.countVoters("")
+	_, kept := g.countVoters(replaced.Name)
+	switch {
+	case voters%2 == 0 && alive+1 >= majority(voters+1):
+		return learner.change(Promote, reason)
+	case voters%2 != 0 && alive >= majority(voters) && kept+1 >= majority(voters):
+		c := learner.change(Replace, reason)
+		c.Other = replaced.ID
+		return c
+	}
+	return Change{}
+}
+
+// grow adds a voter to an even number, or two to an odd one. An odd number would bear no more with one voter, and would no
+// longer bear the loss of that voter besides what it bears without. Only a single voter, which bears nothing, takes one more
+// if there is no second learner, so that entries are on two disks.
+func (g *Group) grow(learner *Member, reason string) Change {
+	voters, alive := g.countVoters("")
+	second := g.bestLearner(nil, learner)
+	switch {
+	case voters%2 != 0 && second != nil && voters+2 <= consensus.MaxVoters:
+		if alive < majority(voters) || alive+2 < majority(voters+2) {
+			return Change{}
+		}
+		c := learner.change(PromoteTwo, reason)
+		c.Other = second.ID
+		return c
+	case (voters%2 == 0 || voters == 1) && alive+1 >= majority(voters+1):
+		return learner.change(Promote, reason)
 	}
 	return Change{}
 }
 
-// bestLearner returns a learner that may become a voter in place of replaced, which may be nil; nil if there is none. First
-// members come first, then those whose availability zone has room for a voter.
-func (g *Group) bestLearner(replaced *Member) *Member {
+// bestLearner returns a learner other than another one that may become a voter in place of replaced; nil if there is none. Both
+// may be nil. First members come first, then those whose availability zone has room for a voter.
+func (g *Group) bestLearner(replaced, other *Member) *Member {
 	var best *Member
 	score := func(m *Member) int {
 		switch {
@@ -166,7 +261,7 @@
 	}
 	for i := range g.Members {
 		m := &g.Members[i]
-		if m.Voter || !m.isAlive() || m.Leaving || m.Match < g.Commit {
+		if m == other || m.Voter || !m.isAlive() || m.Leaving || m.Match < g.Commit {
 			continue
 		}
 		if best == nil || score(m) > score(best) {
@@ -235,18 +330,19 @@
 }
 
 // removeSurplus removes a voter that is gone, or whose availability zone has too many, if the group does not need it. That is
-// so if its disk was lost and another voter has taken its place on the VM, and above the known size of the group.
+// so in an even number if its disk was lost and another voter has taken its place on the VM, and above the known size of the
+// group.
 // If the size is not known, it is so from an even number of voters on: an odd number that is one less has a smaller majority
 // and tolerates as many failures. A group that kept fewer voters than its size would commit entries on so few disks that
 // the losses it has to bear could take them all.
 func (g *Group) removeSurplus() Change {
+	voters, _ := g.countVoters("")
 	for i := range g.Members {
 		m := &g.Members[i]
-		if s := g.successorOnVM(m); m.Voter && s != nil && s.Voter && g.hasQuorumWithout(m.Name) {
+		if s := g.successorOnVM(m); m.Voter && s != nil && s.Voter && voters%2 == 0 && g.hasQuorumWithout(m.Name) {
 			return m.change(Remove, s.Name+" has replaced it on its VM")
 		}
 	}
-	voters, _ := g.countVoters("")
 	needed := g.minVoters()
 	if needed == 0 && (voters < 4 || voters%2 != 0) || needed > 0 && voters <= max(needed, 3) {
 		return Change{}
@@ -287,18 +383,30 @@
 // Tolerance returns how many of the voters that are not lost the group can lose now without the loss of its majority, and
 // how many it should be able to lose.
 func (g *Group) Tolerance() (now, wanted int) {
-	voters, _ := g.countVoters("")
-	lost := 0
+	var voters []consensus.MemberID
+	lost := map[consensus.MemberID]bool{}
 	for i := range g.Members {
-		if m := &g.Members[i]; m.Voter && m.isLost() {
-			lost++
+		m := &g.Members[i]
+		lost[m.ID] = m.isLost()
+		if m.Voter {
+			voters = append(voters, m.ID)
+		}
+	}
+	now = len(voters)
+	for _, group := range consensus.VoterGroups(consensus.Members{Voters: voters}, g.Transition) {
+		running := 0
+		for _, id := range group {
+			if !lost[id] {
+				running++
+			}
 		}
+		now = min(now, max(running-majority(len(group)), 0))
 	}
 	wanted = g.Losses
 	if wanted == 0 {
-		wanted = (voters - 1) / 2
+		wanted = (len(voters) - 1) / 2
 	}
-	return max(voters-lost-majority(voters), 0), wanted
+	return now, wanted
 }
 
 // Lost returns the members that are lost.
--- a/internal/repair/world_test.go
+++ b/internal/repair/world_test.go
@@ -36,8 +36,10 @@
 	committed []consensus.Entry // by index, from 1
 	onMembers func()            // called after a change of the members on a disk; may be nil
 	leaders   map[uint64]string // by term
-	proposed  uint64            // last number that was proposed
-	problems  []string
+	// transitions holds the entries of which older builds read a part only.
+	transitions map[consensus.Position][]byte
+	proposed    uint64 // last number that was proposed
+	problems    []string
 }
 
 // vm is a VM that runs a controller, or did.
@@ -102,7 +104,8 @@
 func createWorld(seed uint64, size, losses int, f fault) *world {
 	w := &world{
 		rand: rand.New(rand.NewPCG(seed, 1)), fault: f, losses: losses, cut: map[[2]*vm]int{}, stuck: map[[2]*vm]time.Duration{}, leaders: map[uint64]string{},
-		committed: make([]consensus.Entry, 1),
+		transitions: map[consensus.Position][]byte{},
+		committed:   make([]consensus.Entry, 1),
 	}
 	for range size {
 		w.addVM(true)
@@ -136,8 +139,9 @@
 				v.disk.founders = append(v.disk.founders, s+"/first")
 			}
 		}
-		v.disk.members = v.disk.findMembers()
 	}
+	v.disk.state.Entries = v.w.entriesFor(v.old, v.disk.state.Entries)
+	v.disk.readMembers()
 	p := &proc{
 		vm: v, startedAt: v.w.Now, joiner: repair.NewJoiner(v.address, v.w.seeds, v.first), requests: repair.NewRequests(),
 		directory: map[consensus.MemberID]string{memberID(v.disk.name): v.disk.name},
@@ -273,7 +277,7 @@
 				p.w.send(p.vm, addressOf(to), func(q *proc) {
 					delete(p.w.stuck, [2]*vm{q.vm, p.vm})
 					q.addPeer(name)
-					_ = q.node.Step(m, q.clock()) // a message to an earlier controller of the VM is refused
+					_ = q.node.Step(p.w.messageFor(q.old, m), q.clock()) // a message to an earlier controller of the VM is refused
 					q.afterInput()
 				})
 			}
@@ -407,7 +411,9 @@
 		}
 		members = append(members, m)
 	}
-	return p.requests.Group(p.clock(), members, status.Commit, p.w.losses)
+	g := p.requests.Group(p.clock(), members, status.Commit, p.w.losses)
+	g.Transition = status.Transition
+	return g
 }
 
 // repair makes the change that is due, if the process leads.
@@ -422,6 +428,9 @@
 	}
 	if p.has(forgetFirstNames) {
 		change.ID = memberID(change.Name)
+		if change.Other != 0 {
+			change.Other = memberID(p.nameOf(change.Other))
+		}
 	}
 	switch change.Kind {
 	case repair.None:
@@ -436,11 +445,11 @@
 			_, _ = p.node.Propose([]byte(namesPrefix + strings.Join(names, " ")))
 			break
 		}
-		_, _ = p.node.ProposeMemberChange(consensus.MemberChange{AddLearner: change.ID})
-	case repair.Promote:
-		_, _ = p.node.ProposeMemberChange(consensus.MemberChange{Promote: change.ID})
-	case repair.Remove:
-		_, _ = p.node.ProposeMemberChange(consensus.MemberChange{Remove: change.ID})
+		_, _ = p.node.ProposeMemberChange(change.ForLog())
+	default:
+		if _, err := p.node.ProposeMemberChange(change.ForLog()); err != nil {
+			p.w.tracef("refused: %v", err)
+		}
 	}
 	p.afterInput()
 }
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -56,6 +56,8 @@
 	Members   []Member
 	// MembersCommitted is set if the entry with Members is known to be committed. Until then another leader may undo it.
 	MembersCommitted bool
+	// Transition is the change of two voters that is in effect, or nil.
+	Transition *consensus.Transition
 }
 
 // Member is a member of the replicated log.
--- a/internal/replica/replicaapi.go
+++ b/internal/replica/replicaapi.go
@@ -148,7 +148,7 @@
 	now := r.now()
 	s := Status{
 		Leader: r.directory.Name(p.Leader), IsLeader: p.Role == consensus.Leader, Term: p.Term, Commit: p.Commit,
-		Contact: p.hasQuorumContact, QuorumAge: now, MembersCommitted: p.Commit >= p.MembersIndex,
+		Contact: p.hasQuorumContact, QuorumAge: now, MembersCommitted: p.Commit >= p.MembersIndex, Transition: p.Transition,
 	}
 	if p.hasQuorumContact {
 		s.QuorumAge = now - p.takenAt + p.quorumAge
