relay: take the flows of a target for complete only by what this process has seen

A relay that has just started took the flows of its target for complete if a majority of the controllers named another target for its earlier process, or at the first heartbeat of the target. Neither excludes that the earlier process has offered flows: a target listens before its first heartbeat, and the controllers hear of it up to 0.4 s later. Four more conclusions of the kind were found by listing them: the first heartbeat of an incarnation reset the flows that it had taken before; so did the late result of a connection check; flows were reported to the controllers for the incarnation before, and reset by the next process of the relay; at the idle timeout a request could still be at work. A packet that was sent for an earlier flow from the same port removed the new one.

Change: a relay is sure only if nothing listened at a check, if it has heard the incarnation before, or after the idle timeout and the age of a request. Flows offered since the last heartbeat, or since the start of a check, are kept, and are reported only after a heartbeat. TestFlowKnowledgeAfterRelayRestart expected the answer of a majority to count; it lists now what counts and what does not. TestSYNIsRefusedAtOnceWithoutTargets recorded a check that it had not begun.

--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -56,7 +56,7 @@
 			if s.stopped || t.partitioned {
 				continue
 			}
-			current.RecordPreviousTarget(s.ip, "", w.storeIPs())
+			current.SetControllers(w.storeIPs())
 			if !current.WantsEarlierFlows(w.Now, s.ip) {
 				continue
 			}
--- a/internal/entry/hold_test.go
+++ b/internal/entry/hold_test.go
@@ -73,6 +73,8 @@
 	g := NewWithT(t)
 	w := newWorld(42, 1, 1)
 	w.targets[0].crash()
+	w.run(4 * heartbeatInterval)
+	g.Expect(w.targets[0].relay.StartCheckIfDue(w.Now, heartbeatInterval)).To(BeTrue())
 	w.targets[0].relay.RecordCheck(w.Now, relay.ConnectionRefused, heartbeatInterval)
 	w.run(2 * rosterInterval)
 	c := w.openFlow()
--- a/internal/entry/target_test.go
+++ b/internal/entry/target_test.go
@@ -26,6 +26,7 @@
 	slots          int
 	incarnation    int
 	sequence       uint64
+	firstHeartbeat time.Duration // time from the start of the target to its first heartbeat
 	flows          map[packet.Key]*targetFlow
 	acceptedSYNs   int // SYNs of new flows
 	lastAcceptedAt time.Duration
@@ -85,7 +86,12 @@
 	t.warmAt = t.w.Now + t.warmUp
 	t.busy = 0
 	t.slotFreeAt = make([]time.Duration, t.slots)
-	t.sendHeartbeats(t.incarnation)
+	incarnation := t.incarnation
+	if t.firstHeartbeat == 0 {
+		t.sendHeartbeats(incarnation)
+		return
+	}
+	t.w.After(t.firstHeartbeat, func() { t.sendHeartbeats(incarnation) })
 }
 
 func (t *targetVM) sendHeartbeats(incarnation int) {
--- a/internal/relay/earlier.go
+++ b/internal/relay/earlier.go
@@ -159,11 +159,12 @@
 	return min(len(r.controllers), checkpoint.Confirmations)
 }
 
-// ReportedFlows returns the open flows of the target for the controllers.
+// ReportedFlows returns the open flows of the target for the controllers. A flow that was offered after the last heartbeat
+// may be one of another incarnation, which has started since.
 func (r *Relay) ReportedFlows() (checkpoint.Target, []checkpoint.Flow) {
 	var flows []checkpoint.Flow
 	for key, f := range r.flows {
-		if f.state == open && !f.callerDone && f.lastAck != 0 {
+		if f.state == open && !f.callerDone && f.lastAck != 0 && f.createdAt <= r.target.lastHeartbeat {
 			flows = append(flows, checkpoint.Flow{Key: key, Ack: f.lastAck})
 		}
 	}
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -113,7 +113,7 @@
 	o := &r.inflight[r.lastToken%maxInflight]
 	*o = inflightPacket{
 		token: r.lastToken, entry: m.Entry, service: m.Service, at: m.At, best: m.Best, bestLoad: m.BestLoad,
-		count: uint8(len(m.Candidates)), probe: m.Probe,
+		count: uint8(len(m.Candidates)), probe: m.Probe, sentAt: now,
 	}
 	copy(o.candidates[:], m.Candidates)
 	r.cfg.Codec.SetToken(m.Packet, r.lastToken)
@@ -261,10 +261,12 @@
 		r.passOn(&m)
 		return
 	}
-	if f != nil && f.state != ownedElsewhere {
-		r.endRequest(now, f)
-		delete(r.flows, key)
+	if f == nil || o.sentAt >= f.createdAt { // else it is of an earlier flow from the same port
+		if f != nil && f.state != ownedElsewhere {
+			r.endRequest(now, f)
+			delete(r.flows, key)
+		}
+		r.recordReturnedFlow(key)
 	}
-	r.recordReturnedFlow(key)
 	r.returnPacket(key, &m)
 }
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -196,10 +196,11 @@
 	p.withLock(func(now time.Duration) {
 		forgotten = p.confirmedTargets[from] != 0 && a.TargetDigest == 0
 		p.confirmedTargets[from] = a.TargetDigest
-		p.relay.RecordPreviousTarget(from, a.Previous, members)
+		if len(members) > 0 {
+			p.relay.SetControllers(members)
+		}
 		wantsFlows = p.cfg.ReportFlows && p.relay.WantsEarlierFlows(now, from)
 	})
-	p.logFlowKnowledge("a majority of the controllers")
 	if forgotten {
 		p.controllers.AnnounceTo([]hop.IP{from})
 	}
--- a/internal/relay/queue_test.go
+++ b/internal/relay/queue_test.go
@@ -118,7 +118,7 @@
 	for n, name := range []string{"a", "b", "c", "d"} {
 		q.sendRequest(0, n, name)
 	}
-	q.resetAll(time.Second)
+	q.resetFlows(time.Second, func(*flow) bool { return false })
 	g.Expect(q.queue).To(BeEmpty())
 	g.Expect(q.busyRequests(time.Second)).To(BeZero())
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,13 +86,12 @@
 	stopping       bool
 	evacuated      bool // the availability zone gets no new flows
 	cold           coldLimiter
-	// knowsAllFlows says that the flow table holds every flow of the target.
+	// knowsAllFlows says that the flow table holds every flow of the target. That is certain only if this process was running
+	// when the target started: nothing listened at a check, or it has heard the incarnation before. What is known of an
+	// earlier process of the relay proves nothing, since a target takes flows before its first heartbeat.
 	knowsAllFlows bool
-	// previousTargets holds, by controller, the ID of the target that an earlier process of this relay
-	// announced. It is kept until knowsAllFlows is decided, see RecordPreviousTarget.
-	previousTargets map[hop.IP]string
-	controllers     []hop.IP // members by the last answer of one in contact with a majority
-	earlier         earlierFlows
+	controllers   []hop.IP // members by the last answer of one in contact with a majority
+	earlier       earlierFlows
 
 	// probes are the entry VMs that wait for the target to show whether it has a flow.
 	probes map[packet.Key]hop.IP
@@ -171,13 +170,14 @@
 	bestLoad   uint8
 	count      uint8
 	probe      bool
+	sentAt     time.Duration
 	candidates [hop.MaxChain]hop.IP
 }
 
 // New returns a relay without any knowledge of its target.
 func New(cfg Config, ports Ports) *Relay {
 	return &Relay{
-		cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, superseded: map[string]bool{}, previousTargets: map[hop.IP]string{}, fanouts: map[uint32]*fanout{}, lastFanout: cfg.FirstFanout,
+		cfg: cfg, ports: ports, flows: map[packet.Key]*flow{}, superseded: map[string]bool{}, fanouts: map[uint32]*fanout{}, lastFanout: cfg.FirstFanout,
 		probes: map[packet.Key]hop.IP{}, returnedFlows: map[packet.Key]struct{}{},
 		earlier: earlierFlows{
 			received: map[hop.IP]*receivedParts{}, flows: map[earlierFlow]*confirmation{}, settled: map[earlierFlow]struct{}{},
@@ -382,7 +382,8 @@
 			delete(r.flows, key)
 		}
 	}
-	if !r.knowsAllFlows && now > flowIdleTimeout {
+	// A request that its caller sent just before the timeout is still at work then, and its answer makes the flow known.
+	if !r.knowsAllFlows && now > flowIdleTimeout+maxRequestAge {
 		r.knowsAllFlows = true
 	}
 	if r.knowsAllFlows {
@@ -390,23 +391,30 @@
 	}
 }
 
-// resetAll resets all open flows at their callers because the target has lost them.
-func (r *Relay) resetAll(now time.Duration) {
+// resetFlows removes the flows that the target has lost, all but those to keep, and resets those that are open at their callers.
+func (r *Relay) resetFlows(now time.Duration, keeps func(f *flow) bool) {
 	for _, w := range slices.Clone(r.queue) {
-		r.dequeue(w)
+		if !keeps(w.flow) {
+			r.dequeue(w)
+		}
 	}
 	// In a fixed order, to make tests repeatable.
 	for _, key := range slices.SortedFunc(maps.Keys(r.flows), packet.Key.Compare) {
 		f := r.flows[key]
+		if keeps(f) {
+			continue
+		}
 		if f.state == open {
 			r.Stats.FlowsReset++
 			r.logDecision(now, decision.Reset, key, f.callerISN, 0, result.TargetNotFound)
 			r.ports.ToCaller(key.Caller, r.cfg.Codec.Reset(key, f.lastAck))
 		}
 		r.endRequest(now, f)
+		delete(r.flows, key)
+	}
+	if len(r.flows) == 0 {
+		r.load.reset()
 	}
-	clear(r.flows)
-	r.load.reset()
 }
 
 // State returns the state of the target for the roster.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -81,33 +81,74 @@
 	g.Expect(r.AnnouncedTarget(0, "z").ID).To(Equal("i"))
 }
 
-// Live flows must not be reported as absent: a relay that started after its target knows all flows only once
-// a majority of the controllers knows that an earlier process had another target.
+// Guards against live flows that are reported as absent: an earlier process of the relay may have offered them to the target
+// before the first heartbeat that this process receives, whichever target it knew then.
 func TestFlowKnowledgeAfterRelayRestart(t *testing.T) {
+	const interval = 500 * time.Millisecond
 	for name, c := range map[string]struct {
-		previous []string
-		want     hop.Answer
+		prepare func(r *Relay)
+		want    hop.Answer
 	}{
-		"no answer":                         {nil, hop.Unsure},
-		"one of three names another target": {[]string{"old"}, hop.Unsure},
-		"a majority names other targets":    {[]string{"old", "old"}, hop.NotOwned},
-		"one names the same target":         {[]string{"old", "i", "old"}, hop.Unsure},
-		"all name the same target":          {[]string{"i", "i", "i"}, hop.Unsure},
-		"no controller knows a target":      {[]string{"", "", ""}, hop.Unsure},
-		"the others are no members":         {[]string{"old", "", "", "old", "old"}, hop.Unsure},
+		"a heartbeat":           {func(r *Relay) { _ = sendHeartbeat(r, 0, "i", 0, 20) }, hop.Unsure},
+		"the first heartbeat":   {func(r *Relay) { _ = sendHeartbeat(r, 0, "i", 0, 1) }, hop.Unsure},
+		"the notice of the end": {func(r *Relay) { _ = r.Leave(0, "i", 0) }, hop.Unsure},
+		"the same target twice": {func(r *Relay) { _ = sendHeartbeat(r, 0, "i", 0, 1); _ = sendHeartbeat(r, interval, "i", 0, 2) }, hop.Unsure},
+		"the target listens":    {func(r *Relay) { r.StartCheckIfDue(interval, interval); r.RecordCheck(interval, Listening, interval) }, hop.Unsure},
+		"nothing listens": {func(r *Relay) {
+			r.StartCheckIfDue(interval, interval)
+			r.RecordCheck(interval, ConnectionRefused, interval)
+		}, hop.NotOwned},
+		"another target before this one": {func(r *Relay) { _ = sendHeartbeat(r, 0, "h", 0, 8); _ = sendHeartbeat(r, interval, "i", 0, 1) }, hop.NotOwned},
+		"the end of another one":         {func(r *Relay) { _ = r.Leave(0, "h", 0); _ = sendHeartbeat(r, interval, "i", 0, 1) }, hop.NotOwned},
+		"a request may be at work":       {func(r *Relay) { r.ExpireFlows(flowIdleTimeout + time.Millisecond) }, hop.Unsure},
+		"all flows have expired":         {func(r *Relay) { r.ExpireFlows(flowIdleTimeout + maxRequestAge + time.Millisecond) }, hop.NotOwned},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
 			r := newRelay()
-			g.Expect(sendHeartbeat(r, 0, "i", 0, 20)).To(Succeed())
-			for n, id := range c.previous {
-				r.RecordPreviousTarget(hop.IP{byte(n)}, id, []hop.IP{{0}, {1}, {2}})
-			}
-			g.Expect(r.lookup(0, packet.Key{}, 0)).To(Equal(c.want))
+			c.prepare(r)
+			NewWithT(t).Expect(r.lookup(0, packet.Key{}, 0)).To(Equal(c.want))
 		})
 	}
 }
 
+// Guards against the result of a check that arrives late: the target has started meanwhile, and its flows were reset.
+func TestLateResultOfACheckKeepsLaterFlows(t *testing.T) {
+	g := NewWithT(t)
+	const interval = 500 * time.Millisecond
+	before, offered, later := packet.Key{Caller: packet.Addr{Port: 1}}, packet.Key{Caller: packet.Addr{Port: 2}}, packet.Key{Caller: packet.Addr{Port: 3}}
+	r := newRelay()
+	g.Expect(sendHeartbeat(r, 0, "i", 0, 1)).To(Succeed())
+	r.flows[before] = &flow{state: open, createdAt: time.Second}
+	g.Expect(r.StartCheckIfDue(2*time.Second, interval)).To(BeTrue())
+	r.flows[offered] = &flow{state: halfOpen, createdAt: 2100 * time.Millisecond}
+	r.flows[later] = &flow{state: open, createdAt: 2100 * time.Millisecond}
+	r.RecordCheck(2200*time.Millisecond, ConnectionRefused, interval)
+	g.Expect(r.lookup(0, before, 0)).To(Equal(hop.NotOwned))
+	g.Expect(r.flows).To(HaveKey(later))
+	g.Expect(r.flows).NotTo(HaveKey(offered), "a copy of the SYN goes to another target")
+	g.Expect(r.Stats.FlowsReset).To(Equal(uint64(1)))
+	g.Expect(r.State()).To(Equal(roster.Ready))
+	g.Expect(r.StartCheckIfDue(4*time.Second, interval)).To(BeTrue())
+	r.flows = map[packet.Key]*flow{}
+	g.Expect(sendHeartbeat(r, 4100*time.Millisecond, "j", 0, 1)).To(Succeed())
+	r.RecordCheck(4200*time.Millisecond, ConnectionRefused, interval)
+	g.Expect(r.State()).To(Equal(roster.Ready), "a heartbeat has arrived since the start of the check")
+}
+
+// Guards against flows that are reported as those of a target that has restarted without a heartbeat yet: the next process of the
+// relay resets the flows of a target that is gone.
+func TestReportedFlowsAreOlderThanAHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	r := newRelay()
+	g.Expect(sendHeartbeat(r, time.Second, "i", 0, 1)).To(Succeed())
+	r.flows[packet.Key{}] = &flow{state: open, createdAt: 2 * time.Second, lastAck: 1}
+	_, flows := r.ReportedFlows()
+	g.Expect(flows).To(BeEmpty())
+	g.Expect(sendHeartbeat(r, 3*time.Second, "i", 0, 2)).To(Succeed())
+	_, flows = r.ReportedFlows()
+	g.Expect(flows).To(HaveLen(1))
+}
+
 // A target whose VM refuses connections must get no flows until it sends heartbeats again. One that sends no
 // heartbeats and does not answer a check counts as silent.
 func TestUnresponsiveTarget(t *testing.T) {
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/greengagelock/greengagelock/internal/hop"
@@ -27,10 +26,6 @@
 	// maxStartSequence is the highest sequence number at which an unknown incarnation counts as a new one
 	// while another one still runs. Its first heartbeat may get lost.
 	maxStartSequence = 2
-	// firstSequence is the sequence number of the heartbeat before which a target is offered no flows, so
-	// that a relay that receives it knows all of them. After the second one that is not certain: an earlier
-	// process of the relay may have received the first and opened flows.
-	firstSequence = 1
 )
 
 // Heartbeat is a heartbeat of the target.
@@ -113,54 +108,24 @@
 			clear(r.superseded)
 		}
 		r.superseded[r.target.ID] = h.ID != r.target.ID
-		r.resetAll(now)
-		r.knowsAllFlows = true
-	} else {
-		r.knowsAllFlows = r.knowsAllFlows || h.Sequence <= firstSequence
+		// The new incarnation listens before its first heartbeat, and may have taken the flows that were offered after the
+		// last one of the previous incarnation. It returns the packets of those that it does not have.
+		heard := r.target.lastHeartbeat
+		r.resetFlows(now, func(f *flow) bool { return f.createdAt > heard })
+		r.knowsAllFlows = true // this process has heard the previous incarnation, so it runs for longer than the new one
 	}
 	r.awaitingTarget = false
 	r.target = localTarget{firstSeen: now, Target: roster.Target{Service: h.Service, ID: h.ID, Born: h.Born, State: roster.Ready}}
-	r.comparePreviousTargets()
 }
 
-// RecordPreviousTarget handles what a controller says of the target that an earlier process of this relay
-// announced: its ID, empty if the controller knows none. members are the addresses of the controllers if from is in contact
-// with a majority, nil if they have not changed.
-func (r *Relay) RecordPreviousTarget(from hop.IP, target string, members []hop.IP) {
-	if len(members) > 0 {
-		r.controllers = members
-	}
-	if r.knowsAllFlows || target == "" {
-		return
-	}
-	r.previousTargets[from] = target
-	r.comparePreviousTargets()
-}
-
-// comparePreviousTargets sets knowsAllFlows once a majority of the controllers knows only other targets of
-// earlier processes: all flows of the current target were then opened through this process.
-func (r *Relay) comparePreviousTargets() {
-	if r.knowsAllFlows || r.target.ID == "" {
-		return
-	}
-	others := 0
-	for controller, id := range r.previousTargets {
-		if id == r.target.ID {
-			return
-		}
-		if slices.Contains(r.controllers, controller) {
-			others++
-		}
-	}
-	r.knowsAllFlows = others > len(r.controllers)/2
-}
+// SetControllers records the addresses of the controllers.
+func (r *Relay) SetControllers(members []hop.IP) { r.controllers = members }
 
 // Leave handles the target's notice that it ends. It returns an error for any but the current incarnation. A relay that
 // has started after the last heartbeat of its target takes the notice as the first that it hears of it.
 func (r *Relay) Leave(now time.Duration, id string, born int64) error {
 	if r.target.ID == "" {
 		r.target = localTarget{firstSeen: now, Target: roster.Target{Service: r.cfg.Service, ID: id, Born: born}}
-		r.comparePreviousTargets()
 	}
 	if id != r.target.ID || born < r.target.Born {
 		return result.New(result.StaleGeneration, "target %q is not the current target of this relay, %q is", id, r.target.ID)
@@ -200,15 +165,19 @@
 	NoAnswer                             // timeout or any other error
 )
 
-// RecordCheck handles the result of the check that StartCheckIfDue asked for.
+// RecordCheck handles the result of the check that StartCheckIfDue asked for. A refused connection says that nothing listened
+// at some time since the start of the check. A target that has started after that may have sent a heartbeat or taken
+// flows before the result arrives.
 func (r *Relay) RecordCheck(now time.Duration, c CheckResult, heartbeatInterval time.Duration) {
 	t := &r.target
 	t.checkPending = false
 	switch c {
 	case ConnectionRefused:
-		t.State = roster.Down
-		r.resetAll(now)
-		r.knowsAllFlows = true
+		r.resetFlows(now, func(f *flow) bool { return f.createdAt > t.lastCheck && f.state != halfOpen })
+		r.knowsAllFlows = true // no flow is older than the check, and this process has seen all later ones
+		if len(r.flows) == 0 && (t.ID == "" || t.lastHeartbeat <= t.lastCheck) {
+			t.State = roster.Down
+		}
 	case NoAnswer:
 		if t.State == roster.Ready {
 			t.State = roster.Silent
