entry: count a reply only for the query that it answers

Beyond 128 relays a lookup asks groups of relays and counted the groups whose reply is missing; a late reply to an earlier round counted for another group of the next one, so that a flow was taken for unowned although a group had not answered.

Change: a query remembers which relay it asked and for which lookups. A reply counts only for the query with its number, from that relay, and for the lookup that sent it; a round waits for the replies to its own queries. Replies of single relays are matched in the same way.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -176,9 +176,9 @@
 	ruledOut       []hop.IP   // relays whose targets returned a packet in the lookups that failed last
 	failedLookups  int        // consecutive lookups without a result
 	queriedAll     bool       // all relays were queried
-	repliesMissing bool       // some of them did not reply
-	fanouts        int        // fan-out queries sent for the flow
-	pendingGroups  int        // groups of relays whose fan-out reply is missing
+	repliesMissing bool       // some of them did not reply to the last fan-out queries
+	fanouts        int        // rounds of fan-out queries
+	pendingFanouts []uint32   // numbers of the fan-out queries of the last round whose reply is missing
 }
 
 // New returns an Entry without a configuration or targets.
@@ -431,7 +431,7 @@
 	case hop.ProbeOwned, hop.ProbeNotOwned:
 		e.handleProbeReply(now, from, m)
 	case hop.FanoutReply:
-		e.handleFanoutReply(now, m)
+		e.handleFanoutReply(now, from, m)
 	default:
 		e.Stats.Malformed++
 	}
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -317,7 +317,7 @@
 	f.timerSet = false
 	f.ruledOut = e.targetsWithoutFlow(f)
 	f.heldPackets, f.unsure, f.likelyOwners, f.notOwners, f.probed, f.probeChains = nil, nil, nil, nil, nil, nil
-	f.paidProbes = 0
+	f.paidProbes, f.pendingFanouts = 0, nil
 	f.state, f.due = notFound, now+min(lookupBackoff<<min(f.failedLookups, 8), maxLookupBackoff)
 	f.failedLookups++
 }
@@ -341,7 +341,7 @@
 		held := f.heldPackets
 		f.state, f.owner, f.failedLookups = owned, from, 0
 		f.heldPackets, f.likelyOwners, f.unsure, f.notOwners, f.probed, f.probeChains = nil, nil, nil, nil, nil, nil
-		f.ruledOut, f.paidProbes = nil, 0
+		f.ruledOut, f.paidProbes, f.pendingFanouts = nil, 0, nil
 		for _, raw := range held {
 			e.forwardTo(from, f.service, key, raw)
 		}
--- a/internal/entry/queries.go
+++ b/internal/entry/queries.go
@@ -27,13 +27,31 @@
 	refilledAt     time.Duration // time of the last update of tokenBytes
 
 	lastBatch      uint32
-	pendingBatches map[uint32][]packet.Key
+	pendingBatches map[uint32]*batch
+}
+
+// batch is a query whose reply is awaited.
+type batch struct {
+	to    hop.IP   // the relay that was asked
+	group []hop.IP // of a fan-out query: the relays that it asks on behalf of this VM
+	keys  []packet.Key
+	// flows are the lookups for which the query was sent, by key. A later lookup of the same key is another one.
+	flows []*flow
+}
+
+// lookup returns the lookup at a position, or nil if it has ended or does not wait for this kind of reply.
+func (e *Entry) lookup(b *batch, i int, states ...flowState) *flow {
+	f := e.flows[b.keys[i]]
+	if f != b.flows[i] || !slices.Contains(states, f.state) {
+		return nil
+	}
+	return f
 }
 
 func newQueryBatcher(linkBytesPerSecond float64, first uint32) queryBatcher {
 	rate := linkBytesPerSecond * queryLinkShare
 	return queryBatcher{
-		byRelay: map[hop.IP][]packet.Key{}, bytesPerSecond: rate, tokenBytes: rate * queryBurst.Seconds(), pendingBatches: map[uint32][]packet.Key{},
+		byRelay: map[hop.IP][]packet.Key{}, bytesPerSecond: rate, tokenBytes: rate * queryBurst.Seconds(), pendingBatches: map[uint32]*batch{},
 		lastBatch: first,
 	}
 }
@@ -82,7 +100,7 @@
 		return
 	}
 	e.Stats.Swept++
-	f.state, f.pendingGroups = queryingAll, 0
+	f.state, f.pendingFanouts, f.repliesMissing = queryingAll, nil, false
 	f.fanouts++
 	e.setTimer(key, f, now+callerSYNTimeout) // until the query is sent
 	e.queries.queueForAll(now, key)
@@ -124,7 +142,8 @@
 			keys := q.byRelay[relay][:count]
 			q.byRelay[relay] = q.byRelay[relay][count:]
 			q.queued -= count
-			if m, _ := e.newOwnerQuery(now, keys, queryingLikely); m != nil {
+			if m, b := e.newOwnerQuery(now, keys, queryingLikely); m != nil {
+				b.to = relay
 				e.sendMessage(relay, m)
 			}
 		}
@@ -150,16 +169,17 @@
 		q.forAll = q.forAll[count:]
 		q.queued -= count
 		for _, group := range groups {
-			m, flows := e.newOwnerQuery(now, keys, queryingAll)
+			m, b := e.newOwnerQuery(now, keys, queryingAll)
 			if m == nil {
 				break
 			}
 			m.Kind, m.Relays = hop.FanoutQuery, group
-			for _, f := range flows {
-				f.pendingGroups++
+			for _, f := range b.flows {
+				f.pendingFanouts = append(f.pendingFanouts, m.Batch)
 			}
 			q.coordinatorIndex++
-			e.sendMessage(group[q.coordinatorIndex%len(group)], m)
+			b.group, b.to = group, group[q.coordinatorIndex%len(group)]
+			e.sendMessage(b.to, m)
 		}
 	}
 	q.forAll = nil
@@ -178,47 +198,50 @@
 	return slices.Collect(slices.Chunk(relays, hop.MaxFanoutRelays))
 }
 
-// handleFanoutReply handles the answers that a coordinator has collected.
-func (e *Entry) handleFanoutReply(now time.Duration, m *hop.Message) {
-	keys := e.queries.pendingBatches[m.Batch]
-	if len(m.Answers) != len(keys) || len(m.Owners) != len(keys) {
+// handleFanoutReply handles the answers that a coordinator has collected. A late reply to an earlier round does not
+// count for the last one.
+func (e *Entry) handleFanoutReply(now time.Duration, from hop.IP, m *hop.Message) {
+	b := e.queries.pendingBatches[m.Batch]
+	if b == nil || b.group == nil || b.to != from || len(m.Answers) != len(b.keys) || len(m.Owners) != len(b.keys) {
 		return // the batch is too old; the timers of its flows have expired
 	}
 	delete(e.queries.pendingBatches, m.Batch)
-	for i, key := range keys {
-		f := e.flows[key]
-		if f == nil || f.state != queryingAll {
+	for i, key := range b.keys {
+		f := e.lookup(b, i, queryingAll)
+		if f == nil {
 			continue
 		}
-		switch m.Answers[i] {
-		case hop.Owned:
+		if m.Answers[i] == hop.Owned {
 			e.handleAnswer(now, key, f, m.Owners[i], hop.Owned)
 			continue
-		case hop.NoReply, hop.Unsure:
-			f.repliesMissing = f.repliesMissing || m.Answers[i] == hop.NoReply
+		}
+		if m.Answers[i] != hop.NotOwned {
 			for _, relay := range m.Relays {
 				f.addUnsure(relay)
 			}
 		}
-		f.pendingGroups--
-		if f.pendingGroups <= 0 {
+		at := slices.Index(f.pendingFanouts, m.Batch)
+		if at < 0 {
+			continue
+		}
+		f.repliesMissing = f.repliesMissing || m.Answers[i] == hop.NoReply
+		f.pendingFanouts = slices.Delete(f.pendingFanouts, at, at+1)
+		if len(f.pendingFanouts) == 0 {
 			e.afterAllReplied(now, key, f)
 		}
 	}
 }
 
-// newOwnerQuery returns a query for those of the flows that are still in the given state, with these flows,
-// or nil if there are none. It registers the batch and sets the timers of the flows.
-func (e *Entry) newOwnerQuery(now time.Duration, keys []packet.Key, state flowState) (*hop.Message, []*flow) {
-	m := &hop.Message{Kind: hop.OwnerQuery}
-	var queried []packet.Key
-	var flows []*flow
+// newOwnerQuery returns a query for those of the flows that are still in the given state, with its batch, or nil if there are
+// none. It registers the batch and sets the timers of the flows.
+func (e *Entry) newOwnerQuery(now time.Duration, keys []packet.Key, state flowState) (*hop.Message, *batch) {
+	m, b := &hop.Message{Kind: hop.OwnerQuery}, &batch{}
 	for _, key := range keys {
 		f := e.flows[key]
 		if f == nil || f.state != state {
 			continue
 		}
-		queried, flows = append(queried, key), append(flows, f)
+		b.keys, b.flows = append(b.keys, key), append(b.flows, f)
 		m.Questions = append(m.Questions, hop.Question{Key: key, Ack: f.ack})
 		timeout := fanoutTimeout
 		if state == queryingLikely {
@@ -226,27 +249,27 @@
 		}
 		e.setTimer(key, f, now+timeout)
 	}
-	if len(queried) == 0 {
+	if len(b.keys) == 0 {
 		return nil, nil
 	}
 	e.Stats.Questions++
 	q := &e.queries
 	q.lastBatch++
-	q.pendingBatches[q.lastBatch] = queried
+	q.pendingBatches[q.lastBatch] = b
 	delete(q.pendingBatches, q.lastBatch-maxPendingBatches)
 	m.Batch = q.lastBatch
-	return m, flows
+	return m, b
 }
 
 func (e *Entry) handleOwnerReply(now time.Duration, from hop.IP, m *hop.Message) {
-	keys := e.queries.pendingBatches[m.Batch]
-	if len(m.Answers) != len(keys) {
+	b := e.queries.pendingBatches[m.Batch]
+	if b == nil || b.group != nil || b.to != from || len(m.Answers) != len(b.keys) {
 		return // the batch is too old
 	}
 	for i, answer := range m.Answers {
-		f := e.flows[keys[i]]
-		if f != nil && (f.state == queryingLikely || (f.state == probing && answer == hop.Owned)) {
-			e.handleAnswer(now, keys[i], f, from, answer)
+		f := e.lookup(b, i, queryingLikely, probing)
+		if f != nil && (f.state == queryingLikely || answer == hop.Owned) {
+			e.handleAnswer(now, b.keys[i], f, from, answer)
 		}
 	}
 }
