entry: ask relays that are listed during a lookup before a flow is reset

A lookup asks the relays that an entry VM knows when it sends the queries, and looked only at its end whether it knows all. Right after its start an entry VM learns of more relays in between, which were never asked.

Change: at its end a lookup checks that every relay that is known then has answered; if not, all are asked again, and the lookup fails if that does not help.

Result: TestRelayThatIsListedDuringALookupIsAsked fails before and passes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -179,6 +179,7 @@
 	repliesMissing bool       // some of them did not reply to the last fan-out queries
 	fanouts        int        // rounds of fan-out queries
 	pendingFanouts []uint32   // numbers of the fan-out queries of the last round whose reply is missing
+	answeredGroups [][]hop.IP // groups of relays that have all answered a fan-out query
 }
 
 // New returns an Entry without a configuration or targets.
--- a/internal/entry/fanout_test.go
+++ b/internal/entry/fanout_test.go
@@ -117,6 +117,23 @@
 	g.Expect(l.resets).To(Equal(1))
 }
 
+// Guards against open flows that are reset although their relay was never asked: it was listed after the queries were sent, and
+// only the end of the lookup looked whether the list was complete.
+func TestRelayThatIsListedDuringALookupIsAsked(t *testing.T) {
+	g := NewWithT(t)
+	l := newLookupFixture(20)
+	l.run(100 * time.Millisecond)
+	g.Expect(l.queries).To(HaveLen(1))
+	l.list(20, 21)
+	l.answer(l.queries[0])
+	g.Expect(l.resets).To(BeZero())
+	l.run(100 * time.Millisecond)
+	g.Expect(l.queries).To(HaveLen(1))
+	g.Expect(l.queries[0].Relays).To(HaveLen(21))
+	l.answer(l.queries[0])
+	g.Expect(l.resets).To(Equal(1))
+}
+
 // Guards against replies that are counted for another lookup than the one that they answer: of a relay that was not asked, and to
 // a query of an earlier lookup of the same flow.
 func TestRepliesCountOnlyForTheirQuery(t *testing.T) {
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -31,7 +31,7 @@
 	// maxFanouts bounds the fan-out queries for one flow.
 	maxFanouts = 3
 	// incompleteListDelay is the time after which all relays are queried again if the controllers have just
-	// started and may not list all of them. Relays look for controllers every 40 ms.
+	// started and may not list all of them, or have listed more since the first query. Relays look for controllers every 40 ms.
 	incompleteListDelay = 50 * time.Millisecond
 	// fanoutBatchDelay collects flows for one fan-out query, which costs two datagrams for each relay.
 	fanoutBatchDelay = 20 * time.Millisecond
@@ -171,7 +171,7 @@
 		e.probe(now, key, f)
 	case !f.queriedAll:
 		e.queryAll(now, key, f)
-	case e.pendingProbes(f) == 0 && !f.repliesMissing && e.View.KnowsAllRelays(now):
+	case e.pendingProbes(f) == 0 && !f.repliesMissing && e.View.KnowsAllRelays(now) && e.hasAsked(f):
 		e.resetUnowned(now, key, f)
 	case e.pendingProbes(f) == 0 && !f.repliesMissing && f.fanouts < maxFanouts:
 		f.state, f.queriedAll = queryingAll, false
@@ -317,7 +317,7 @@
 	f.timerSet = false
 	f.ruledOut = e.targetsWithoutFlow(f)
 	f.heldPackets, f.unsure, f.likelyOwners, f.notOwners, f.probed, f.probeChains = nil, nil, nil, nil, nil, nil
-	f.paidProbes, f.pendingFanouts = 0, nil
+	f.paidProbes, f.pendingFanouts, f.answeredGroups = 0, nil, nil
 	f.state, f.due = notFound, now+min(lookupBackoff<<min(f.failedLookups, 8), maxLookupBackoff)
 	f.failedLookups++
 }
@@ -341,7 +341,7 @@
 		held := f.heldPackets
 		f.state, f.owner, f.failedLookups = owned, from, 0
 		f.heldPackets, f.likelyOwners, f.unsure, f.notOwners, f.probed, f.probeChains = nil, nil, nil, nil, nil, nil
-		f.ruledOut, f.paidProbes, f.pendingFanouts = nil, 0, nil
+		f.ruledOut, f.paidProbes, f.pendingFanouts, f.answeredGroups = nil, 0, nil, nil
 		for _, raw := range held {
 			e.forwardTo(from, f.service, key, raw)
 		}
--- a/internal/entry/queries.go
+++ b/internal/entry/queries.go
@@ -198,8 +198,8 @@
 	return slices.Collect(slices.Chunk(relays, hop.MaxFanoutRelays))
 }
 
-// handleFanoutReply handles the answers that a coordinator has collected. A late reply to an earlier round does not
-// count for the last one.
+// handleFanoutReply handles the answers that a coordinator has collected. A late reply to an earlier round says what its group
+// has answered, but the replies of the last round are still awaited.
 func (e *Entry) handleFanoutReply(now time.Duration, from hop.IP, m *hop.Message) {
 	b := e.queries.pendingBatches[m.Batch]
 	if b == nil || b.group == nil || b.to != from || len(m.Answers) != len(b.keys) || len(m.Owners) != len(b.keys) {
@@ -220,6 +220,9 @@
 				f.addUnsure(relay)
 			}
 		}
+		if m.Answers[i] != hop.NoReply {
+			f.answeredGroups = append(f.answeredGroups, b.group)
+		}
 		at := slices.Index(f.pendingFanouts, m.Batch)
 		if at < 0 {
 			continue
@@ -232,6 +235,24 @@
 	}
 }
 
+// hasAsked reports whether every relay that is known now and not lost has answered that it does not own the flow, or is unsure.
+// Relays may have become known since the queries were sent.
+func (e *Entry) hasAsked(f *flow) bool {
+	answered := map[hop.IP]struct{}{}
+	for _, relays := range slices.Concat(f.answeredGroups, [][]hop.IP{f.notOwners}) {
+		for _, ip := range relays {
+			answered[ip] = struct{}{}
+		}
+	}
+	asked := true
+	e.View.Each(func(k *roster.KnownTarget) {
+		if _, ok := answered[k.Relay]; !ok && !k.Lost {
+			asked = false
+		}
+	})
+	return asked
+}
+
 // newOwnerQuery returns a query for those of the flows that are still in the given state, with its batch, or nil if there are
 // none. It registers the batch and sets the timers of the flows.
 func (e *Entry) newOwnerQuery(now time.Duration, keys []packet.Key, state flowState) (*hop.Message, *batch) {
