replica: end an unconfirmed read although the node has ended

Change: the removal of the pending read is queued and not waited for. Result: TestUnconfirmedReadEndsAfterTheNode fails before (10 s) and passes.

--- a/internal/replica/replicaapi.go
+++ b/internal/replica/replicaapi.go
@@ -85,8 +85,12 @@
 		}
 		return read.Index, nil
 	case <-ctx.Done():
-		// If the queue is full, the pending read stays until it is answered or the storage fails.
-		_ = r.runOnNode(context.WithoutCancel(ctx), func(*consensus.Node) error { delete(r.pendingReads, id); return nil })
+		// The goroutine that owns the node may have ended, so nothing waits for the removal. If the queue is full, the pending
+		// read stays until it is answered or the storage fails.
+		select {
+		case r.requests <- func() { delete(r.pendingReads, id) }:
+		default:
+		}
 		return 0, result.New(result.DeadlineExceeded, "no reply to the read index request")
 	}
 }
