tests: close listeners of internal/daemon, and wait for a signal of the process

TestHangupWhileTheProcessStarts ended the test program in 33 of 800 runs: the signal was handed to a thread after the end of Run. Change: the specs give the addresses back once all of their ports can be bound; the process that cannot be assembled uses a telemetry port of the system. The signal test goes on when the signal is no longer pending, and keeps a handler for a thread that is late.

--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -95,6 +95,8 @@
 		DeferCleanup(taken.Close)
 		all, _ := loadSingle("10s")
 		all[0].Balancer.Egress = netip.MustParseAddrPort(taken.LocalAddr().String())
+		// Nothing closes the telemetry of a process that could not be assembled before the program ends.
+		all[0].Telemetry.Listen = netip.MustParseAddrPort("127.0.0.1:0")
 		_, err = daemon.New(all[0])
 		Expect(err).To(MatchError(HavePrefix("listen udp4 " + taken.LocalAddr().String())))
 	})
@@ -123,9 +125,17 @@
 	addresses, err := loopback.Reserve()
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(addresses.Close)
+	var reserved []string
+	// Another test gets the block next, and needs its ports. A process closes some listeners after RunAll has returned.
+	DeferCleanup(func() {
+		for _, address := range reserved {
+			Eventually(func() error { return listenOnce(address) }).WithTimeout(time.Minute).Should(Succeed(), address)
+		}
+	})
 	for _, port := range []string{"7400", "7401", "7402", "7403", "7405", "7501", "7502", "7503", "9101", "9102", "9103"} {
 		address, err := addresses.NextTCP()
 		Expect(err).NotTo(HaveOccurred())
+		reserved = append(reserved, address.String())
 		replacements = append(replacements, "127.0.0.1:"+port, address.String())
 	}
 	issueCertificate(authority, model.RoleBalancer, "single-1-balancer")
@@ -145,6 +155,15 @@
 	return all, issueCertificate(authority, model.RoleOperator, "test")
 }
 
+// listenOnce returns an error if something listens at an address.
+func listenOnce(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	return listener.Close()
+}
+
 func processesOf(all []*settings.Settings) []*daemon.Process {
 	GinkgoHelper()
 	var processes []*daemon.Process
--- a/internal/process/server_test.go
+++ b/internal/process/server_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -63,6 +68,12 @@
 // Guards against a process that ends because its settings change while it starts.
 func TestHangupWhileTheProcessStarts(t *testing.T) {
 	g := NewWithT(t)
+	for range 5 {
+		hangUpWhileStarting(t, g)
+	}
+}
+
+func hangUpWhileStarting(t *testing.T, g *WithT) {
 	path := filepath.Join(t.TempDir(), "settings")
 	g.Expect(syscall.Mkfifo(path, 0o600)).To(Succeed())
 	done := make(chan error, 1)
@@ -70,8 +81,29 @@
 	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the process reads its settings
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(syscall.Kill(os.Getpid(), syscall.SIGHUP)).To(Succeed()) // ends the test unless it is handled
+	// The kernel may hand the signal to another thread after Run has ended, and with that its handling. So Run goes on only when
+	// the signal is no longer pending, and the handler of a thread that is late finds this one.
+	g.Eventually(hangupIsPending, 10*time.Second, time.Millisecond).Should(BeFalse())
+	late := make(chan os.Signal, 1)
+	signal.Notify(late, syscall.SIGHUP)
+	defer signal.Stop(late)
 	_, err = pipe.WriteString("{}")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(pipe.Close()).To(Succeed())
 	g.Expect(result.CodeOf(<-done)).To(Equal(result.SettingsInvalid))
 }
+
+// hangupIsPending reports whether no thread of this process has taken a SIGHUP yet.
+func hangupIsPending() (bool, error) {
+	status, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return false, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if digits, ok := strings.CutPrefix(line, "ShdPnd:"); ok {
+			pending, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 64)
+			return pending&(1<<(syscall.SIGHUP-1)) != 0, err
+		}
+	}
+	return false, errors.New("/proc/self/status has no line ShdPnd")
+}
