--- a/internal/confstore/incarnations.go
+++ b/internal/confstore/incarnations.go
@@ -26,10 +26,8 @@
 	maxIncarnations = 8192
 )
 
-// incarnations records on disk the addresses of all processes and the last target of each relay. A relay process that
-// has just started learns from it whether the target restarted after the previous relay process had announced it. Only
-// then is it certain that the target has no older flows. The record is local to this controller and not replicated; a
-// relay asks a majority of the controllers.
+// incarnations records on disk the addresses of all processes and the last target of each relay. The record is local to this
+// controller and not replicated. Relays of older builds take the flows of their target for complete by the previous target.
 type incarnations struct {
 	folder string
 	dirty  chan struct{} // holds a value while a change is not saved
@@ -65,8 +63,7 @@
 	Entry bool
 }
 
-// loadIncarnations reads the file. If it is missing or unreadable, no previous target is known, which is safe:
-// a relay then does not conclude that its target has restarted.
+// loadIncarnations reads the file. If it is missing or unreadable, no previous target is known.
 func loadIncarnations(folder string, logger *log.Logger) *incarnations {
 	n := &incarnations{
 		folder: folder, dirty: make(chan struct{}, 1), relays: map[hop.IP]incarnation{},
@@ -146,7 +143,6 @@
 }
 
 // evict removes the record that has not changed for the longest time, of relays that have left if there are any.
-// A relay without a record is unsure of the flows of its target until they have expired.
 func (n *incarnations) evict() {
 	var oldest hop.IP
 	found := false
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -154,7 +154,7 @@
 	// Call asks the receiver to announce itself: the controller has started and remembers it from before.
 	Call bool
 	// Previous is the ID of the target that an earlier process of the receiving relay announced last; empty
-	// if the controller does not know one.
+	// if the controller does not know one. Only older builds read it.
 	Previous string
 }
 
