relay: a test of returned packets of an earlier flow

Cause: one of the conclusions that mended had no test. Result: with the part of the fix taken out that it stands for, this test fails, and so do those of flows reported, late checks and the idle timeout, one by one.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -253,3 +253,17 @@
 	g.Expect(sendHeartbeat(r, 2*time.Second, "b", 0, 7)).To(Succeed())
 	g.Expect(r.State()).To(Equal(roster.Ready))
 }
+
+// Guards against an open flow that is forgotten because the target returns a late packet of an earlier flow from the same port.
+func TestReturnedPacketOfAnEarlierFlowKeepsTheFlow(t *testing.T) {
+	g := NewWithT(t)
+	r := newRelay()
+	v := packet.View{Token: 1, Flags: packet.ACK}
+	r.flows[v.KeyFromCaller()] = &flow{state: open, createdAt: 2 * time.Second}
+	r.inflight[1] = inflightPacket{token: 1, sentAt: time.Second}
+	r.handleReturned(3*time.Second, nil, &v)
+	g.Expect(r.lookup(3*time.Second, v.KeyFromCaller(), 0)).To(Equal(hop.Owned))
+	r.inflight[1].sentAt = 3 * time.Second
+	r.handleReturned(3*time.Second, nil, &v)
+	g.Expect(r.lookup(3*time.Second, v.KeyFromCaller(), 0)).To(Equal(hop.NotOwned))
+}
