--- a/review/standin-3/endpoint.go
+++ b/review/standin-3/endpoint.go
@@ -38,6 +38,7 @@
 	sequence  int
 	coldUntil time.Time
 	resets    int // sent by this endpoint
+	lastCode  int // HTTP status of the last answer to a heartbeat
 	coldSent  time.Time
 }
 
@@ -111,7 +112,8 @@
 		began := time.Now()
 		url, body := e.heartbeat()
 		// An endpoint goes on while its node does not answer, and sends the next heartbeat in time.
-		_, _ = call(http.MethodPost, url, body, min(time.Second, max(pause, pollTime)))
+		code, err := call(http.MethodPost, url, body, min(time.Second, max(pause, pollTime)))
+		e.recordAnswer(code, err)
 		select {
 		case <-e.stop:
 			return
@@ -120,6 +122,16 @@
 	}
 }
 
+// recordAnswer records when the node begins to answer heartbeats in another way.
+func (e *endpoint) recordAnswer(code int, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err == nil && code != e.lastCode {
+		e.lastCode = code
+		e.w.recordf("heartbeats of %s are answered with %d", e.cfg.id, code)
+	}
+}
+
 func (e *endpoint) receive() {
 	buffer := make([]byte, 65536)
 	for {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,8 +15,9 @@
 
 // cases are the scripts by name. trouble is false if the disruption is left out.
 var cases = map[string]func(w *world, trouble bool) error{
-	"late-heartbeat": lateHeartbeat,
-	"returned-cold":  returnedCold,
+	"foreign-heartbeat": foreignHeartbeat,
+	"late-heartbeat":    lateHeartbeat,
+	"returned-cold":     returnedCold,
 }
 
 func main() {
