--- a/review/standin-3/endpoint.go
+++ b/review/standin-3/endpoint.go
@@ -18,6 +18,10 @@
 	work              time.Duration
 	// phase is the time of the second heartbeat after the first one; later ones follow at the interval of the settings.
 	phase time.Duration
+	// cutOff keeps the endpoint's heartbeats from being sent.
+	cutOff bool
+	// withoutBorn leaves out the start time, as the example in PROTOCOL.md does.
+	withoutBorn bool
 	// opened is called with the first packet of each flow; may be nil.
 	opened func(client end, at time.Time)
 }
@@ -69,7 +73,9 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Second}
 	e.tasks.Go(func() { _ = server.Serve(e.health) })
 	e.tasks.Go(e.receive)
-	e.tasks.Go(e.sendHeartbeats)
+	if !cfg.cutOff {
+		e.tasks.Go(e.sendHeartbeats)
+	}
 	w.cleanup(e.crash)
 	return e, nil
 }
@@ -102,8 +108,12 @@
 	if left > 0 && e.coldSent.IsZero() {
 		e.coldSent = time.Now()
 	}
-	body = fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacitySlots":%d,"state":"ready","warmupLeftMs":%d,"seqNo":%d,"born":%d}`,
-		e.cfg.service, e.w.at(e.cfg.ip, appPort), e.cfg.zone, e.cfg.slots, left.Milliseconds(), e.sequence, e.born)
+	body = fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacitySlots":%d,"state":"ready","warmupLeftMs":%d,"seqNo":%d`,
+		e.cfg.service, e.w.at(e.cfg.ip, appPort), e.cfg.zone, e.cfg.slots, left.Milliseconds(), e.sequence)
+	if !e.cfg.withoutBorn {
+		body += fmt.Sprintf(`,"born":%d`, e.born)
+	}
+	body += "}"
 	return fmt.Sprintf("http://%s/Instances.Heartbeat/%s", e.w.at(e.cfg.ip, controlPort), e.cfg.id), body
 }
 
--- a/review/standin-3/foreign_heartbeat.go
+++ b/review/standin-3/foreign_heartbeat.go
@@ -8,7 +8,7 @@
 
 // foreignHeartbeat judges FLOW: a heartbeat of another writer, which lacks a field, arrives at the node beside an endpoint.
 func foreignHeartbeat(w *world, trouble bool) error {
-	d, err := startPair(w)
+	d, err := startPair(w, false)
 	if err != nil {
 		return err
 	}
--- a/review/standin-3/late_heartbeat.go
+++ b/review/standin-3/late_heartbeat.go
@@ -13,12 +13,13 @@
 	downTime     = 300 * time.Millisecond // between the two incarnations
 	flowTime     = 1500 * time.Millisecond
 	restartDelay = 100 * time.Millisecond
+	heldUpBeyond = 600 * time.Millisecond // after stableWindowMs
 )
 
 // lateHeartbeat judges FLOW: a heartbeat that was held up arrives after its sender has crashed and a new incarnation has
 // registered at its address, just after a planned restart of the process beside them.
 func lateHeartbeat(w *world, trouble bool) error {
-	d, err := startPair(w)
+	d, err := startPair(w, false)
 	if err != nil {
 		return err
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,6 +16,7 @@
 // cases are the scripts by name. trouble is false if the disruption is left out.
 var cases = map[string]func(w *world, trouble bool) error{
 	"foreign-heartbeat": foreignHeartbeat,
+	"late-first":        lateFirst,
 	"late-heartbeat":    lateHeartbeat,
 	"returned-cold":     returnedCold,
 }
--- a/review/standin-3/pair.go
+++ b/review/standin-3/pair.go
@@ -18,6 +18,7 @@
 // pair is a small deployment: three controllers, one front, and two endpoints of one service with their nodes.
 type pair struct {
 	w             *world
+	withoutBorn   bool
 	host          *clientHost
 	node          *machine // beside the first endpoint
 	first, second *endpoint
@@ -26,16 +27,16 @@
 func (d *pair) endpoint(id string, number int) endpointConfig {
 	return endpointConfig{
 		id: id, service: "migrator-core", zone: pairZones[number-1], ip: d.w.ip(sideGroup, number), slots: 2, work: 15 * time.Millisecond,
-		phase: heartbeatInterval,
+		phase: heartbeatInterval, withoutBorn: d.withoutBorn,
 	}
 }
 
 // startPair starts the deployment and waits until all machines are in touch.
-func startPair(w *world) (*pair, error) {
+func startPair(w *world, withoutBorn bool) (*pair, error) {
 	for n, zone := range pairZones {
 		w.addCore(n+1, zone)
 	}
-	d := &pair{w: w}
+	d := &pair{w: w, withoutBorn: withoutBorn}
 	front := w.addFront(1, pairZones[0])
 	d.node = w.addSide(1, pairZones[0], "migrator-core")
 	w.addSide(2, pairZones[1], "migrator-core")
