--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -30,11 +30,12 @@
 	expired  outcome = "no answer"
 )
 
-// clientHost is a client machine with many flows. Its packets go to one front.
+// clientHost is a client machine with many flows. route returns the front to which the routers forward the packets of a
+// flow.
 type clientHost struct {
 	w       *world
 	ip      netip.Addr
-	front   netip.AddrPort
+	route   func(flow end) netip.AddrPort
 	service end
 	conn    *net.UDPConn
 	port    atomic.Uint32
@@ -53,9 +54,9 @@
 	id       string
 }
 
-func newClientHost(w *world, number int, front *machine, service end) (*clientHost, error) {
+func newClientHost(w *world, number int, route func(flow end) netip.AddrPort, service end) (*clientHost, error) {
 	c := &clientHost{
-		w: w, ip: w.ip(clientGroup, number), front: w.at(front.ip, datagramPort), service: service, flows: map[uint16]*clientFlow{}, sentAt: map[end]time.Time{},
+		w: w, ip: w.ip(clientGroup, number), route: route, service: service, flows: map[uint16]*clientFlow{}, sentAt: map[end]time.Time{},
 	}
 	c.port.Store(uint32(20000 + rand.IntN(10000)))
 	var err error
@@ -92,7 +93,7 @@
 
 func (f *clientFlow) send(flags byte, ack uint32, data []byte) {
 	p := frame{src: f.local, dst: f.host.service, flags: flags, seq: f.seq, ack: ack, data: data}
-	_, _ = f.host.conn.WriteToUDPAddrPort(p.encode(), f.host.front)
+	_, _ = f.host.conn.WriteToUDPAddrPort(p.encode(), f.host.route(f.local))
 }
 
 // open opens a flow from a new port.
--- a/review/standin-3/pair.go
+++ b/review/standin-3/pair.go
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	time.Sleep(stableWindow)
-	d.host, err = newClientHost(w, 1, front, end{addressOf(0xc6120001), 8443})
+	d.host, err = newClientHost(w, 1, toFront(front), end{addressOf(0xc6120001), 8443})
 	return d, err
 }
 
--- a/review/standin-3/returned_cold.go
+++ b/review/standin-3/returned_cold.go
@@ -40,7 +40,7 @@
 	service := end{addressOf(0xc6120001), 8443}
 	var hosts []*clientHost
 	for n, front := range fronts {
-		host, err := newClientHost(w, n+1, front, service)
+		host, err := newClientHost(w, n+1, toFront(front), service)
 		if err != nil {
 			return err
 		}
@@ -87,7 +87,7 @@
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	for _, h := range hosts {
-		load.Go(func() { h.offer(stop, &counts) })
+		load.Go(func() { h.offer(stop, flowsPerS, &counts) })
 	}
 	time.Sleep(2 * time.Second)
 	var coldFrom, finished time.Time
@@ -137,10 +137,10 @@
 }
 
 // offer opens flows with one request each.
-func (c *clientHost) offer(stop chan struct{}, counts *[3]atomic.Int64) {
+func (c *clientHost) offer(stop chan struct{}, perS int, counts *[3]atomic.Int64) {
 	var flows sync.WaitGroup
 	defer flows.Wait()
-	ticker := time.NewTicker(time.Second / flowsPerS)
+	ticker := time.NewTicker(time.Second / time.Duration(perS))
 	defer ticker.Stop()
 	for {
 		select {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -66,6 +66,9 @@
 	ip       netip.Addr
 	settings map[string]any
 
+	// output receives the standard output and error of the process instead of a file, if it is set.
+	output *os.File
+
 	command *exec.Cmd
 	done    chan struct{}
 }
@@ -179,6 +182,9 @@
 	}
 	command := exec.Command(m.w.daemon, "node", "--settings", file)
 	command.Stdout, command.Stderr = logs, logs
+	if m.output != nil {
+		command.Stdout, command.Stderr = m.output, m.output
+	}
 	command.Env = append(os.Environ(), "GREENGAGELOCK_FAULT_TOLERANCE=1")
 	if err := command.Start(); err != nil {
 		return err
