--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -97,8 +97,11 @@
 }
 
 // open opens a flow from a new port.
-func (c *clientHost) open() (*clientFlow, outcome) {
-	f := &clientFlow{host: c, local: end{c.ip, uint16(c.port.Add(1))}, seq: rand.Uint32(), packets: make(chan frame, 64)}
+func (c *clientHost) open() (*clientFlow, outcome) { return c.openFrom(uint16(c.port.Add(1))) }
+
+// openFrom opens a flow from a port.
+func (c *clientHost) openFrom(port uint16) (*clientFlow, outcome) {
+	f := &clientFlow{host: c, local: end{c.ip, port}, seq: rand.Uint32(), packets: make(chan frame, 64)}
 	f.id = fmt.Sprintf("%s:%d", f.local.ip, f.local.port)
 	c.mu.Lock()
 	c.flows[f.local.port] = f
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 	"late-first":        lateFirst,
 	"late-heartbeat":    lateHeartbeat,
 	"returned-cold":     returnedCold,
+	"reused-ports":      reusedPorts,
 	"stalled-logs":      stalledLogs,
 }
 
