--- a/review/standin-3/reused_ports.go
+++ b/review/standin-3/reused_ports.go
@@ -11,7 +11,9 @@
 	portCount  = 60
 	firstPort  = 30000
 	reuseAfter = 10 * time.Second // less than idleTimeoutMs
-	sideCount  = 6
+	// restartDelay is the time from the end of a process to its next start.
+	restartDelay = 100 * time.Millisecond
+	sideCount    = 6
 )
 
 // reusedPorts judges FLOW: clients use ports again whose flows have closed, and a front is restarted as planned.
