--- a/review/standin-3/pair.go
+++ b/review/standin-3/deployment.go
@@ -6,51 +6,57 @@
 )
 
 const (
-	flowCount = 24
+	// endpointCount is the number of endpoints of the service on the site.
+	endpointCount = 7
+	flowCount     = 84
 	// watchTime is the time for which idle flows are watched.
 	watchTime = 3 * time.Second
 	// stableWindow is stableWindowMs: after it, machines that were started are in touch.
 	stableWindow = 4 * time.Second
 )
 
-var pairZones = []string{"bog-a", "bog-b", "bog-c"}
+var coreZones = []string{"bog-a", "bog-b", "bog-c"}
 
-// pair is a small deployment: three controllers, one front, and two endpoints of one service with their nodes.
-type pair struct {
-	w             *world
-	withoutBorn   bool
-	host          *clientHost
-	node          *machine // beside the first endpoint
-	first, second *endpoint
+// deployment is a small one: three controllers, one front, and the endpoints of one service with their nodes.
+type deployment struct {
+	w           *world
+	withoutBorn bool
+	host        *clientHost
+	node        *machine    // beside endpoint number 1
+	endpoints   []*endpoint // all but number 1
 }
 
-func (d *pair) endpoint(id string, number int) endpointConfig {
+func (d *deployment) endpoint(id string, number int) endpointConfig {
 	return endpointConfig{
-		id: id, service: "migrator-core", zone: pairZones[number-1], ip: d.w.ip(sideGroup, number), slots: 2, work: 15 * time.Millisecond,
+		id: id, service: "migrator-core", zone: coreZones[number%len(coreZones)], ip: d.w.ip(sideGroup, number), slots: 2, work: 15 * time.Millisecond,
 		phase: heartbeatInterval, withoutBorn: d.withoutBorn,
 	}
 }
 
-// startPair starts the deployment and waits until all machines are in touch.
-func startPair(w *world, withoutBorn bool) (*pair, error) {
-	for n, zone := range pairZones {
+// startDeployment starts everything but endpoint number 1, and waits until all machines are in touch.
+func startDeployment(w *world, withoutBorn bool) (*deployment, error) {
+	for n, zone := range coreZones {
 		w.addCore(n+1, zone)
 	}
-	d := &pair{w: w, withoutBorn: withoutBorn}
-	front := w.addFront(1, pairZones[0])
-	d.node = w.addSide(1, pairZones[0], "migrator-core")
-	w.addSide(2, pairZones[1], "migrator-core")
-	if err := w.launchAll(); err != nil {
-		return nil, err
+	d := &deployment{w: w, withoutBorn: withoutBorn}
+	front := w.addFront(1, coreZones[0])
+	for n := range endpointCount {
+		side := w.addSide(n+1, coreZones[(n+1)%len(coreZones)], "migrator-core")
+		if n == 0 {
+			d.node = side
+		}
 	}
-	var err error
-	if d.first, err = startEndpoint(w, d.endpoint("i-first", 1)); err != nil {
+	if err := w.launchAll(); err != nil {
 		return nil, err
 	}
-	if d.second, err = startEndpoint(w, d.endpoint("i-second", 2)); err != nil {
-		return nil, err
+	for n := 2; n <= endpointCount; n++ {
+		e, err := startEndpoint(w, d.endpoint(fmt.Sprintf("i-other-%d", n), n))
+		if err != nil {
+			return nil, err
+		}
+		d.endpoints = append(d.endpoints, e)
 	}
-	config := `{"version":7,"routes":[{"name":"r-1","host":"198.18.0.1","pathPrefix":"/8443/","routeType":"unsafe","timeoutMs":1500,` +
+	config := `{"version":7,"routes":[{"name":"r-1","host":"` + w.service().ip.String() + `","pathPrefix":"/8443/","routeType":"unsafe","timeoutMs":1500,` +
 		`"targetLatencyMs":250,"priority":1,"service":"migrator-core","maxAttempts":2}],"services":[{"name":"migrator-core","healthPath":"/health",` +
 		`"maxConnections":2000,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,` +
 		`"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
@@ -61,12 +67,22 @@
 		return nil, err
 	}
 	time.Sleep(stableWindow)
-	d.host, err = newClientHost(w, 1, toFront(front), end{addressOf(0xc6120001), 8443})
+	var err error
+	d.host, err = newClientHost(w, 1, toFront(front), w.service())
 	return d, err
 }
 
+// resets returns the number of resets that the endpoints have sent, without number 1.
+func (d *deployment) resets() int {
+	sum := 0
+	for _, e := range d.endpoints {
+		sum += e.resets
+	}
+	return sum
+}
+
 // openFlows opens flows with one answered request each, some of them at the endpoint in question.
-func (d *pair) openFlows(e, other *endpoint) ([]*clientFlow, error) {
+func (d *deployment) openFlows(e *endpoint) ([]*clientFlow, error) {
 	var flows []*clientFlow
 	for range flowCount {
 		f, o := d.host.open()
@@ -79,16 +95,13 @@
 		}
 		flows = append(flows, f)
 	}
-	here, there := 0, 0
+	here := 0
 	for _, f := range flows {
-		switch {
-		case e.hasOpen(f.local):
+		if e.hasOpen(f.local) {
 			here++
-		case other.hasOpen(f.local):
-			there++
 		}
 	}
-	d.w.recordf("%d flows are open at %s and %d at %s; one request was answered on each", here, e.cfg.id, there, other.cfg.id)
+	d.w.recordf("%d flows are open, %d of them at %s; one request was answered on each", len(flows), here, e.cfg.id)
 	if here == 0 {
 		return nil, fmt.Errorf("no flow is open at %s", e.cfg.id)
 	}
--- a/review/standin-3/foreign_heartbeat.go
+++ b/review/standin-3/foreign_heartbeat.go
@@ -8,11 +8,16 @@
 
 // foreignHeartbeat judges FLOW: a heartbeat of another writer, which lacks a field, arrives at the node beside an endpoint.
 func foreignHeartbeat(w *world, trouble bool) error {
-	d, err := startPair(w, false)
+	d, err := startDeployment(w, false)
 	if err != nil {
 		return err
 	}
-	flows, err := d.openFlows(d.first, d.second)
+	first, err := startEndpoint(w, d.endpoint("i-first", 1))
+	if err != nil {
+		return err
+	}
+	time.Sleep(stableWindow)
+	flows, err := d.openFlows(first)
 	if err != nil {
 		return err
 	}
@@ -22,10 +27,10 @@
 		body := fmt.Sprintf(`{"service":"migrator-core","address":%q,"zone":"bog-a","version":"v1","capacitySlots":2,"state":"ready","warmupLeftMs":0,"seqNo":1}`,
 			w.at(d.node.ip, appPort))
 		code, err := call(http.MethodPost, url, body, time.Second)
-		w.recordf("a heartbeat of another writer, without born, arrives beside %s; answer: %d, %v", d.first.cfg.id, code, err)
+		w.recordf("a heartbeat of another writer, without born, arrives beside %s; answer: %d, %v", first.cfg.id, code, err)
 	}
-	broken := watchFlows(w, flows, d.first)
-	w.recordf("resets sent by the endpoints: %d by %s, %d by %s", d.first.resets, d.first.cfg.id, d.second.resets, d.second.cfg.id)
+	broken := watchFlows(w, flows, first)
+	w.recordf("resets sent by the endpoints: %d", d.resets()+first.resets)
 	if broken > 0 {
 		return fmt.Errorf("%w: FLOW: %d clients got a reset on an open flow that its endpoint did not send, while the endpoint lives", errBroken, broken)
 	}
--- a/review/standin-3/late_first.go
+++ b/review/standin-3/late_first.go
@@ -19,13 +19,10 @@
 // lateFirst judges FLOW: the first heartbeat of an endpoint is held up by a partition, and arrives after its sender has
 // crashed and a new incarnation has registered at the same address. Heartbeats are those of PROTOCOL.md, without born.
 func lateFirst(w *world, trouble bool) error {
-	d, err := startPair(w, true)
+	d, err := startDeployment(w, true)
 	if err != nil {
 		return err
 	}
-	d.first.crash()
-	w.recordf("%s has crashed", d.first.cfg.id)
-	time.Sleep(downTime)
 	cfg := d.endpoint("i-short", 1)
 	cfg.cutOff = true
 	short, err := startEndpoint(w, cfg)
@@ -47,7 +44,7 @@
 	}
 	w.recordf("%s has started at the same address", after.cfg.id)
 	time.Sleep(heartbeatInterval / 2) // its first heartbeat has been acknowledged
-	flows, err := d.openFlows(after, d.second)
+	flows, err := d.openFlows(after)
 	if err != nil {
 		return err
 	}
@@ -61,7 +58,7 @@
 		w.recordf("the heartbeat of %s arrives after %v; answer: %d, %v", short.cfg.id, heldUp.Round(time.Millisecond), code, err)
 	}
 	broken := watchFlows(w, flows, after)
-	w.recordf("resets sent by the endpoints: %d by %s, %d by %s", after.resets, after.cfg.id, d.second.resets, d.second.cfg.id)
+	w.recordf("resets sent by the endpoints: %d", d.resets()+after.resets)
 	if broken > 0 {
 		return fmt.Errorf("%w: FLOW: %d clients got a reset on an open flow that its endpoint did not send, while the endpoint lives", errBroken, broken)
 	}
--- a/review/standin-3/returned_cold.go
+++ b/review/standin-3/returned_cold.go
@@ -37,7 +37,7 @@
 	if err := w.launchAll(); err != nil {
 		return err
 	}
-	service := end{addressOf(0xc6120001), 8443}
+	service := w.service()
 	var hosts []*clientHost
 	for n, front := range fronts {
 		host, err := newClientHost(w, n+1, toFront(front), service)
@@ -71,10 +71,10 @@
 		}
 		endpoints = append(endpoints, e)
 	}
-	config := fmt.Sprintf(`{"version":7,"routes":[{"name":"r-1","host":"198.18.0.1","pathPrefix":"/8443/","routeType":"safe","timeoutMs":1500,`+
+	config := fmt.Sprintf(`{"version":7,"routes":[{"name":"r-1","host":%q,"pathPrefix":"/8443/","routeType":"safe","timeoutMs":1500,`+
 		`"targetLatencyMs":250,"priority":2,"service":"migrator-core","maxAttempts":2}],"services":[{"name":"migrator-core","healthPath":"/health",`+
 		`"maxConnections":2000,"protocol":"h1","tls":false,"warmupS":2.0,"warmupPerS":%d.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,`+
-		`"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, warmupPerS)
+		`"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, w.service().ip, warmupPerS)
 	if err := w.order("/Config.Replace", config); err != nil {
 		return err
 	}
--- a/review/standin-3/reused_ports.go
+++ b/review/standin-3/reused_ports.go
@@ -22,7 +22,7 @@
 	for n, zone := range zones {
 		w.addCore(n+1, zone)
 	}
-	fronts := []*machine{w.addFront(1, zones[0]), w.addFront(2, zones[0])}
+	fronts := []*machine{w.addFront(1, zones[0]), w.addFront(2, zones[0]), w.addFront(3, zones[0])}
 	for n := range sideCount {
 		w.addSide(n+1, zones[n%3], "migrator-core")
 	}
@@ -40,7 +40,7 @@
 		}
 		endpoints = append(endpoints, e)
 	}
-	config := `{"version":7,"routes":[{"name":"r-1","host":"198.18.0.1","pathPrefix":"/8443/","routeType":"unsafe","timeoutMs":1500,` +
+	config := `{"version":7,"routes":[{"name":"r-1","host":"` + w.service().ip.String() + `","pathPrefix":"/8443/","routeType":"unsafe","timeoutMs":1500,` +
 		`"targetLatencyMs":250,"priority":1,"service":"migrator-core","maxAttempts":2}],"services":[{"name":"migrator-core","healthPath":"/health",` +
 		`"maxConnections":2000,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,` +
 		`"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
@@ -52,7 +52,7 @@
 	}
 	time.Sleep(stableWindow)
 	routers := startRouter(w, fronts)
-	host, err := newClientHost(w, 1, routers.route, end{addressOf(0xc6120001), 8443})
+	host, err := newClientHost(w, 1, routers.route, w.service())
 	if err != nil {
 		return err
 	}
--- a/review/standin-3/stalled_logs.go
+++ b/review/standin-3/stalled_logs.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	routers := startRouter(w, fronts)
-	host, err := newClientHost(w, 1, routers.route, end{addressOf(0xc6120001), 8443})
+	host, err := newClientHost(w, 1, routers.route, w.service())
 	if err != nil {
 		return err
 	}
@@ -138,10 +138,10 @@
 		}
 	}
 	config := func(version, timeout int, service string) string {
-		return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-1","host":"198.18.0.1","pathPrefix":"/8443/","routeType":"safe","timeoutMs":%d,`+
+		return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-1","host":%q,"pathPrefix":"/8443/","routeType":"safe","timeoutMs":%d,`+
 			`"targetLatencyMs":250,"priority":2,"service":%q,"maxAttempts":2}],"services":[{"name":"migrator-core","healthPath":"/health",`+
 			`"maxConnections":2000,"protocol":"h1","tls":false},{"name":"plan-archive","healthPath":"/health","maxConnections":2000,"protocol":"h1",`+
-			`"tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version, timeout, service)
+			`"tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version, w.service().ip, timeout, service)
 	}
 	if err := w.order("/Config.Replace", config(7, 1500, services[0])); err != nil {
 		return err
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -24,6 +24,7 @@
 	frontGroup
 	sideGroup
 	clientGroup
+	routeGroup
 )
 
 // Ports, the same on all machines.
@@ -120,6 +121,9 @@
 
 func (w *world) at(ip netip.Addr, port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
 
+// service is the address of the route, to which no process is bound.
+func (w *world) service() end { return end{w.ip(routeGroup, 1), 8443} }
+
 func (w *world) ip(group, number int) netip.Addr { return w.block.IP(group, number) }
 
 // seeds are the control addresses of the first three controllers.
